Lay out the workspace and one request path from end to end

Cause: an empty repository. Change: a module per program, the design page, named ids and units, the millisecond clock, dense tables, the goroutine group, the verdict error, the strictly read services text, a control goroutine with systems per tick, and one path from caller to upstream.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Targets: run, test, prove, bench, load, fuzz. See README.md.
+
+MODULES := schedule entry standin ctl replay load demo bench
+PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
+FUZZTIME ?= 20s
+
+.PHONY: run test format lint generated build vet unit prove bench load fuzz generate
+
+run:
+	go run ./demo
+
+test: format lint generated build vet unit
+
+# Fails if a file differs from what gofumpt writes.
+format:
+	@out=$$(go tool gofumpt -l $(MODULES)); test -z "$$out" || { echo "gofumpt would change:"; echo "$$out"; exit 1; }
+
+lint:
+	@go tool revive -config revive.toml -set_exit_status $(PACKAGES)
+
+# Fails if a generated file is stale.
+generated:
+	@sh tools/generated.sh
+
+generate:
+	@for m in $(MODULES); do (cd $$m && go generate ./...) || exit 1; done
+
+build:
+	go build -o bin/ $(PACKAGES)
+
+vet:
+	go vet $(PACKAGES)
+
+unit:
+	go test -race $(PACKAGES)
+
+prove:
+	go run ./replay prove
+
+bench:
+	go run ./bench
+
+load: build
+	sh load/run.sh
+
+# Runs every fuzz test for FUZZTIME.
+fuzz:
+	sh tools/fuzz.sh $(FUZZTIME)
--- /dev/null
+++ b/entry/control/loop.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"context"
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/route"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+)
+
+// Tick is the time between two runs of the systems.
+const Tick = 50 * clock.Millisecond
+
+// inboxSize bounds the messages that wait for the control goroutine.
+const inboxSize = 1024
+
+// Message is something that another goroutine tells the control goroutine.
+type Message interface {
+	// Apply changes the tables. It runs in the control goroutine.
+	Apply(s *State, now clock.Millis)
+}
+
+// System runs over the tables once a tick.
+type System func(s *State, now clock.Millis)
+
+// View is what the control goroutine publishes. It is immutable.
+type View struct {
+	Ready    bool // whether new requests may be taken
+	Revision unit.Revision
+	Text     *service.Text
+	Routes   *route.View
+}
+
+var (
+	ticks    = expvar.NewInt("control.ticks")
+	messages = expvar.NewInt("control.messages")
+	dropped  = expvar.NewInt("control.messagesDropped")
+)
+
+// Loop is the control goroutine's state and inbox. Use [New].
+type Loop struct {
+	clock   clock.Clock
+	systems []System
+	inbox   chan Message
+	view    atomic.Pointer[View]
+	state   State
+}
+
+// New returns a loop that runs the given systems in order on each tick.
+func New(c clock.Clock, self Self, systems ...System) *Loop {
+	l := &Loop{clock: c, systems: systems, inbox: make(chan Message, inboxSize)}
+	l.state.Self = self
+	l.view.Store(&View{})
+	return l
+}
+
+// View returns the last published view. It is never nil.
+func (l *Loop) View() *View { return l.view.Load() }
+
+// Offer sends m without waiting. It reports false and counts the loss if the
+// inbox is full.
+func (l *Loop) Offer(m Message) bool {
+	select {
+	case l.inbox <- m:
+		return true
+	default:
+		dropped.Add(1)
+		return false
+	}
+}
+
+// Send sends m, waiting for room in the inbox until ctx ends.
+func (l *Loop) Send(ctx context.Context, m Message) error {
+	select {
+	case l.inbox <- m:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Run applies messages and runs the systems until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	ticker := time.NewTicker(Tick.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-l.inbox:
+			messages.Add(1)
+			m.Apply(&l.state, l.clock.Now())
+			if l.state.urgent {
+				l.Step()
+			}
+		case <-ticker.C:
+			l.Step()
+		}
+	}
+}
+
+// Step runs the systems once and publishes the result. Tests call it instead
+// of Run.
+func (l *Loop) Step() {
+	ticks.Add(1)
+	now := l.clock.Now()
+	l.state.urgent = false
+	for _, system := range l.systems {
+		system(&l.state, now)
+	}
+	l.view.Store(l.state.view())
+}
--- /dev/null
+++ b/entry/control/state.go
@@ -0,0 +1,38 @@
+package control
+
+import (
+	"mimosadock/schedule/route"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+)
+
+// Self is what a process knows of itself from its settings.
+type Self struct {
+	Instance   unit.Instance   `json:"instance"`
+	Host       unit.Host       `json:"host"`
+	DataCentre unit.DataCentre `json:"dataCentre"`
+	Address    string          `json:"address"` // for peers, "ip:port"
+}
+
+// State holds the tables of a process. Only the control goroutine uses it.
+type State struct {
+	Self     Self
+	Text     *service.Text
+	Revision unit.Revision
+	Draining bool
+	routes   *route.View
+	urgent   bool // run the systems before the next tick
+	routeState
+}
+
+// Urge makes the systems run right after the current message.
+func (s *State) Urge() { s.urgent = true }
+
+func (s *State) view() *View {
+	return &View{
+		Ready:    s.Text != nil && !s.Draining,
+		Revision: s.Revision,
+		Text:     s.Text,
+		Routes:   s.routes,
+	}
+}
--- /dev/null
+++ b/entry/setting/setting_test.go
@@ -0,0 +1,39 @@
+package setting
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func usable() Settings {
+	return Settings{Listen: "127.0.0.1:0", Operator: "127.0.0.1:0", DataCentre: "kelso", LogLevel: "info", DrainFor: time.Hour}
+}
+
+// Guards against a process that starts with settings it can't work with.
+func TestCheck(t *testing.T) {
+	tests := map[string]struct {
+		change func(*Settings)
+		want   string // part of the error; empty expects none
+	}{
+		"usable":       {change: func(*Settings) {}},
+		"host name":    {change: func(s *Settings) { s.Listen = "localhost:80" }, want: "--listen"},
+		"same address": {change: func(s *Settings) { s.Listen, s.Operator = "127.0.0.1:80", "127.0.0.1:80" }, want: "--operator"},
+		"log level":    {change: func(s *Settings) { s.LogLevel = "loud" }, want: "--log-level"},
+		"drain":        {change: func(s *Settings) { s.DrainFor = -1 }, want: "--drain-for"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := usable()
+			tc.change(&s)
+			err := s.Check()
+			is.Equal(err != nil, tc.want != "")
+			if err != nil {
+				is.True(strings.Contains(err.Error(), tc.want))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/schedule/clock/clock.go
@@ -0,0 +1,83 @@
+package clock
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Millis is an instant in milliseconds on the monotonic axis of one process.
+// The zero value is the instant at which the process started.
+type Millis int64
+
+// Span is a length of time in milliseconds.
+type Span int64
+
+// Common spans.
+const (
+	Millisecond Span = 1
+	Second      Span = 1000 * Millisecond
+	Minute      Span = 60 * Second
+	Hour        Span = 60 * Minute
+)
+
+// Never is an instant later than any other.
+const Never Millis = 1<<63 - 1
+
+// Add returns the instant that lies s after m, saturating at [Never].
+func (m Millis) Add(s Span) Millis {
+	if s > 0 && m > Never-Millis(s) {
+		return Never
+	}
+	return m + Millis(s)
+}
+
+// Sub returns the span from u to m. It is negative when m is before u.
+func (m Millis) Sub(u Millis) Span { return Span(m - u) }
+
+// Duration returns s as a time.Duration.
+func (s Span) Duration() time.Duration { return time.Duration(s) * time.Millisecond }
+
+// SpanOf returns d in whole milliseconds, rounded towards zero.
+func SpanOf(d time.Duration) Span { return Span(d / time.Millisecond) }
+
+// Clock tells the current instant.
+type Clock interface {
+	// Now returns the current instant. It never decreases.
+	Now() Millis
+}
+
+var (
+	_ Clock = System{}
+	_ Clock = (*Manual)(nil)
+)
+
+var processStart = time.Now()
+
+// System is the monotonic clock of the process. The zero value is ready to use.
+type System struct{}
+
+// Now returns the milliseconds since the process started.
+func (System) Now() Millis { return Millis(time.Since(processStart) / time.Millisecond) }
+
+// Manual is a clock that only moves when it is told to. The zero value stands
+// at instant zero. It is safe for concurrent use.
+type Manual struct{ now atomic.Int64 }
+
+// Now returns the instant that the clock was last set to.
+func (m *Manual) Now() Millis { return Millis(m.now.Load()) }
+
+// Advance moves the clock forward by s. It panics if s is negative.
+func (m *Manual) Advance(s Span) {
+	if s < 0 {
+		panic("clock: negative advance")
+	}
+	m.now.Add(int64(s))
+}
+
+// Set moves the clock to t. It panics if t lies before the current instant.
+func (m *Manual) Set(t Millis) {
+	if t < m.Now() {
+		panic("clock: set to an earlier instant")
+	}
+	m.now.Store(int64(t))
+}
--- /dev/null
+++ b/schedule/service/enums.go
@@ -0,0 +1,69 @@
+package service
+
+import "fmt"
+
+//go:generate go tool stringer -type=Class,WorkClass -linecomment -output=enums_string.go
+
+// Class is the urgency of the requests of a service.
+type Class int
+
+// The classes of requests, most urgent first.
+const (
+	Urgent   Class = iota // urgent
+	Standard              // standard
+	Bulk                  // bulk
+	Long                  // long
+)
+
+// WorkClass is the class of a kind of work that runs as tasks on workers.
+type WorkClass int
+
+// The classes of work, in the order in which they give way.
+const (
+	LatencyCritical WorkClass = iota // latencyCritical
+	Standing                         // standing
+	Batch                            // batch
+)
+
+// MarshalText returns the camel-case name of c.
+func (c Class) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText sets c from its camel-case name.
+func (c *Class) UnmarshalText(text []byte) error {
+	return parseName(c, text, Urgent, Long)
+}
+
+// MarshalText returns the camel-case name of c.
+func (c WorkClass) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText sets c from its camel-case name.
+func (c *WorkClass) UnmarshalText(text []byte) error {
+	return parseName(c, text, LatencyCritical, Batch)
+}
+
+// enum is an integer type with generated names.
+type enum interface {
+	~int
+	fmt.Stringer
+}
+
+func parseName[E enum](dst *E, text []byte, first, last E) error {
+	for e := first; e <= last; e++ {
+		if e.String() == string(text) {
+			*dst = e
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is not one of %s", text, names(first, last))
+}
+
+func names[E enum](first, last E) string {
+	var s string
+	for e := first; e <= last; e++ {
+		if e > first {
+			s += ", "
+		}
+		s += e.String()
+	}
+	return s
+}
--- /dev/null
+++ b/schedule/service/text.go
@@ -0,0 +1,139 @@
+package service
+
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+)
+
+// Version is the version of the text format that this package reads.
+const Version = 1
+
+// Text is a checked services text. Values reached from a Text are shared
+// between goroutines and must not be changed.
+type Text struct {
+	Version      int            `yaml:"version" json:"version"`
+	Capacity     unit.Resources `yaml:"capacity" json:"capacity"` // what the quotas together may not exceed
+	DataCentres  []DataCentre   `yaml:"dataCentres" json:"dataCentres"`
+	Teams        []Team         `yaml:"teams" json:"teams"`
+	UpstreamSets []UpstreamSet  `yaml:"upstreamSets" json:"upstreamSets"`
+	Services     []Service      `yaml:"services" json:"services"`
+	Kinds        []Kind         `yaml:"kinds" json:"kinds"`
+	Operators    []TokenHash    `yaml:"operators" json:"-"`
+	index        textIndex
+}
+
+// TokenHash is the SHA-256 of a bearer token in lower-case hexadecimal.
+type TokenHash string
+
+// DataCentre describes a data centre. Lost declares that nothing of it runs
+// any more; it lets other data centres take over its tenure at once.
+type DataCentre struct {
+	Name   unit.DataCentre `yaml:"name" json:"name"`
+	Region unit.Region     `yaml:"region" json:"region"`
+	Lost   bool            `yaml:"lost" json:"lost,omitempty"`
+}
+
+// Team is a team that shares the platform. Zero limits mean no limit.
+type Team struct {
+	Name              unit.Team      `yaml:"name" json:"name"`
+	Quota             unit.Resources `yaml:"quota" json:"quota"`
+	RequestsPerSecond float64        `yaml:"requestsPerSecond" json:"requestsPerSecond,omitempty"`
+	Burst             int            `yaml:"burst" json:"burst,omitempty"`
+	Concurrent        int            `yaml:"concurrent" json:"concurrent,omitempty"`
+	CallerPerSecond   float64        `yaml:"callerPerSecond" json:"callerPerSecond,omitempty"` // limit per caller key
+	Tokens            []TokenHash    `yaml:"tokens" json:"-"`
+}
+
+// UpstreamSet is a set of executors. Members come from the platform's list of
+// hosts under the set's name, and from Members where they are fixed.
+type UpstreamSet struct {
+	Name    string     `yaml:"name" json:"name"`
+	Slots   unit.Slots `yaml:"slots" json:"slots"` // of each upstream
+	Members []Member   `yaml:"members" json:"members,omitempty"`
+}
+
+// Member is a fixed upstream of a set.
+type Member struct {
+	Address    unit.Upstream   `yaml:"address" json:"address"`
+	DataCentre unit.DataCentre `yaml:"dataCentre" json:"dataCentre"`
+}
+
+// Service is what callers send requests to.
+type Service struct {
+	Name        unit.Service `yaml:"name" json:"name"`
+	Team        unit.Team    `yaml:"team" json:"team"`
+	Class       Class        `yaml:"class" json:"class"`
+	UpstreamSet string       `yaml:"upstreamSet" json:"upstreamSet"`
+	DeadlineMs  clock.Span   `yaml:"deadlineMs" json:"deadlineMs"` // for requests that name none, and the longest allowed
+	Idempotent  bool         `yaml:"idempotent" json:"idempotent"`
+	Hedge       bool         `yaml:"hedge" json:"hedge,omitempty"` // only for idempotent services
+	DependsOn   []string     `yaml:"dependsOn" json:"dependsOn,omitempty"`
+}
+
+// Kind is a kind of work that runs as tasks on workers.
+type Kind struct {
+	Name         unit.Kind      `yaml:"name" json:"name"`
+	Team         unit.Team      `yaml:"team" json:"team"`
+	Class        WorkClass      `yaml:"class" json:"class"`
+	Resources    unit.Resources `yaml:"resources" json:"resources"` // declared, of one task
+	ExpectedMs   clock.Span     `yaml:"expectedMs" json:"expectedMs,omitempty"`
+	CheckpointMs clock.Span     `yaml:"checkpointMs" json:"checkpointMs,omitempty"` // interval; zero takes none
+	SafeTwice    bool           `yaml:"safeTwice" json:"safeTwice,omitempty"`       // a second attempt may run beside the first
+	DependsOn    []string       `yaml:"dependsOn" json:"dependsOn,omitempty"`
+}
+
+// textIndex finds entries of a text by name.
+type textIndex struct {
+	services map[unit.Service]int
+	kinds    map[unit.Kind]int
+	teams    map[unit.Team]int
+	sets     map[string]int
+	centres  map[unit.DataCentre]int
+}
+
+func (t *Text) buildIndex() {
+	t.index = textIndex{
+		services: indexOf(t.Services, func(s Service) unit.Service { return s.Name }),
+		kinds:    indexOf(t.Kinds, func(k Kind) unit.Kind { return k.Name }),
+		teams:    indexOf(t.Teams, func(m Team) unit.Team { return m.Name }),
+		sets:     indexOf(t.UpstreamSets, func(s UpstreamSet) string { return s.Name }),
+		centres:  indexOf(t.DataCentres, func(d DataCentre) unit.DataCentre { return d.Name }),
+	}
+}
+
+func indexOf[K comparable, V any](rows []V, key func(V) K) map[K]int {
+	m := make(map[K]int, len(rows))
+	for i, r := range rows {
+		m[key(r)] = i
+	}
+	return m
+}
+
+func lookup[K comparable, V any](rows []V, index map[K]int, k K) *V {
+	i, ok := index[k]
+	if !ok {
+		return nil
+	}
+	return &rows[i]
+}
+
+// Service returns the service called name, or nil.
+func (t *Text) Service(name unit.Service) *Service {
+	return lookup(t.Services, t.index.services, name)
+}
+
+// Kind returns the kind called name, or nil.
+func (t *Text) Kind(name unit.Kind) *Kind { return lookup(t.Kinds, t.index.kinds, name) }
+
+// Team returns the team called name, or nil.
+func (t *Text) Team(name unit.Team) *Team { return lookup(t.Teams, t.index.teams, name) }
+
+// UpstreamSet returns the upstream set called name, or nil.
+func (t *Text) UpstreamSet(name string) *UpstreamSet {
+	return lookup(t.UpstreamSets, t.index.sets, name)
+}
+
+// DataCentre returns the data centre called name, or nil.
+func (t *Text) DataCentre(name unit.DataCentre) *DataCentre {
+	return lookup(t.DataCentres, t.index.centres, name)
+}
--- /dev/null
+++ b/schedule/table/ring.go
@@ -0,0 +1,42 @@
+package table
+
+// Ring keeps the last values that were added to it, up to its capacity. The
+// zero value has a capacity of [DefaultRing].
+type Ring[V any] struct {
+	buf  []V
+	next int
+	size int
+}
+
+// DefaultRing is the capacity of a zero Ring.
+const DefaultRing = 64
+
+// Resize sets the capacity and drops all values. It panics if n is not
+// positive.
+func (r *Ring[V]) Resize(n int) {
+	if n <= 0 {
+		panic("table: ring capacity is not positive")
+	}
+	*r = Ring[V]{buf: make([]V, n)}
+}
+
+// Add stores v, dropping the oldest value when the ring is full.
+func (r *Ring[V]) Add(v V) {
+	if r.buf == nil {
+		r.Resize(DefaultRing)
+	}
+	r.buf[r.next] = v
+	r.next = (r.next + 1) % len(r.buf)
+	r.size = min(r.size+1, len(r.buf))
+}
+
+// Len returns the number of values that are kept.
+func (r *Ring[V]) Len() int { return r.size }
+
+// AppendTo appends the kept values to dst, oldest first, and returns it.
+func (r *Ring[V]) AppendTo(dst []V) []V {
+	for i := range r.size {
+		dst = append(dst, r.buf[(r.next-r.size+i+len(r.buf))%len(r.buf)])
+	}
+	return dst
+}
--- /dev/null
+++ b/schedule/table/table.go
@@ -0,0 +1,93 @@
+package table
+
+import "iter"
+
+// Table is a set of rows with a key each. The zero value is empty and ready to
+// use.
+//
+// Row order is unspecified: a deletion moves the last row into the gap.
+// Pointers to rows are valid until the next Put or Delete.
+type Table[K comparable, V any] struct {
+	keys  []K
+	rows  []V
+	index map[K]int
+}
+
+// Len returns the number of rows.
+func (t *Table[K, V]) Len() int { return len(t.rows) }
+
+// Get returns the row of k, or nil if there is none.
+func (t *Table[K, V]) Get(k K) *V {
+	i, ok := t.index[k]
+	if !ok {
+		return nil
+	}
+	return &t.rows[i]
+}
+
+// Put stores v as the row of k, replacing an earlier one, and returns the
+// stored row.
+func (t *Table[K, V]) Put(k K, v V) *V {
+	if i, ok := t.index[k]; ok {
+		t.rows[i] = v
+		return &t.rows[i]
+	}
+	if t.index == nil {
+		t.index = make(map[K]int)
+	}
+	t.index[k] = len(t.rows)
+	t.keys = append(t.keys, k)
+	t.rows = append(t.rows, v)
+	return &t.rows[len(t.rows)-1]
+}
+
+// Ensure returns the row of k, adding a zero row if there is none.
+func (t *Table[K, V]) Ensure(k K) *V {
+	if v := t.Get(k); v != nil {
+		return v
+	}
+	var zero V
+	return t.Put(k, zero)
+}
+
+// Delete removes the row of k and reports whether there was one.
+func (t *Table[K, V]) Delete(k K) bool {
+	i, ok := t.index[k]
+	if !ok {
+		return false
+	}
+	last := len(t.rows) - 1
+	t.keys[i], t.rows[i] = t.keys[last], t.rows[last]
+	t.index[t.keys[i]] = i
+	delete(t.index, k)
+	var zeroK K
+	var zeroV V
+	t.keys[last], t.rows[last] = zeroK, zeroV
+	t.keys, t.rows = t.keys[:last], t.rows[:last]
+	return true
+}
+
+// DeleteFunc removes every row for which del returns true and returns how many
+// it removed.
+func (t *Table[K, V]) DeleteFunc(del func(K, *V) bool) int {
+	n := 0
+	for i := len(t.rows) - 1; i >= 0; i-- {
+		if del(t.keys[i], &t.rows[i]) {
+			t.Delete(t.keys[i])
+			n++
+		}
+	}
+	return n
+}
+
+// All iterates over the rows in unspecified but repeatable order. The table
+// must not be changed during the iteration.
+func (t *Table[K, V]) All() iter.Seq2[K, *V] {
+	return func(yield func(K, *V) bool) {
+		for i := range t.rows {
+			if !yield(t.keys[i], &t.rows[i]) {
+				return
+			}
+		}
+	}
+}
