Add the administration interface and its command line

Cause: operators and teams had no way to change the text or follow jobs. The faults of a services text are now sorted by place. The backend is not connected yet; config diff is still missing.

--- /dev/null
+++ b/ctl/job.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"fmt"
+	"net/url"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"mimosadock/entry/admin"
+	"mimosadock/schedule/unit"
+)
+
+// endedStates are the states in which a job changes no more.
+var endedStates = []string{"finished", "failed", "cancelled", "impossible"}
+
+func (c *command) registerJob(cmd *kingpin.CmdClause) {
+	var s admin.Submission
+	var id, team, state, payload string
+	var every time.Duration
+
+	submit := cmd.Command("submit", "Submit a job. The same id with the same content is the same job.")
+	submit.Arg("id", "Id of your own for the job.").Required().StringVar(&id)
+	submit.Flag("kind", "Kind of work.").Required().StringVar((*string)(&s.Kind))
+	submit.Flag("tasks", "Number of tasks.").Default("1").IntVar(&s.Tasks)
+	submit.Flag("payload", "File with the input of the tasks, - for standard input.").StringVar(&payload)
+	submit.Flag("team", "Team, for operators.").StringVar(&team)
+	submit.Action(func(*kingpin.ParseContext) error { return c.jobSubmit(id, team, payload, s) })
+
+	list := cmd.Command("list", "List jobs.")
+	list.Flag("team", "Team, for operators.").StringVar(&team)
+	list.Flag("state", "Only jobs in this state.").StringVar(&state)
+	list.Action(func(*kingpin.ParseContext) error { return c.jobList(team, state) })
+
+	for name, run := range map[string]func(string) error{"show": c.jobShow, "cancel": c.jobCancel} {
+		sub := cmd.Command(name, map[string]string{"show": "Show a job with its tasks.", "cancel": "Cancel a job."}[name])
+		sub.Arg("id", "Id of the job.").Required().StringVar(&id)
+		sub.Action(func(*kingpin.ParseContext) error { return run(id) })
+	}
+
+	watch := cmd.Command("watch", "Follow a job until it ends.")
+	watch.Arg("id", "Id of the job.").Required().StringVar(&id)
+	watch.Flag("every", "Time between two looks.").Default("1s").DurationVar(&every)
+	watch.Action(func(*kingpin.ParseContext) error { return c.jobWatch(id, every) })
+}
+
+func (c *command) jobSubmit(id, team, payload string, s admin.Submission) error {
+	s.ID = unit.Job(id)
+	if payload != "" {
+		data, err := readText(payload, c.in)
+		if err != nil {
+			return err
+		}
+		s.Payload = []byte(data)
+	}
+	var j admin.Job
+	if err := c.client.call(c.ctx, "POST", "/v1/jobs?team="+url.QueryEscape(team), s, &j); err != nil {
+		return err
+	}
+	return c.showJob(j)
+}
+
+func (c *command) jobList(team, state string) error {
+	var rows []admin.Job
+	q := url.Values{"team": {team}, "state": {state}}
+	if err := c.client.call(c.ctx, "GET", "/v1/jobs?"+q.Encode(), nil, &rows); err != nil {
+		return err
+	}
+	return show(c, rows, rows,
+		column[admin.Job]{"JOB", func(j admin.Job) any { return j.ID }},
+		column[admin.Job]{"TEAM", func(j admin.Job) any { return j.Team }},
+		column[admin.Job]{"KIND", func(j admin.Job) any { return j.Kind }},
+		column[admin.Job]{"STATE", func(j admin.Job) any { return j.State }},
+		column[admin.Job]{"TASKS", func(j admin.Job) any { return len(j.Tasks) }},
+	)
+}
+
+func (c *command) job(method, id, suffix string) (admin.Job, error) {
+	var j admin.Job
+	err := c.client.call(c.ctx, method, "/v1/jobs/"+url.PathEscape(id)+suffix, nil, &j)
+	return j, err
+}
+
+func (c *command) jobShow(id string) error {
+	j, err := c.job("GET", id, "")
+	if err != nil {
+		return err
+	}
+	return c.showJob(j)
+}
+
+func (c *command) jobCancel(id string) error {
+	j, err := c.job("POST", id, "/cancel")
+	if err != nil {
+		return err
+	}
+	return c.showJob(j)
+}
+
+func (c *command) showJob(j admin.Job) error {
+	if c.output != "json" {
+		fmt.Fprintf(c.out, "job %s of team %s, kind %s: %s in %s\n", j.ID, j.Team, j.Kind, j.State, j.DataCentre)
+	}
+	return show(c, j, j.Tasks,
+		column[admin.Task]{"TASK", func(t admin.Task) any { return t.ID }},
+		column[admin.Task]{"STATE", func(t admin.Task) any { return t.State }},
+		column[admin.Task]{"ATTEMPT", func(t admin.Task) any { return t.Attempt }},
+		column[admin.Task]{"WORKER", func(t admin.Task) any { return t.Worker }},
+		column[admin.Task]{"PROGRESS", func(t admin.Task) any { return fmt.Sprintf("%.0f%%", 100*t.Progress) }},
+		column[admin.Task]{"EVICTED", func(t admin.Task) any { return t.Evicted }},
+		column[admin.Task]{"REASON", func(t admin.Task) any { return t.Reason }},
+	)
+}
+
+// jobWatch prints a line whenever the job has changed, until it ends.
+func (c *command) jobWatch(id string, every time.Duration) error {
+	ticker := time.NewTicker(max(every, 100*time.Millisecond))
+	defer ticker.Stop()
+	last := ""
+	for {
+		j, err := c.job("GET", id, "")
+		if err != nil {
+			return err
+		}
+		if line := progressOf(j); line != last && c.output != "json" {
+			fmt.Fprintln(c.out, line)
+			last = line
+		}
+		if slices.Contains(endedStates, j.State) {
+			return c.showJob(j)
+		}
+		select {
+		case <-ticker.C:
+		case <-c.ctx.Done():
+			return c.ctx.Err()
+		}
+	}
+}
+
+func progressOf(j admin.Job) string {
+	ended, sum := 0, 0.0
+	for _, t := range j.Tasks {
+		sum += t.Progress
+		if slices.Contains(endedStates, t.State) {
+			ended++
+		}
+	}
+	return fmt.Sprintf("%s: %d of %d tasks ended, progress %.0f%%", j.State, ended, len(j.Tasks), 100*sum/float64(max(1, len(j.Tasks))))
+}
--- /dev/null
+++ b/ctl/main_test.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// answers is a server with one fixed answer per method and path.
+func answers(t *testing.T, byPath map[string]string) *httptest.Server {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, ok := byPath[r.Method+" "+r.URL.Path]
+		status := http.StatusOK
+		switch {
+		case !ok:
+			status, body = http.StatusNotFound, `{"verdict":"didNotRun","reason":"not found","next":"check the name"}`
+		case strings.Contains(body, "newerRevision"):
+			status = http.StatusConflict
+		case strings.Contains(body, "faults"):
+			status = http.StatusUnprocessableEntity
+		case strings.Contains(body, "mayHaveRun"):
+			status = http.StatusBadGateway
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(srv.Close)
+	return srv
+}
+
+// Guards against an exit code or an error text that a script or a person
+// can't act on.
+func TestExecute(t *testing.T) {
+	good := filepath.Join(t.TempDir(), "good.yaml")
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	is.New(t).NoErr(os.WriteFile(good, []byte("version: 1\n"), 0o600))
+	is.New(t).NoErr(os.WriteFile(bad, []byte("version: 1\nservices: [{name: X}]\n"), 0o600))
+	job := `{"id":"j1","team":"marts","kind":"report","state":"finished","tasks":[{"id":"j1/0","state":"finished","progress":1}]}`
+	tests := map[string]struct {
+		args    []string
+		answers map[string]string
+		code    exitCode
+		out     string // part of standard output
+		errs    string // part of standard error
+	}{
+		"check":             {args: []string{"config", "check", good}, out: "ok: 0 services"},
+		"check with faults": {args: []string{"config", "check", bad}, code: exitFaults, errs: "2:19"},
+		"no such file":      {args: []string{"config", "check", good + "x"}, code: exitUsage, errs: "no such file"},
+		"unknown command":   {args: []string{"confg"}, code: exitUsage, errs: "confg"},
+		"missing base":      {args: []string{"config", "apply", good}, code: exitUsage, errs: "--base"},
+		"apply": {
+			args: []string{"config", "apply", "--base", "3", good}, answers: map[string]string{"PUT /v1/config": `{"revision":4}`}, out: "revision 4",
+		},
+		"apply conflicts": {
+			args:    []string{"config", "apply", "--base", "3", good},
+			answers: map[string]string{"PUT /v1/config": `{"verdict":"didNotRun","reason":"changed","newerRevision":4,"diff":"-a\n+b\n","next":"merge"}`},
+			code:    exitConflict, errs: "revision 4 is in force",
+		},
+		"outcome unknown": {
+			args:    []string{"config", "apply", "--base", "3", good},
+			answers: map[string]string{"PUT /v1/config": `{"verdict":"mayHaveRun","reason":"no answer of the journal"}`},
+			code:    exitUnknown, errs: "mayHaveRun",
+		},
+		"job": {args: []string{"job", "show", "j1"}, answers: map[string]string{"GET /v1/jobs/j1": job}, out: "j1/0"},
+		"job as json": {
+			args: []string{"-o", "json", "job", "show", "j1"}, answers: map[string]string{"GET /v1/jobs/j1": job}, out: `"state": "finished"`,
+		},
+		"watch ends":  {args: []string{"job", "watch", "j1"}, answers: map[string]string{"GET /v1/jobs/j1": job}, out: "1 of 1 tasks ended"},
+		"unknown job": {args: []string{"job", "show", "j2"}, code: exitFailed, errs: "next: check the name"},
+		"status":      {args: []string{"status"}, answers: map[string]string{"GET /v1/status": `{"revision":7}`}, out: "7"},
+		"hosts":       {args: []string{"host", "list"}, answers: map[string]string{"GET /v1/hosts": `[{"address":"127.0.0.1:1"}]`}, out: "127.0.0.1:1"},
+		"completion":  {args: []string{"--completion-script-bash"}}, // the library prints it to the process's standard output
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			srv := answers(t, tc.answers)
+			var out, errs bytes.Buffer
+			args := append([]string{"--server", srv.URL, "--token", "t"}, tc.args...)
+			code := execute(context.Background(), args, strings.NewReader(""), &out, &errs)
+			t.Log(out.String(), errs.String())
+			is.Equal(code, tc.code)
+			is.True(strings.Contains(out.String(), tc.out))
+			is.True(strings.Contains(errs.String(), tc.errs))
+		})
+	}
+}
+
+// Guards against a refused connection reported as an unknown outcome.
+func TestRefusedConnection(t *testing.T) {
+	is := is.New(t)
+	srv := answers(t, nil)
+	srv.Close()
+	var out, errs bytes.Buffer
+	code := execute(context.Background(), []string{"--server", srv.URL, "--token", "t", "status"}, nil, &out, &errs)
+	is.Equal(code, exitFailed)
+	is.True(strings.Contains(errs.String(), "check --server"))
+}
--- /dev/null
+++ b/entry/admin/backend.go
@@ -0,0 +1,124 @@
+package admin
+
+import (
+	"context"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+)
+
+// Config is a services text in force, with who put it there.
+type Config struct {
+	Revision unit.Revision `json:"revision"`
+	Text     string        `json:"text"`
+	Author   string        `json:"author,omitempty"`
+	UnixMs   int64         `json:"unixMs,omitempty"` // when it was proposed, for people only
+}
+
+// Change is a proposed services text with the revision that it was made from.
+type Change struct {
+	BaseRevision unit.Revision `json:"baseRevision"`
+	Text         string        `json:"text"`
+}
+
+// Conflict is the error of a change whose base revision is not in force any
+// more.
+type Conflict struct {
+	Newer unit.Revision `json:"newerRevision"`
+	Diff  string        `json:"diff"` // from the refused text to the one in force
+}
+
+// Error names the newer revision.
+func (c *Conflict) Error() string { return "the configuration has changed since the base revision" }
+
+// Submission is a job as a team submits it.
+type Submission struct {
+	ID      unit.Job       `json:"id"` // the caller's own id
+	Kind    unit.Kind      `json:"kind"`
+	Tasks   int            `json:"tasks"`
+	Size    unit.Resources `json:"size,omitzero"` // of one task; zero takes the kind's
+	Payload []byte         `json:"payload,omitempty"`
+}
+
+// Task is a task as the interface shows it.
+type Task struct {
+	ID       unit.Task    `json:"id"`
+	State    string       `json:"state"`
+	Attempt  unit.Attempt `json:"attempt"`
+	Worker   unit.Worker  `json:"worker,omitempty"`
+	Progress float64      `json:"progress"` // in [0, 1]
+	Evicted  int          `json:"evicted"`
+	Reason   string       `json:"reason,omitempty"` // what it waits for, or why it ended
+	GapMs    clock.Span   `json:"gapMs,omitempty"`  // time a standing task did not run
+}
+
+// Job is a job as the interface shows it.
+type Job struct {
+	ID         unit.Job        `json:"id"`
+	Team       unit.Team       `json:"team"`
+	Kind       unit.Kind       `json:"kind"`
+	State      string          `json:"state"`
+	DataCentre unit.DataCentre `json:"dataCentre"`
+	Tasks      []Task          `json:"tasks,omitempty"`
+}
+
+// Host is a host as the interface shows it.
+type Host struct {
+	Address    string          `json:"address"`
+	DataCentre unit.DataCentre `json:"dataCentre"`
+	Rack       unit.Rack       `json:"rack,omitempty"`
+	Role       string          `json:"role"`
+	State      string          `json:"state"`
+	Slots      unit.Slots      `json:"slots,omitempty"`
+	Capacity   unit.Resources  `json:"capacity,omitzero"`
+	Used       unit.Resources  `json:"used,omitzero"`
+}
+
+// Service is a service with what this process knows of its upstreams.
+type Service struct {
+	service.Service
+	Upstreams int        `json:"upstreams"`
+	Held      unit.Slots `json:"slotsHeld"`
+	Used      unit.Slots `json:"slotsUsed"`
+}
+
+// Usage is what a team uses of its quota.
+type Usage struct {
+	Team  unit.Team      `json:"team"`
+	Quota unit.Resources `json:"quota"`
+	Used  unit.Resources `json:"used"`
+	Share float64        `json:"dominantShare"`
+	Tasks int            `json:"tasks"`
+}
+
+// Status is the summary of one process.
+type Status struct {
+	Instance   unit.Instance     `json:"instance"`
+	DataCentre unit.DataCentre   `json:"dataCentre"`
+	Ready      bool              `json:"ready"`
+	Revision   unit.Revision     `json:"revision"`
+	Members    int               `json:"members"`
+	Owns       []unit.DataCentre `json:"owns"`
+	Journal    string            `json:"journal"` // reachable or why not
+	Jobs       map[string]int    `json:"jobs"`    // by state
+}
+
+// Backend does what the interface asks for. Errors carry a verdict. An unknown
+// name is ErrNotFound.
+type Backend interface {
+	Status(ctx context.Context) (Status, error)
+	Text() *service.Text
+	Config(ctx context.Context) (Config, error)
+	Apply(ctx context.Context, author string, c Change) (unit.Revision, error)
+	History(ctx context.Context, limit int) ([]Config, error)
+	Hosts(ctx context.Context) ([]Host, error)
+	Drain(ctx context.Context, author, address string) error
+	Services(ctx context.Context) ([]Service, error)
+	Usage(ctx context.Context) ([]Usage, error)
+	Submit(ctx context.Context, team unit.Team, s Submission) (Job, error)
+	Jobs(ctx context.Context, team unit.Team) ([]Job, error) // empty team: all
+	Job(ctx context.Context, id unit.Job) (Job, error)
+	Cancel(ctx context.Context, author string, id unit.Job) (Job, error)
+	Dump(ctx context.Context) (any, error)
+}
--- a/schedule/service/parse.go
+++ b/schedule/service/parse.go
@@ -1,9 +1,11 @@
 package service
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -73,6 +75,9 @@
 	c.text.buildIndex()
 	c.check()
 	if len(c.faults) > 0 {
+		slices.SortStableFunc(c.faults, func(a, b Fault) int {
+			return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+		})
 		return nil, c.faults
 	}
 	return c.text, nil
