--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -6,7 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"mimosadock/entry/stream"
 	"mimosadock/schedule/clock"
+	"mimosadock/schedule/record"
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
 	"mimosadock/schedule/unit"
@@ -54,6 +56,10 @@
 func New(c clock.Clock, self Self, systems ...System) *Loop {
 	l := &Loop{clock: c, systems: systems, inbox: make(chan Message, inboxSize)}
 	l.state.Self = self
+	l.state.origin.Writer = self.Instance
+	l.state.receipts = make(chan stream.Receipt, receiptsSize)
+	l.state.onReceipt = make(map[record.ID]func(*State, stream.Receipt, clock.Millis))
+	l.AddSection(Section{Name: configSection, Common: true, Save: saveConfig})
 	l.view.Store(&View{})
 	return l
 }
--- a/entry/control/routes.go
+++ b/entry/control/routes.go
@@ -3,7 +3,6 @@
 import (
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/route"
-	"mimosadock/schedule/service"
 	"mimosadock/schedule/slot"
 	"mimosadock/schedule/table"
 	"mimosadock/schedule/unit"
@@ -21,22 +20,6 @@
 	routeRevision unit.Revision
 }
 
-// SetText puts a services text into force. Lower revisions than the one in
-// force are ignored.
-type SetText struct {
-	Revision unit.Revision
-	Text     *service.Text
-}
-
-// Apply adopts the text if its revision is higher.
-func (m SetText) Apply(s *State, _ clock.Millis) {
-	if m.Revision <= s.Revision {
-		return
-	}
-	s.Text, s.Revision = m.Text, m.Revision
-	s.Urge()
-}
-
 // RouteSystem rebuilds the routes after a change of the text.
 func RouteSystem(s *State, _ clock.Millis) {
 	if s.Text == nil || s.routeRevision == s.Revision {
--- /dev/null
+++ b/entry/control/snapshots.go
@@ -0,0 +1,134 @@
+package control
+
+import (
+	"expvar"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/record"
+	"mimosadock/schedule/snapshot"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/unit"
+)
+
+// snapshotDeadline bounds how long the parts of a snapshot wait for the
+// journal.
+const snapshotDeadline = 20 * clock.Second
+
+var (
+	snapshotsWritten = expvar.NewInt("control.snapshots")
+	snapshotsFailed  = expvar.NewInt("control.snapshotsFailed")
+)
+
+// Section is a named part of the state that snapshots carry. It belongs to the
+// common snapshot, or to that of each data centre.
+type Section struct {
+	Name   string
+	Common bool
+	// Save returns the state of the scope after the last applied record.
+	Save func(s *State, scope snapshot.Scope) ([]byte, error)
+	// Restore replaces the state of the scope. Records from before the
+	// offset are already in it; they may come again and must change nothing.
+	Restore func(s *State, scope snapshot.Scope, at unit.Offset, data []byte) error
+}
+
+// snapshotState is what the control goroutine knows of snapshots.
+type snapshotState struct {
+	// Owners are the live owners of the data centres, set by the system that
+	// decides on ownership.
+	Owners []snapshot.Owner
+
+	schedule snapshot.Schedule
+	sections []Section
+	restored table.Table[snapshot.Scope, unit.Offset] // what the state of a scope began from
+}
+
+// AddSection adds a section to the snapshots. It is called before Run.
+func (l *Loop) AddSection(sec Section) { l.state.sections = append(l.state.sections, sec) }
+
+// LimitJournal sets after how much journal a snapshot is due. It is called
+// before Run.
+func (l *Loop) LimitJournal(limits snapshot.Limits) { l.state.schedule.Limits = limits }
+
+// restoreSections hands the sections of a snapshot to their owners. The
+// configuration is restored apart, because its text is checked before.
+func (s *State) restoreSections(f snapshot.Found) {
+	s.restored.Put(f.Scope, f.At)
+	for _, data := range f.Sections {
+		for _, sec := range s.sections {
+			if sec.Name != data.Name || sec.Restore == nil {
+				continue
+			}
+			if sec.Restore(s, f.Scope, f.At, data.Data) != nil {
+				snapshotsFailed.Add(1)
+			}
+		}
+	}
+}
+
+// SnapshotSystem writes the snapshots that are due and that this process has
+// to write. Two processes that write the same one do no harm: readers take the
+// newer.
+func SnapshotSystem(s *State, now clock.Millis) {
+	if s.submitter == nil || !s.readToEnd || s.failing || !s.owns() {
+		return
+	}
+	s.schedule.Touch(snapshot.Common, 0)
+	for _, o := range s.Owners {
+		s.schedule.Touch(snapshot.ScopeOf(o.DataCentre), s.next)
+	}
+	for _, scope := range s.schedule.Scopes(nil) {
+		if s.needsSnapshot(scope, now) {
+			s.writeSnapshot(scope, now)
+		}
+	}
+}
+
+func (s *State) owns() bool {
+	for _, o := range s.Owners {
+		if o.Instance == s.Self.Instance {
+			return true
+		}
+	}
+	return false
+}
+
+// needsSnapshot reports whether this process, an owner, has to write the
+// snapshot of the scope: as its writer, or in place of a writer that doesn't.
+// The common one is left to processes that know the configuration.
+func (s *State) needsSnapshot(scope snapshot.Scope, now clock.Millis) bool {
+	if scope == snapshot.Common && !s.register.Anchored() {
+		return false
+	}
+	if snapshot.Writer(scope, s.Owners) == s.Self.Instance {
+		return s.schedule.Due(scope, s.next, now)
+	}
+	return s.schedule.Overdue(scope, s.next, now)
+}
+
+func (s *State) writeSnapshot(scope snapshot.Scope, now clock.Millis) {
+	s.schedule.Tried(scope, now)
+	records, err := s.encodeSnapshot(scope)
+	if err == nil {
+		err = s.Submit(records, now.Add(snapshotDeadline), nil)
+	}
+	if err != nil {
+		snapshotsFailed.Add(1)
+		return
+	}
+	snapshotsWritten.Add(1)
+}
+
+func (s *State) encodeSnapshot(scope snapshot.Scope) ([]record.Record, error) {
+	c := snapshot.Contents{Scope: scope, At: s.next}
+	for _, sec := range s.sections {
+		if sec.Common != (scope == snapshot.Common) {
+			continue
+		}
+		data, err := sec.Save(s, scope)
+		if err != nil {
+			return nil, err
+		}
+		c.Sections = append(c.Sections, snapshot.Section{Name: sec.Name, Data: data})
+	}
+	return snapshot.Encode(&s.origin, c, s.schedule.Others(scope))
+}
--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -23,6 +23,9 @@
 	routes   *route.View
 	urgent   bool // run the systems before the next tick
 	routeState
+	journalState
+	configState
+	snapshotState
 }
 
 // Urge makes the systems run right after the current message.
@@ -30,7 +33,7 @@
 
 func (s *State) view() *View {
 	return &View{
-		Ready:    s.Text != nil && !s.Draining,
+		Ready:    s.Text != nil && s.readiness.Ready(s.Revision) && !s.Draining,
 		Revision: s.Revision,
 		Text:     s.Text,
 		Routes:   s.routes,
--- /dev/null
+++ b/entry/platform/journal_test.go
@@ -0,0 +1,148 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/journal"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+	standin "mimosadock/standin/journal"
+)
+
+// serve returns a client of a served stand-in.
+func serve(t *testing.T) (*standin.Memory, *Journal) {
+	m := new(standin.Memory)
+	srv := httptest.NewServer(standin.Handler(m))
+	j := NewJournal(srv.Listener.Addr().String())
+	t.Cleanup(srv.Close)
+	t.Cleanup(j.Close)
+	return m, j
+}
+
+// Guards against a client that differs from the journal in memory.
+func TestJournalOverHTTP(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	m, j := serve(t)
+	for i := range 3 {
+		offset, err := j.Append(ctx, []byte{byte(i)})
+		is.NoErr(err)
+		is.Equal(offset, unit.Offset(i))
+	}
+	page, err := j.Follow(ctx, 1, 10, 0)
+	is.NoErr(err)
+	is.Equal(page, journal.Page{Entries: []journal.Entry{{Offset: 1, Data: []byte{1}}, {Offset: 2, Data: []byte{2}}}, End: 3})
+	var g group.Group // an entry ends the wait of a read at the end
+	g.Go("append", func(ctx context.Context) error {
+		_, err := m.Append(ctx, []byte{3})
+		return err
+	})
+	page, err = j.Follow(ctx, 3, 10, 30*clock.Second)
+	is.NoErr(err)
+	is.Equal(len(page.Entries), 1)
+	is.NoErr(g.Wait())
+	m.SetRetention(standin.Retention{Entries: 1})
+	b, err := j.Bounds(ctx)
+	is.NoErr(err)
+	is.Equal(b, journal.Bounds{First: 3, Next: 4})
+	_, err = j.Read(ctx, 0, 1)
+	is.True(errors.Is(err, journal.ErrExpired))
+	_, err = j.Append(ctx, make([]byte, journal.MaxEntryBytes+1))
+	is.True(errors.Is(err, journal.ErrTooLarge))
+	is.Equal(verdict.Of(err), verdict.DidNotRun)
+}
+
+// Guards against a failure of the journal with a wrong verdict over HTTP, and
+// against switches that don't work at run time.
+func TestJournalVerdicts(t *testing.T) {
+	tests := map[string]struct {
+		set     string
+		verdict verdict.Verdict
+		kept    int
+	}{
+		"none":        {`{}`, verdict.Ran, 1},
+		"refused":     {`{"failures":{"refuse":true}}`, verdict.DidNotRun, 0},
+		"lost answer": {`{"failures":{"loseAnswers":1}}`, verdict.MayHaveRun, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m, j := serve(t)
+			set(t, m, tc.set)
+			_, err := j.Append(context.Background(), []byte("x"))
+			is.Equal(verdict.Of(err), tc.verdict)
+			set(t, m, `{"failures":{}}`)
+			is.Equal(m.Counts().Appends, tc.kept)
+		})
+	}
+}
+
+func set(t *testing.T, m *standin.Memory, body string) {
+	rec := httptest.NewRecorder()
+	standin.Control(m).ServeHTTP(rec, httptest.NewRequest(http.MethodPut, "/journal", strings.NewReader(body)))
+	if rec.Code != http.StatusOK {
+		t.Fatalf("control: %d %s", rec.Code, rec.Body)
+	}
+}
+
+// Guards against an append that net/http sends again by itself when a
+// kept-alive connection breaks before the answer, and against a refused dial
+// that counts as possibly appended.
+func TestAppendIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var requests atomic.Int64
+	var g group.Group
+	g.Go("server", func(context.Context) error {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			answerFirst(conn, &requests)
+		}
+	})
+	j := NewJournal(l.Addr().String())
+	_, err = j.Append(context.Background(), []byte("x"))
+	is.NoErr(err)
+	_, err = j.Append(context.Background(), []byte("y")) // on the same connection, which then breaks
+	is.Equal(verdict.Of(err), verdict.MayHaveRun)
+	is.Equal(requests.Load(), int64(2))
+	is.NoErr(l.Close())
+	is.NoErr(g.Wait())
+	j.Close()
+	_, err = j.Append(context.Background(), []byte("z"))
+	is.Equal(verdict.Of(err), verdict.DidNotRun)
+}
+
+// answerFirst answers the first request of a connection and breaks off at the
+// second.
+func answerFirst(conn net.Conn, requests *atomic.Int64) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for i := range 2 {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		requests.Add(1)
+		if i == 0 {
+			buf := make([]byte, 1)
+			_, _ = req.Body.Read(buf)
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"offset\":0}"))
+		}
+	}
+}
--- /dev/null
+++ b/entry/process/journal.go
@@ -0,0 +1,49 @@
+package process
+
+import (
+	"context"
+
+	"mimosadock/entry/control"
+	"mimosadock/entry/platform"
+	"mimosadock/entry/stream"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/snapshot"
+)
+
+// journalStream connects the control loop to the journal.
+type journalStream struct {
+	client *platform.Journal
+	reader *stream.Reader
+	writer *stream.Writer
+}
+
+// openJournal prepares the stream if the settings name a journal.
+func (p *Process) openJournal() {
+	if p.settings.Journal == "" {
+		return
+	}
+	client := platform.NewJournal(p.settings.Journal)
+	j := &journalStream{client: client, writer: stream.NewWriter(client, clock.System{})}
+	j.reader = &stream.Reader{
+		Journal: client,
+		Clock:   clock.System{},
+		Saw:     j.writer.Saw,
+		Deliver: control.DeliverTo(p.Loop),
+	}
+	p.Loop.SubmitTo(j.writer.Offer)
+	p.Loop.LimitJournal(snapshot.DefaultLimits)
+	p.journal = j
+}
+
+// run starts the goroutines of the stream. A nil stream has none.
+func (j *journalStream) run(g *group.Group) {
+	if j == nil {
+		return
+	}
+	g.Go("journalReader", j.reader.Run)
+	g.Go("journalWriter", func(ctx context.Context) error {
+		defer j.client.Close()
+		return j.writer.Run(ctx)
+	})
+}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -33,6 +33,7 @@
 	log      *log.Logger
 	callers  net.Listener
 	operator net.Listener
+	journal  *journalStream // nil without a journal
 	group    *group.Group
 	servers  []*http.Server
 }
@@ -53,13 +54,16 @@
 		Host:       unit.Host(netip.MustParseAddrPort(s.Listen).Addr().String()),
 		DataCentre: unit.DataCentre(s.DataCentre),
 	}
-	return &Process{
-		Loop:     control.New(clock.System{}, self, control.RouteSystem),
+	p := &Process{
+		Loop: control.New(clock.System{}, self,
+			control.ReceiptSystem, control.ConfigSystem, control.RouteSystem, control.SnapshotSystem),
 		settings: s,
 		log:      logger,
 		callers:  callers,
 		operator: operator,
-	}, nil
+	}
+	p.openJournal()
+	return p, nil
 }
 
 // CallerAddress returns the bound address for callers.
@@ -74,6 +78,7 @@
 	p.group = group.New(context.WithoutCancel(ctx))
 	f := &front.Front{View: p.Loop.View, Clock: clock.System{}, Sender: &pool.Pool{}}
 	p.group.Go("control", p.Loop.Run)
+	p.journal.run(p.group)
 	p.serve("callers", p.callers, f.Handler())
 	p.serve("operators", p.operator, p.operatorHandler())
 	p.log.Info("serving", "callers", p.CallerAddress(), "operators", p.OperatorAddress())
--- a/entry/setting/setting.go
+++ b/entry/setting/setting.go
@@ -14,6 +14,7 @@
 	Listen     string        // callers, "ip:port"
 	Operator   string        // operators, "ip:port"
 	DataCentre string        // data centre of this host
+	Journal    string        // journal of the platform, "ip:port"; empty is none
 	LogLevel   string        // debug, info, warn or error
 	DrainFor   time.Duration // how long requests in flight may take after a stop signal
 }
@@ -23,6 +24,7 @@
 	app.Flag("listen", "Address for callers.").Envar("MIMOSA_LISTEN").Default("127.0.0.1:8080").StringVar(&s.Listen)
 	app.Flag("operator", "Address for operators: metrics, state dump, administration.").Envar("MIMOSA_OPERATOR").Default("127.0.0.1:8081").StringVar(&s.Operator)
 	app.Flag("data-centre", "Data centre of this host.").Envar("MIMOSA_DATA_CENTRE").Required().StringVar(&s.DataCentre)
+	app.Flag("journal", "Address of the platform's journal. Empty runs without one.").Envar("MIMOSA_JOURNAL").StringVar(&s.Journal)
 	app.Flag("log-level", "Lowest level to log.").Envar("MIMOSA_LOG_LEVEL").Default("info").StringVar(&s.LogLevel)
 	app.Flag("drain-for", "Time for requests in flight after a stop signal.").Envar("MIMOSA_DRAIN_FOR").Default("2h").DurationVar(&s.DrainFor)
 }
@@ -37,6 +39,9 @@
 	if s.Listen == s.Operator && netip.MustParseAddrPort(s.Listen).Port() != 0 {
 		return fmt.Errorf("--operator is %q, must differ from --listen", s.Operator)
 	}
+	if _, err := netip.ParseAddrPort(s.Journal); err != nil && s.Journal != "" {
+		return fmt.Errorf("--journal is %q, must be an IP number and a port, or empty", s.Journal)
+	}
 	if _, err := log.ParseLevel(s.LogLevel); err != nil {
 		return fmt.Errorf("--log-level is %q, must be debug, info, warn or error", s.LogLevel)
 	}
--- a/entry/setting/setting_test.go
+++ b/entry/setting/setting_test.go
@@ -21,6 +21,7 @@
 		"usable":       {change: func(*Settings) {}},
 		"host name":    {change: func(s *Settings) { s.Listen = "localhost:80" }, want: "--listen"},
 		"same address": {change: func(s *Settings) { s.Listen, s.Operator = "127.0.0.1:80", "127.0.0.1:80" }, want: "--operator"},
+		"journal":      {change: func(s *Settings) { s.Journal = "journal:7000" }, want: "--journal"},
 		"log level":    {change: func(s *Settings) { s.LogLevel = "loud" }, want: "--log-level"},
 		"drain":        {change: func(s *Settings) { s.DrainFor = -1 }, want: "--drain-for"},
 	}
--- /dev/null
+++ b/entry/stream/reader.go
@@ -0,0 +1,222 @@
+package stream
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/journal"
+	"mimosadock/schedule/record"
+	"mimosadock/schedule/snapshot"
+	"mimosadock/schedule/unit"
+)
+
+// Reading.
+const (
+	pageEntries  = 512
+	pollWait     = 500 * clock.Millisecond // a quarter of the tenure confirm time
+	pollInterval = 100 * clock.Millisecond // between reads that reach the end
+	readTimeout  = 2 * clock.Second        // beyond the wait at the end
+)
+
+var (
+	readErrors = expvar.NewInt("stream.readErrors")
+	recoveries = expvar.NewInt("stream.recoveries")
+	unusable   = expvar.NewMap("stream.records")
+)
+
+// errBehind means that the journal is shorter than what was read of it.
+var errBehind = errors.New("stream: journal ends before the read position")
+
+// Reader follows the journal: from the newest snapshots and the tail behind
+// them, then entry by entry. All fields but Saw must be set.
+type Reader struct {
+	Journal journal.Follower
+	Clock   clock.Clock
+	// Deliver takes the batches in order. It may wait; an error ends Run.
+	Deliver func(context.Context, *Batch) error
+	// Saw is told each position of the journal's end. It may be nil.
+	Saw func(unit.Offset)
+
+	assembler snapshot.Assembler
+	next      unit.Offset
+	backoff   backoff
+}
+
+// Run reads until ctx ends. Errors of the journal are delivered and retried.
+func (r *Reader) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := r.recover(ctx)
+		for err == nil {
+			err = r.follow(ctx)
+		}
+		if err := r.failed(ctx, err); err != nil && ctx.Err() == nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// deliverError marks an error of Deliver, which isn't retried.
+type deliverError struct{ error }
+
+// failed delivers an error of the journal and waits.
+func (r *Reader) failed(ctx context.Context, err error) error {
+	var fatal deliverError
+	if errors.As(err, &fatal) {
+		return fatal.error
+	}
+	readErrors.Add(1)
+	if err := r.Deliver(ctx, &Batch{From: r.next, Next: r.next, Err: err}); err != nil {
+		return err
+	}
+	return sleep(ctx, r.backoff.next())
+}
+
+// follow reads one page and delivers it. It retries on its own unless entries
+// were missed.
+func (r *Reader) follow(ctx context.Context) error {
+	asked := r.Clock.Now()
+	page, err := r.page(ctx, r.next, pageEntries, pollWait)
+	switch {
+	case errors.Is(err, journal.ErrExpired):
+		return err
+	case err != nil:
+		if err := r.failed(ctx, err); err != nil {
+			return deliverError{err}
+		}
+		return nil
+	}
+	r.backoff.reset()
+	b := &Batch{From: r.next, Asked: asked}
+	if err := r.deliver(ctx, b, page); err != nil {
+		return err
+	}
+	if b.End {
+		if err := sleep(ctx, pollInterval-r.Clock.Now().Sub(asked)); err != nil {
+			return deliverError{err}
+		}
+	}
+	return nil
+}
+
+// deliver fills b from the page and hands it over.
+func (r *Reader) deliver(ctx context.Context, b *Batch, page journal.Page) error {
+	for _, e := range page.Entries {
+		b.Items = record.DecodeEntry(b.Items, e)
+		b.Bytes += unit.Bytes(len(e.Data))
+		r.next = e.Offset + 1
+	}
+	b.Next = r.next
+	b.End = b.Next == page.End
+	for _, it := range b.Items {
+		if it.Fault != record.Sound {
+			unusable.Add(it.Fault.String(), 1)
+		} else if f, ok := r.assembler.Add(it); ok {
+			b.Snapshots = append(b.Snapshots, f)
+		}
+	}
+	if err := r.Deliver(ctx, b); err != nil {
+		return deliverError{err}
+	}
+	return nil
+}
+
+// page reads with a timeout. An answer that ends before from is an error.
+func (r *Reader) page(ctx context.Context, from unit.Offset, limit int, wait clock.Span) (journal.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, (wait + readTimeout).Duration())
+	defer cancel()
+	page, err := r.Journal.Follow(ctx, from, limit, wait)
+	if err != nil {
+		return page, err
+	}
+	if page.End < from {
+		return page, errBehind
+	}
+	if r.Saw != nil {
+		r.Saw(page.End)
+	}
+	return page, nil
+}
+
+// recover finds the newest snapshots, delivers them and sets the position to
+// the first record that one of them doesn't cover.
+func (r *Reader) recover(ctx context.Context) error {
+	recoveries.Add(1)
+	asked := r.Clock.Now()
+	bctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+	defer cancel()
+	bounds, err := r.Journal.Bounds(bctx)
+	if err != nil {
+		return err
+	}
+	newest, err := r.scan(ctx, bounds)
+	if err != nil {
+		return err
+	}
+	r.next = bounds.First
+	if start, ok := newest.Start(); ok {
+		r.next = max(start, bounds.First)
+	}
+	b := &Batch{Recovered: true, Asked: asked}
+	for _, f := range newest.All() {
+		b.Snapshots = append(b.Snapshots, *f)
+	}
+	b.From, b.Next = r.next, r.next
+	b.End = b.Next == bounds.Next
+	r.assembler = snapshot.Assembler{}
+	r.backoff.reset()
+	if err := r.Deliver(ctx, b); err != nil {
+		return deliverError{err}
+	}
+	return nil
+}
+
+// scan goes back from the end until it has the newest snapshot of each scope.
+func (r *Reader) scan(ctx context.Context, bounds journal.Bounds) (*snapshot.Newest, error) {
+	var newest snapshot.Newest
+	var assembler snapshot.Assembler
+	for high := bounds.Next; high > bounds.First; {
+		if floor, ok := newest.Floor(); ok && floor >= high {
+			break
+		}
+		low := bounds.First
+		if high-low > pageEntries {
+			low = high - pageEntries
+		}
+		err := r.scanRange(ctx, low, high, &assembler, &newest)
+		if errors.Is(err, journal.ErrExpired) {
+			break // retention overtook the scan: nothing older is left
+		}
+		if err != nil {
+			return nil, err
+		}
+		high = low
+	}
+	return &newest, nil
+}
+
+func (r *Reader) scanRange(ctx context.Context, low, high unit.Offset, a *snapshot.Assembler, newest *snapshot.Newest) error {
+	var items []record.Item
+	for at := low; at < high; {
+		page, err := r.page(ctx, at, int(high-at), 0)
+		if err != nil {
+			return err
+		}
+		if len(page.Entries) == 0 {
+			return fmt.Errorf("%w: %d of %d", errBehind, at, high)
+		}
+		for _, e := range page.Entries {
+			items = record.DecodeEntry(items[:0], e)
+			for _, it := range items {
+				if f, ok := a.Add(it); ok {
+					newest.Offer(f)
+				}
+			}
+			at = e.Offset + 1
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/schedule/config/difference.go
@@ -0,0 +1,36 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/pmezard/go-difflib/difflib"
+)
+
+// maxDifferenceLines bounds the lines of a difference.
+const maxDifferenceLines = 400
+
+// Difference returns a unified line difference from the text in force to the
+// refused text of o, cut after 400 lines. It is empty unless o is [Stale].
+func (o *Outcome) Difference() string {
+	if o.Result != Stale {
+		return ""
+	}
+	return difference(o.Version.Source, o.Refused, fmt.Sprintf("revision %d", o.Version.Revision), "refused change")
+}
+
+func difference(a, b []byte, from, to string) string {
+	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(string(a)), FromFile: from,
+		B: difflib.SplitLines(string(b)), ToFile: to,
+		Context: 2,
+	})
+	if err != nil { // only a failing writer gives one
+		return ""
+	}
+	lines := strings.SplitAfter(text, "\n")
+	if len(lines) <= maxDifferenceLines {
+		return text
+	}
+	return strings.Join(lines[:maxDifferenceLines], "") + fmt.Sprintf("... %d more lines\n", len(lines)-maxDifferenceLines)
+}
--- /dev/null
+++ b/schedule/config/register.go
@@ -0,0 +1,181 @@
+package config
+
+import (
+	"mimosadock/schedule/record"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/unit"
+)
+
+//go:generate go tool stringer -type=Result,Adoption -linecomment -output=enums_string.go
+
+// HistoryLength is how many accepted changes a [Register] keeps.
+const HistoryLength = 200
+
+// Version is a text with its revision. Text is the checked form of Source.
+type Version struct {
+	Revision unit.Revision
+	Hash     Hash
+	Source   []byte
+	Text     *service.Text
+}
+
+// Past is an accepted change of the history.
+type Past struct {
+	Revision unit.Revision `cbor:"1,keyasint" json:"revision"`
+	ID       record.ID     `cbor:"2,keyasint" json:"id"`
+	Author   Author        `cbor:"3,keyasint" json:"author"`
+	When     Stamp         `cbor:"4,keyasint" json:"whenMs"`
+	Hash     Hash          `cbor:"5,keyasint" json:"hash"`
+}
+
+// Result is what came of a change.
+type Result int
+
+// The results of a change.
+const (
+	Undecided Result = iota // undecided
+	Accepted                // accepted
+	Stale                   // stale
+	Faulty                  // faulty
+	Old                     // old
+)
+
+// Outcome is the result of a change and the version it was compared with or,
+// if it was accepted, has become.
+type Outcome struct {
+	ID      record.ID
+	Result  Result
+	Version Version
+	Refused []byte // text of a stale change
+	Err     error  // of a faulty change
+}
+
+// Register holds the configuration as the journal has it and as it is in
+// force. The zero value knows nothing; [Register.Anchor] or
+// [Register.Restore] makes it follow the journal.
+type Register struct {
+	Diverged uint64 // versions of peers with a known revision and another text
+
+	anchored bool
+	next     unit.Offset // changes before this offset are applied
+	chain    Version     // from the journal alone; compare-and-set uses it
+	inForce  Version     // highest of chain and adopted
+	history  table.Ring[Past]
+	sized    bool
+}
+
+// Anchor makes r follow a journal that begins at the offset with no
+// configuration.
+func (r *Register) Anchor(at unit.Offset) {
+	if !r.anchored {
+		r.anchored, r.next, r.chain = true, at, Version{}
+	}
+}
+
+// Detach makes r decide no changes until it is restored, because entries that
+// it hasn't read are gone. The version in force stays.
+func (r *Register) Detach() { r.anchored = false }
+
+// Anchored reports whether r can tell what comes of a change.
+func (r *Register) Anchored() bool { return r.anchored }
+
+// InForce returns the version in force. Its revision is zero if there is none.
+func (r *Register) InForce() Version { return r.inForce }
+
+// Next returns the offset before which all changes are applied.
+func (r *Register) Next() unit.Offset { return r.next }
+
+// Chain returns the version that the next change of the journal is compared
+// with.
+func (r *Register) Chain() Version { return r.chain }
+
+// History appends the accepted changes that r knows to dst, oldest first.
+func (r *Register) History(dst []Past) []Past { return r.history.AppendTo(dst) }
+
+// Apply compares a change of the journal at the offset with the configuration
+// before it. A change from before the position of r is [Old].
+func (r *Register) Apply(at unit.Offset, id record.ID, c Checked) Outcome {
+	switch {
+	case !r.anchored:
+		return Outcome{ID: id, Result: Undecided, Err: ErrUndecided}
+	case at < r.next:
+		return Outcome{ID: id, Result: Old, Version: r.chain}
+	case c.Base != r.chain.Revision:
+		return Outcome{ID: id, Result: Stale, Version: r.chain, Refused: c.Source}
+	case c.Err != nil:
+		return Outcome{ID: id, Result: Faulty, Version: r.chain, Err: c.Err}
+	}
+	r.chain = Version{Revision: r.chain.Revision + 1, Hash: HashOf(c.Source), Source: c.Source, Text: c.Text}
+	r.remember(Past{Revision: r.chain.Revision, ID: id, Author: c.Author, When: c.When, Hash: r.chain.Hash})
+	r.raise(r.chain)
+	return Outcome{ID: id, Result: Accepted, Version: r.chain}
+}
+
+// Advance notes that all records before the offset were handed to Apply.
+func (r *Register) Advance(to unit.Offset) { r.next = max(r.next, to) }
+
+func (r *Register) remember(p Past) {
+	if !r.sized {
+		r.history.Resize(HistoryLength)
+		r.sized = true
+	}
+	r.history.Add(p)
+}
+
+// raise puts v into force if its revision is higher.
+func (r *Register) raise(v Version) bool {
+	if v.Revision == r.inForce.Revision && v.Revision > 0 && v.Hash != r.inForce.Hash {
+		r.Diverged++
+	}
+	if v.Revision <= r.inForce.Revision {
+		return false
+	}
+	r.inForce = v
+	return true
+}
+
+// Adoption is what came of a version that a peer has.
+type Adoption int
+
+// The results of an adoption.
+const (
+	Lower   Adoption = iota // lower
+	Same                    // same
+	Differs                 // differs
+	Corrupt                 // corrupt
+	Adopted                 // adopted
+)
+
+// Adopt puts the version of a peer into force if its revision is higher. The
+// version must have been checked with [CheckVersion]. The compare-and-set
+// goes on with what the journal says.
+func (r *Register) Adopt(v Version) Adoption {
+	switch {
+	case v.Revision < r.inForce.Revision:
+		return Lower
+	case v.Revision == r.inForce.Revision:
+		if v.Hash == r.inForce.Hash {
+			return Same
+		}
+		r.Diverged++
+		return Differs
+	case v.Text == nil || HashOf(v.Source) != v.Hash:
+		return Corrupt
+	}
+	r.raise(v)
+	return Adopted
+}
+
+// CheckVersion returns the version with the given text, checked. The error is
+// of type [service.Faults] or, if the hash is wrong, [ErrHash].
+func CheckVersion(revision unit.Revision, hash Hash, source []byte) (Version, error) {
+	if HashOf(source) != hash {
+		return Version{}, ErrHash
+	}
+	text, err := service.Parse(source)
+	if err != nil {
+		return Version{}, err
+	}
+	return Version{Revision: revision, Hash: hash, Source: source, Text: text}, nil
+}
--- a/schedule/journal/journal.go
+++ b/schedule/journal/journal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
 )
 
@@ -35,3 +36,17 @@
 	// Bounds returns the readable positions.
 	Bounds(ctx context.Context) (Bounds, error)
 }
+
+// Page is the answer to one read of a [Follower].
+type Page struct {
+	Entries []Entry
+	End     unit.Offset // position of the next append when the answer was made
+}
+
+// Follower is a journal whose end can be waited at.
+type Follower interface {
+	Journal
+	// Follow reads like Read. If from is at the end it waits for an entry,
+	// at most for the given span, and then returns none.
+	Follow(ctx context.Context, from unit.Offset, limit int, wait clock.Span) (Page, error)
+}
--- /dev/null
+++ b/schedule/record/entry_test.go
@@ -0,0 +1,191 @@
+package record
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mimosadock/schedule/journal"
+	"mimosadock/schedule/unit"
+)
+
+type body struct {
+	Name  string     `cbor:"1,keyasint"`
+	Count unit.Slots `cbor:"2,keyasint,omitempty"`
+}
+
+// entryOf returns an entry with the records.
+func entryOf(t testing.TB, records ...Record) journal.Entry {
+	t.Helper()
+	var g Group
+	for _, r := range records {
+		if ok, err := g.Add(r); err != nil || !ok {
+			t.Fatalf("Add: %v %v", ok, err)
+		}
+	}
+	return journal.Entry{Offset: 7, Data: bytes.Clone(g.Entry())}
+}
+
+func make1(t testing.TB, o *Origin, k Kind, name string) Record {
+	t.Helper()
+	r, err := Encode(o, k, body{Name: name})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against ids and writers that a group leaves out and a reader fills in
+// wrongly, and against records that are lost or reordered.
+func TestGroupRoundTrip(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		origins := []*Origin{{Writer: "a"}, {Writer: "b"}}
+		var want []Record
+		for i := range rapid.IntRange(1, 40).Draw(rt, "records") {
+			o := origins[rapid.IntRange(0, 1).Draw(rt, "origin")]
+			if rapid.Bool().Draw(rt, "gap") {
+				o.NextID()
+			}
+			want = append(want, make1(t, o, Kind(1+i%(Kinds-1)), fmt.Sprint(i)))
+		}
+		got := DecodeEntry(nil, entryOf(t, want...))
+		if len(got) != len(want) {
+			rt.Fatalf("%d records, want %d", len(got), len(want))
+		}
+		for i, it := range got {
+			if it.Fault != Sound || it.Offset != 7 || fmt.Sprint(it.Record) != fmt.Sprint(want[i]) {
+				rt.Fatalf("record %d: got %v, want %v", i, it, want[i])
+			}
+		}
+	})
+}
+
+// Guards against a faulty record that hides the sound ones beside it or that is
+// handed out as usable.
+func TestDecodeEntryFaults(t *testing.T) {
+	o := &Origin{Writer: "a"}
+	sound, later := make1(t, o, Join, "x"), make1(t, o, Join, "y")
+	newVersion, newKind := make1(t, o, Join, "v"), make1(t, o, Join, "k")
+	newVersion.Version, newKind.Kind = 9, Kind(Kinds)
+	flipped := entryOf(t, sound)
+	flipped.Data[len(flipped.Data)-1] ^= 1
+	future := entryOf(t, sound)
+	future.Data[sumBytes] = format + 1
+	tests := map[string]struct {
+		entry journal.Entry
+		want  []Fault
+	}{
+		"unknown version": {entryOf(t, sound, newVersion, later), []Fault{Sound, UnknownVersion, Sound}},
+		"unknown kind":    {entryOf(t, newKind, sound), []Fault{UnknownKind, Sound}},
+		"bit flip":        {flipped, []Fault{Damaged}},
+		"empty":           {journal.Entry{}, []Fault{Damaged}},
+		"unknown format":  {reseal(future), []Fault{UnknownVersion}},
+		"not a record":    {raw(t, sound, []byte{0x83, 1, 2, 3}), []Fault{Sound, Damaged}},
+		"no id to follow": {raw(t, sound, []byte{0x61, 'x'}, []byte{0xa2, 1, 1, 4, 1}), []Fault{Sound, Damaged, Damaged}},
+		"cut off":         {raw(t, sound, []byte{0xa4, 1}), []Fault{Sound, Damaged}},
+		"too deep":        {raw(t, sound, bytes.Repeat([]byte{0x81}, 64)), []Fault{Sound, Damaged}},
+		"huge claim":      {raw(t, sound, []byte{0x9b, 0x7f, 255, 255, 255, 255, 255, 255, 255}), []Fault{Sound, Damaged}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var got []Fault
+			var counts Counts
+			items := DecodeEntry(nil, tc.entry)
+			for _, it := range items {
+				got = append(got, it.Fault)
+			}
+			is.Equal(got, tc.want)
+			counts.Add(items)
+			is.Equal(int(counts[Sound]+counts[Damaged]+counts[UnknownKind]+counts[UnknownVersion]), len(tc.want))
+		})
+	}
+}
+
+// raw returns an entry with a record and bytes behind it under one checksum.
+func raw(t testing.TB, r Record, more ...[]byte) journal.Entry {
+	e := entryOf(t, r)
+	for _, b := range more {
+		e.Data = append(e.Data, b...)
+	}
+	return reseal(e)
+}
+
+func reseal(e journal.Entry) journal.Entry {
+	f := e.Data[sumBytes]
+	g := Group{buf: e.Data, n: 1}
+	e.Data = g.Entry()
+	if f != format { // Entry has written the known format
+		e.Data[sumBytes] = f
+		g.seal()
+	}
+	return e
+}
+
+// Guards against groups above the size that the journal takes, and against
+// records that could never be written.
+func TestGroupLimit(t *testing.T) {
+	is := is.New(t)
+	o := &Origin{Writer: "a"}
+	var g Group
+	big, err := Encode(o, Audit, make([]byte, MaxBodyBytes-8))
+	is.NoErr(err)
+	ok, err := g.Add(big)
+	is.True(ok && err == nil)
+	is.True(unit.Bytes(len(g.Entry())) <= journal.MaxEntryBytes)
+	ok, err = g.Add(big)
+	is.True(!ok && err == nil) // full
+	_, err = Encode(o, Audit, make([]byte, MaxBodyBytes))
+	is.True(err != nil) // too large for any entry
+	_, err = g.Add(Record{Kind: Join})
+	is.True(err != nil) // no writer
+}
+
+// Guards against a memory of ids that grows without bound or forgets too soon.
+func TestSeen(t *testing.T) {
+	is := is.New(t)
+	s := Seen{Limit: 10}
+	o := &Origin{}
+	var ids []ID
+	for range 95 {
+		ids = append(ids, o.NextID())
+		is.True(s.Add(ids[len(ids)-1]))
+		is.True(s.Len() <= 20)
+	}
+	for _, id := range ids[len(ids)-10:] {
+		is.True(!s.Add(id))
+	}
+	is.True(s.Add(ids[0]))
+}
+
+// Guards against a decoder that panics, doesn't end, or yields more records
+// than the entry has bytes.
+func FuzzDecodeEntry(f *testing.F) {
+	o := &Origin{Writer: "a"}
+	f.Add(entryOf(f, make1(f, o, Join, "x"), make1(f, o, Audit, "y")).Data[sumBytes:])
+	f.Add(raw(f, make1(f, o, Claim, "z"), []byte{0xa2, 1, 1, 4, 1}).Data[sumBytes:])
+	f.Add([]byte{format, 0xff, 0x00})
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		g := Group{buf: append(make([]byte, sumBytes, sumBytes+len(data)), data...)}
+		if len(data) > 0 {
+			g.seal()
+		}
+		items := DecodeEntry(nil, journal.Entry{Data: g.buf})
+		if len(items) > len(data)+1 {
+			t.Fatalf("%d items from %d bytes", len(items), len(data))
+		}
+		for _, it := range items {
+			if it.Fault != Sound {
+				continue
+			}
+			_, _ = Decode[body](it.Record)
+			if it.Record.Check() != nil {
+				t.Fatalf("sound record that can't be written: %v", it.Record)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/schedule/record/record.go
@@ -0,0 +1,104 @@
+package record
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mimosadock/schedule/journal"
+	"mimosadock/schedule/unit"
+)
+
+// Version is the version of the envelope.
+type Version uint8
+
+// Current is the version that this package writes and reads.
+const Current Version = 1
+
+// Limits of a record. They let every record fit into an entry of its own.
+const (
+	MaxBodyBytes   = journal.MaxEntryBytes - 256
+	maxWriterBytes = 128
+)
+
+// Limits of decoding.
+const (
+	maxDepth    = 16
+	maxElements = 1 << 16 // of one array or map
+)
+
+// Record is one record. ID, Writer and Kind must be set.
+type Record struct {
+	Version Version
+	ID      ID
+	Writer  unit.Instance
+	Kind    Kind
+	Body    cbor.RawMessage
+}
+
+// ErrIncomplete is returned for a record without a kind or without a writer of
+// at most 128 bytes.
+var ErrIncomplete = errors.New("record: no kind or no usable writer")
+
+// Check returns an error if r can't be written: [ErrIncomplete], or one that
+// wraps [journal.ErrTooLarge].
+func (r *Record) Check() error {
+	if r.Kind == Unset || r.Writer == "" || len(r.Writer) > maxWriterBytes {
+		return ErrIncomplete
+	}
+	if unit.Bytes(len(r.Body)) > MaxBodyBytes {
+		return fmt.Errorf("record: %s of %d bytes: %w", r.Kind, len(r.Body), journal.ErrTooLarge)
+	}
+	return nil
+}
+
+var (
+	encoder = must(cbor.CoreDetEncOptions().EncMode())
+	decoder = must(cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+		MaxNestedLevels:  maxDepth,
+		MaxArrayElements: maxElements,
+		MaxMapPairs:      maxElements,
+	}.DecMode())
+)
+
+func must[M any](m M, err error) M {
+	if err != nil {
+		panic("record: invalid CBOR options")
+	}
+	return m
+}
+
+// Marshal returns v in the deterministic CBOR form that bodies use.
+func Marshal[B any](v B) ([]byte, error) { return encoder.Marshal(v) }
+
+// Unmarshal reads what Marshal wrote, with the bounds of this package. Bytes
+// after the value are an error.
+func Unmarshal[B any](data []byte) (B, error) {
+	var v B
+	err := decoder.Unmarshal(data, &v)
+	return v, err
+}
+
+// Encode returns a new record of o with the given body. The error is that of
+// [Record.Check].
+func Encode[B any](o *Origin, k Kind, body B) (Record, error) {
+	data, err := encoder.Marshal(body)
+	if err != nil {
+		return Record{}, fmt.Errorf("record: encode %s: %w", k, err)
+	}
+	r := Record{Version: Current, ID: o.NextID(), Writer: o.Writer, Kind: k, Body: data}
+	return r, r.Check()
+}
+
+// Decode returns the body of r.
+func Decode[B any](r Record) (B, error) {
+	body, err := Unmarshal[B](r.Body)
+	if err != nil {
+		return body, fmt.Errorf("record: decode %s %s: %w", r.Kind, r.ID, err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/schedule/record/seen.go
@@ -0,0 +1,41 @@
+package record
+
+// DefaultSeen is how many ids a zero [Seen] remembers at least.
+const DefaultSeen = 1 << 16
+
+// Seen remembers the ids of the last records, to find those that come twice.
+// It remembers at least Limit and at most twice as many. The zero value uses
+// [DefaultSeen].
+type Seen struct {
+	Limit int
+
+	young, old map[ID]struct{}
+}
+
+// Add remembers id and reports whether it is new.
+func (s *Seen) Add(id ID) bool {
+	if s.Has(id) {
+		return false
+	}
+	limit := s.Limit
+	if limit <= 0 {
+		limit = DefaultSeen
+	}
+	if s.young == nil || len(s.young) >= limit {
+		s.old, s.young = s.young, make(map[ID]struct{})
+	}
+	s.young[id] = struct{}{}
+	return true
+}
+
+// Has reports whether id is remembered.
+func (s *Seen) Has(id ID) bool {
+	if _, ok := s.young[id]; ok {
+		return true
+	}
+	_, ok := s.old[id]
+	return ok
+}
+
+// Len returns the number of remembered ids.
+func (s *Seen) Len() int { return len(s.young) + len(s.old) }
--- /dev/null
+++ b/schedule/snapshot/schedule.go
@@ -0,0 +1,168 @@
+package snapshot
+
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/unit"
+)
+
+// RetryAfter is how long a writer waits for the snapshot that it has written
+// to be read back before it writes another.
+const RetryAfter = 30 * clock.Second
+
+// Limits say how much journal may follow a snapshot before the next one is
+// due. A limit of zero is none.
+type Limits struct {
+	Entries unit.Offset // retention of the journal by count
+	Age     clock.Span  // retention of the journal by age
+	Tail    unit.Bytes  // bounds the time that a recovery takes
+	Changes int         // configuration changes; each costs a check of the text at recovery
+}
+
+// DefaultLimits are for a journal that keeps a day or a million entries.
+var DefaultLimits = Limits{Entries: 1_000_000, Age: 24 * clock.Hour, Tail: 32 << 20, Changes: 64}
+
+// progress is what has happened since the newest snapshot of a scope.
+type progress struct {
+	known   bool        // false until a snapshot was read
+	at      unit.Offset // covers everything before
+	from    unit.Offset // first record of the snapshot; of the scope if there is none
+	since   clock.Millis
+	aged    bool // age unknown: found at recovery
+	tail    unit.Bytes
+	changes int
+	trying  bool
+	tried   clock.Millis
+}
+
+// Schedule knows the newest snapshot of each scope. The zero value knows none
+// and has no limits.
+type Schedule struct {
+	Limits Limits
+
+	rows table.Table[Scope, progress]
+}
+
+// Note takes in a complete snapshot that was read at the instant now. One
+// found at recovery is of unknown age, which counts as due.
+func (s *Schedule) Note(f Found, now clock.Millis, recovered bool) {
+	row := s.rows.Get(f.Scope)
+	if row != nil && row.known && f.At < row.at {
+		return
+	}
+	s.rows.Put(f.Scope, progress{known: true, at: f.At, from: f.From, since: now, aged: recovered})
+}
+
+// Touch notes that the scope has records from the offset on, so that readers
+// look for them while it has no snapshot.
+func (s *Schedule) Touch(scope Scope, at unit.Offset) {
+	if s.rows.Get(scope) == nil {
+		s.rows.Put(scope, progress{from: at})
+	}
+}
+
+// Grow takes in that entries of n bytes with the given number of changes were
+// read.
+func (s *Schedule) Grow(n unit.Bytes, changes int) {
+	for _, row := range s.rows.All() {
+		row.tail += n
+		row.changes += changes
+	}
+}
+
+// Tried notes that a snapshot of the scope was handed to the journal.
+func (s *Schedule) Tried(scope Scope, now clock.Millis) {
+	row := s.rows.Get(scope)
+	if row == nil {
+		row = s.rows.Put(scope, progress{})
+	}
+	row.tried, row.trying = now, true
+}
+
+// Shares of the retention after which a snapshot is due, in quarters. The
+// first leaves the writer time to fail; the second lets another process step
+// in before retention has passed.
+const (
+	dueQuarters     = 2
+	overdueQuarters = 3
+)
+
+// Due reports whether the scope needs a snapshot when next is the offset that
+// is read next. It does once half of the retention has passed, and when none
+// is known.
+func (s *Schedule) Due(scope Scope, next unit.Offset, now clock.Millis) bool {
+	row := s.rows.Get(scope)
+	if row == nil {
+		return true
+	}
+	if row.trying && now.Sub(row.tried) < RetryAfter {
+		return false
+	}
+	return !row.known || row.aged || s.passed(row, next, now, dueQuarters)
+}
+
+// Overdue reports whether three quarters of the retention have passed, so
+// that any owner has to write the snapshot.
+func (s *Schedule) Overdue(scope Scope, next unit.Offset, now clock.Millis) bool {
+	row := s.rows.Get(scope)
+	return row != nil && row.known && s.Due(scope, next, now) && s.passed(row, next, now, overdueQuarters)
+}
+
+// passed compares the retention with quarters/4, and the limits of the tail
+// with quarters/2, which is all of them when a snapshot is due.
+func (s *Schedule) passed(row *progress, next unit.Offset, now clock.Millis, quarters int) bool {
+	l := s.Limits
+	return l.Entries > 0 && (next-row.at)*4 >= l.Entries*unit.Offset(quarters) ||
+		l.Age > 0 && now.Sub(row.since)*4 >= l.Age*clock.Span(quarters) ||
+		l.Tail > 0 && row.tail*2 >= l.Tail*unit.Bytes(quarters) ||
+		l.Changes > 0 && row.changes*2 >= l.Changes*quarters
+}
+
+// Forget drops a scope that no longer exists, such as that of a data centre
+// that the services text no longer lists.
+func (s *Schedule) Forget(scope Scope) { s.rows.Delete(scope) }
+
+// Scopes appends the known scopes to dst.
+func (s *Schedule) Scopes(dst []Scope) []Scope {
+	for scope := range s.rows.All() {
+		dst = append(dst, scope)
+	}
+	return dst
+}
+
+// Others returns references to all known scopes but the given one.
+func (s *Schedule) Others(scope Scope) []Ref {
+	var out []Ref
+	for k, row := range s.rows.All() {
+		if k != scope {
+			out = append(out, Ref{Scope: k, From: row.from})
+		}
+	}
+	return out
+}
+
+// Owner is a live owner of a data centre.
+type Owner struct {
+	DataCentre unit.DataCentre
+	Instance   unit.Instance
+}
+
+// Writer returns the process that writes the snapshots of the scope: the owner
+// of the data centre, and for [Common] the owner of the first data centre by
+// name. It returns "" if there is no such owner.
+func Writer(scope Scope, owners []Owner) unit.Instance {
+	var first *Owner
+	for i := range owners {
+		o := &owners[i]
+		if scope == ScopeOf(o.DataCentre) {
+			return o.Instance
+		}
+		if first == nil || o.DataCentre < first.DataCentre {
+			first = o
+		}
+	}
+	if scope != Common || first == nil {
+		return ""
+	}
+	return first.Instance
+}
--- /dev/null
+++ b/schedule/snapshot/snapshot.go
@@ -0,0 +1,102 @@
+package snapshot
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mimosadock/schedule/record"
+	"mimosadock/schedule/unit"
+)
+
+// Scope is the part of the state that one snapshot covers.
+type Scope string
+
+// Common is the scope of the state that all data centres share: the
+// configuration, the claims and the members.
+const Common Scope = "common"
+
+// ScopeOf returns the scope of the state of one data centre: its jobs.
+func ScopeOf(dc unit.DataCentre) Scope { return Scope("dataCentre/" + dc) }
+
+// Limits of a snapshot.
+const (
+	PartBytes = 192 << 10 // data in one part
+	MaxParts  = 64
+	MaxBytes  = PartBytes * MaxParts
+)
+
+// Section is a named piece of state. The package that owns the state encodes
+// it.
+type Section struct {
+	Name string `cbor:"1,keyasint"`
+	Data []byte `cbor:"2,keyasint"`
+}
+
+// Contents is the state of one scope after all records before the offset At.
+type Contents struct {
+	Scope    Scope       `cbor:"1,keyasint"`
+	At       unit.Offset `cbor:"2,keyasint"`
+	Sections []Section   `cbor:"3,keyasint"`
+}
+
+// Ref points to the newest snapshot of another scope: From is the offset of
+// its first part or, if there is none yet, that of the first record of the
+// scope.
+type Ref struct {
+	Scope Scope       `cbor:"1,keyasint"`
+	From  unit.Offset `cbor:"2,keyasint"`
+}
+
+// Part is the body of a snapshotPart record.
+type Part struct {
+	Snapshot record.ID `cbor:"1,keyasint"`
+	Index    int       `cbor:"2,keyasint"`
+	Data     []byte    `cbor:"3,keyasint"`
+}
+
+// End is the body of a snapshotEnd record. Others lets a reader that goes
+// back from the end of the journal know how far it has to go.
+type End struct {
+	Snapshot record.ID `cbor:"1,keyasint"`
+	Parts    int       `cbor:"2,keyasint"`
+	Checksum uint64    `cbor:"3,keyasint"`
+	Others   []Ref     `cbor:"4,keyasint,omitempty"`
+}
+
+// Encode returns the records of a snapshot with the given contents, parts
+// first.
+func Encode(o *record.Origin, c Contents, others []Ref) ([]record.Record, error) {
+	data, err := record.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("snapshot: encode %s: %w", c.Scope, err)
+	}
+	if len(data) > MaxBytes {
+		return nil, fmt.Errorf("snapshot: %s has %d bytes, at most %d are allowed", c.Scope, len(data), MaxBytes)
+	}
+	end := End{Snapshot: o.NextID(), Checksum: xxhash.Sum64(data), Others: others}
+	var out []record.Record
+	for rest := data; len(rest) > 0; end.Parts++ {
+		n := min(len(rest), PartBytes)
+		r, err := record.Encode(o, record.SnapshotPart, Part{Snapshot: end.Snapshot, Index: end.Parts, Data: rest[:n]})
+		if err != nil {
+			return nil, err
+		}
+		out, rest = append(out, r), rest[n:]
+	}
+	r, err := record.Encode(o, record.SnapshotEnd, end)
+	if err != nil {
+		return nil, err
+	}
+	return append(out, r), nil
+}
+
+// decode checks and decodes the joined parts of a snapshot.
+func decode(end End, parts [][]byte) (Contents, error) {
+	data := bytes.Join(parts, nil)
+	if xxhash.Sum64(data) != end.Checksum {
+		return Contents{}, errChecksum
+	}
+	return record.Unmarshal[Contents](data)
+}
--- a/standin/journal/memory.go
+++ b/standin/journal/memory.go
@@ -3,48 +3,173 @@
 import (
 	"context"
 	"sync"
+	"time"
 
+	"mimosadock/schedule/clock"
 	"mimosadock/schedule/journal"
 	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
 )
 
-var _ journal.Journal = (*Memory)(nil)
+var _ journal.Follower = (*Memory)(nil)
 
-// Memory is a journal in memory. The zero value is empty and ready to use.
+// kept is an entry with the instant of its append.
+type kept struct {
+	data []byte
+	at   clock.Millis
+}
+
+// Memory is a journal in memory. The zero value is empty, keeps all entries
+// and is ready to use. It is safe for concurrent use.
 type Memory struct {
-	mu      sync.Mutex
-	first   unit.Offset
-	entries [][]byte
+	Clock clock.Clock // for retention by age; nil is the system clock
+
+	mu        sync.Mutex
+	first     unit.Offset
+	entries   []kept
+	grown     chan struct{} // closed when an entry is added
+	retention Retention
+	failures  Failures
+	counts    Counts
+}
+
+// Counts says what was asked of a journal.
+type Counts struct {
+	Appends int        `json:"appends"` // that took effect
+	Bytes   unit.Bytes `json:"bytes"`   // of these appends
+	Reads   int        `json:"reads"`
+	Read    unit.Bytes `json:"readBytes"`
 }
 
 // Append adds data as one entry.
-func (m *Memory) Append(_ context.Context, data []byte) (unit.Offset, error) {
+func (m *Memory) Append(ctx context.Context, data []byte) (unit.Offset, error) {
 	if unit.Bytes(len(data)) > journal.MaxEntryBytes {
-		return 0, journal.ErrTooLarge
+		return 0, &verdict.Error{Verdict: verdict.DidNotRun, Reason: "entry is too large", Err: journal.ErrTooLarge}
+	}
+	f := m.Failures()
+	if err := f.before(ctx); err != nil {
+		return 0, err
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.entries = append(m.entries, append([]byte(nil), data...))
-	return m.first + unit.Offset(len(m.entries)-1), nil
+	offset := m.add(data)
+	lost := m.failures.takeLost()
+	m.mu.Unlock()
+	if err := f.after(ctx, lost); err != nil {
+		return 0, err
+	}
+	return offset, nil
+}
+
+func (m *Memory) add(data []byte) unit.Offset {
+	offset := m.first + unit.Offset(len(m.entries))
+	m.entries = append(m.entries, kept{data: append([]byte(nil), data...), at: m.now()})
+	m.counts.Appends++
+	m.counts.Bytes += unit.Bytes(len(data))
+	if m.grown != nil {
+		close(m.grown)
+		m.grown = nil
+	}
+	m.expire()
+	return offset
 }
 
 // Read returns up to limit entries from offset on.
-func (m *Memory) Read(_ context.Context, from unit.Offset, limit int) ([]journal.Entry, error) {
+func (m *Memory) Read(ctx context.Context, from unit.Offset, limit int) ([]journal.Entry, error) {
+	page, err := m.Follow(ctx, from, limit, 0)
+	return page.Entries, err
+}
+
+// Follow reads like Read and waits at the end. A failure that is switched on
+// during the wait takes effect at its end.
+func (m *Memory) Follow(ctx context.Context, from unit.Offset, limit int, wait clock.Span) (journal.Page, error) {
+	f := m.Failures()
+	if err := f.before(ctx); err != nil {
+		return journal.Page{}, err
+	}
+	m.await(ctx, from, wait)
+	f = m.Failures()
+	if err := f.before(ctx); err != nil {
+		return journal.Page{}, err
+	}
+	page, err := m.page(from, limit)
+	if err != nil {
+		return journal.Page{}, err
+	}
+	if err := f.after(ctx, false); err != nil {
+		return journal.Page{}, err
+	}
+	return page, nil
+}
+
+// await returns when there is an entry at from, after the wait, or with ctx.
+func (m *Memory) await(ctx context.Context, from unit.Offset, wait clock.Span) {
+	if wait <= 0 {
+		return
+	}
+	m.mu.Lock()
+	if from != m.next() {
+		m.mu.Unlock()
+		return
+	}
+	if m.grown == nil {
+		m.grown = make(chan struct{})
+	}
+	grown := m.grown
+	m.mu.Unlock()
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	select {
+	case <-grown:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (m *Memory) page(from unit.Offset, limit int) (journal.Page, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.expire()
+	m.counts.Reads++
 	if from < m.first {
-		return nil, journal.ErrExpired
+		return journal.Page{}, journal.ErrExpired
 	}
-	var out []journal.Entry
-	for i := int(from - m.first); i < len(m.entries) && len(out) < limit; i++ {
-		out = append(out, journal.Entry{Offset: m.first + unit.Offset(i), Data: m.entries[i]})
+	page := journal.Page{End: m.next()}
+	for o := from; o < page.End && len(page.Entries) < limit; o++ {
+		data := m.entries[o-m.first].data
+		m.counts.Read += unit.Bytes(len(data))
+		page.Entries = append(page.Entries, journal.Entry{Offset: o, Data: data})
 	}
-	return out, nil
+	return page, nil
 }
 
 // Bounds returns the readable positions.
-func (m *Memory) Bounds(context.Context) (journal.Bounds, error) {
+func (m *Memory) Bounds(ctx context.Context) (journal.Bounds, error) {
+	f := m.Failures()
+	if err := f.before(ctx); err != nil {
+		return journal.Bounds{}, err
+	}
+	m.mu.Lock()
+	m.expire()
+	b := journal.Bounds{First: m.first, Next: m.next()}
+	m.mu.Unlock()
+	if err := f.after(ctx, false); err != nil {
+		return journal.Bounds{}, err
+	}
+	return b, nil
+}
+
+// Counts returns what was asked so far.
+func (m *Memory) Counts() Counts {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return journal.Bounds{First: m.first, Next: m.first + unit.Offset(len(m.entries))}, nil
+	return m.counts
+}
+
+func (m *Memory) next() unit.Offset { return m.first + unit.Offset(len(m.entries)) }
+
+func (m *Memory) now() clock.Millis {
+	if m.Clock == nil {
+		return clock.System{}.Now()
+	}
+	return m.Clock.Now()
 }
--- /dev/null
+++ b/standin/journal/retention.go
@@ -0,0 +1,37 @@
+package journal
+
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+)
+
+// Retention says which entries are kept. A limit of zero is none.
+type Retention struct {
+	Entries int        `json:"entries"`
+	Age     clock.Span `json:"ageMs"`
+}
+
+// SetRetention changes the retention. Entries beyond it are removed at once.
+func (m *Memory) SetRetention(r Retention) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.retention = r
+	m.expire()
+}
+
+// expire removes the entries that retention doesn't keep.
+func (m *Memory) expire() {
+	n := 0
+	if m.retention.Entries > 0 {
+		n = max(0, len(m.entries)-m.retention.Entries)
+	}
+	if m.retention.Age > 0 {
+		now := m.now()
+		for n < len(m.entries) && now.Sub(m.entries[n].at) > m.retention.Age {
+			n++
+		}
+	}
+	clear(m.entries[:n])
+	m.entries = m.entries[n:]
+	m.first += unit.Offset(n)
+}
