--- a/ctl/config.go
+++ b/ctl/config.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"mimosadock/entry/admin"
+	"mimosadock/schedule/config"
 	"mimosadock/schedule/service"
 	"mimosadock/schedule/unit"
 	"mimosadock/schedule/verdict"
@@ -29,6 +30,10 @@
 
 	cmd.Command("show", "Show the services text in force.").Action(func(*kingpin.ParseContext) error { return c.configShow() })
 
+	diff := cmd.Command("diff", "Show the difference from the text in force to a file.")
+	diff.Arg("file", "Services text, - for standard input.").Required().StringVar(&file)
+	diff.Action(func(*kingpin.ParseContext) error { return c.configDiff(file) })
+
 	history := cmd.Command("history", "Show past revisions, newest first.")
 	history.Flag("limit", "Most revisions to show.").Default("20").IntVar(&limit)
 	history.Action(func(*kingpin.ParseContext) error { return c.configHistory(limit) })
@@ -93,6 +98,18 @@
 		column[admin.Config]{"REVISION", func(r admin.Config) any { return r.Revision }},
 		column[admin.Config]{"AUTHOR", func(r admin.Config) any { return r.Author }},
 		column[admin.Config]{"WHEN", func(r admin.Config) any { return time.UnixMilli(r.UnixMs).UTC().Format(time.RFC3339) }},
-		column[admin.Config]{"BYTES", func(r admin.Config) any { return len(r.Text) }},
 	)
 }
+
+func (c *command) configDiff(file string) error {
+	text, err := readText(file, c.in)
+	if err != nil {
+		return err
+	}
+	cfg, err := c.config()
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprint(c.out, config.Difference([]byte(cfg.Text), []byte(text), fmt.Sprintf("revision %d", cfg.Revision), file))
+	return err
+}
--- a/ctl/main_test.go
+++ b/ctl/main_test.go
@@ -69,7 +69,8 @@
 			answers: map[string]string{"PUT /v1/config": `{"verdict":"mayHaveRun","reason":"no answer of the journal"}`},
 			code:    exitUnknown, errs: "mayHaveRun",
 		},
-		"job": {args: []string{"job", "show", "j1"}, answers: map[string]string{"GET /v1/jobs/j1": job}, out: "j1/0"},
+		"diff": {args: []string{"config", "diff", good}, answers: map[string]string{"GET /v1/config": `{"revision":3,"text":"version: 2\n"}`}, out: "+version: 1"},
+		"job":  {args: []string{"job", "show", "j1"}, answers: map[string]string{"GET /v1/jobs/j1": job}, out: "j1/0"},
 		"job as json": {
 			args: []string{"-o", "json", "job", "show", "j1"}, answers: map[string]string{"GET /v1/jobs/j1": job}, out: `"state": "finished"`,
 		},
--- a/entry/admin/backend.go
+++ b/entry/admin/backend.go
@@ -11,7 +11,7 @@
 // Config is a services text in force, with who put it there.
 type Config struct {
 	Revision unit.Revision `json:"revision"`
-	Text     string        `json:"text"`
+	Text     string        `json:"text,omitempty"` // empty in a history
 	Author   string        `json:"author,omitempty"`
 	UnixMs   int64         `json:"unixMs,omitempty"` // when it was proposed, for people only
 }
--- a/schedule/config/difference.go
+++ b/schedule/config/difference.go
@@ -16,10 +16,12 @@
 	if o.Result != Stale {
 		return ""
 	}
-	return difference(o.Version.Source, o.Refused, fmt.Sprintf("revision %d", o.Version.Revision), "refused change")
+	return Difference(o.Version.Source, o.Refused, fmt.Sprintf("revision %d", o.Version.Revision), "refused change")
 }
 
-func difference(a, b []byte, from, to string) string {
+// Difference returns a unified line difference from a to b, cut after 400
+// lines. The names head the two sides. It is empty if the texts are equal.
+func Difference(a, b []byte, from, to string) string {
 	text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
 		A: difflib.SplitLines(string(a)), FromFile: from,
 		B: difflib.SplitLines(string(b)), ToFile: to,
