--- a/entry/stream/reader.go
+++ b/entry/stream/reader.go
@@ -16,9 +16,9 @@
 // Reading.
 const (
 	pageEntries  = 512
-	pollWait     = 500 * clock.Millisecond // a quarter of the tenure confirm time
-	pollInterval = 100 * clock.Millisecond // between reads that reach the end
-	readTimeout  = 2 * clock.Second        // beyond the wait at the end
+	pollWait     = 500 * clock.Millisecond  // a quarter of the tenure confirm time
+	pollInterval = 100 * clock.Millisecond  // between reads that reach the end
+	readTimeout  = 1500 * clock.Millisecond // beyond the wait at the end
 )
 
 var (
--- a/entry/stream/wait.go
+++ b/entry/stream/wait.go
@@ -10,7 +10,7 @@
 // Waits between attempts while the journal fails.
 const (
 	firstBackoff = 100 * clock.Millisecond
-	lastBackoff  = clock.Second
+	lastBackoff  = 500 * clock.Millisecond
 )
 
 // backoff doubles the wait from one failure to the next. The zero value is
--- a/schedule/config/change.go
+++ b/schedule/config/change.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -41,13 +42,21 @@
 	Packed []byte        `cbor:"4,keyasint"`
 }
 
+// packers keeps the writers of Pack, each of which takes up 800 kB.
+var packers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestCompression)
+	if err != nil {
+		panic("config: invalid compression level")
+	}
+	return w
+}}
+
 // Pack deflates a text.
 func Pack(source []byte) ([]byte, error) {
 	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.BestCompression)
-	if err != nil {
-		return nil, err
-	}
+	w := packers.Get().(*flate.Writer)
+	defer packers.Put(w)
+	w.Reset(&buf)
 	if _, err := w.Write(source); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/schedule/config/register_test.go
@@ -0,0 +1,216 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mimosadock/schedule/record"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+)
+
+// text returns a sound services text that differs by its name.
+func text(name any) []byte {
+	return fmt.Appendf(nil, "version: 1\n# %v\ncapacity: {cpu: 1000}\n", name)
+}
+
+// checks keeps the changes that were checked, which takes most of the time.
+var checks = map[string]Checked{}
+
+func checked(t interface{ Fatal(...any) }, base unit.Revision, name any) Checked {
+	key := fmt.Sprint(name)
+	c, ok := checks[key]
+	if !ok {
+		var err error
+		if c, err = NewChange(base, "morag", 1, text(name)); err != nil {
+			t.Fatal(err)
+		}
+		checks[key] = c
+	}
+	c.Base = base
+	return c
+}
+
+// Guards against readers that come to different results from the same journal,
+// depending on where they started, and against a result that differs from a
+// plain walk over all changes.
+func TestReadersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type entry struct {
+			id record.ID
+			c  Checked
+		}
+		var o record.Origin
+		var log []entry
+		for i := range rapid.IntRange(0, 25).Draw(t, "changes") {
+			c := checked(t, unit.Revision(rapid.IntRange(0, 6).Draw(t, "base")), i)
+			if rapid.IntRange(0, 4).Draw(t, "faulty") == 0 {
+				c = Check(Change{Base: c.Base, Author: "morag", Packed: []byte{1}})
+			}
+			log = append(log, entry{o.NextID(), c})
+		}
+		var want []string // accepted texts
+		for _, e := range log {
+			if int(e.c.Base) == len(want) && e.c.Err == nil {
+				want = append(want, string(e.c.Source))
+			}
+		}
+		cut := rapid.IntRange(0, len(log)).Draw(t, "cut")
+		var whole, early Register
+		whole.Anchor(0)
+		early.Anchor(0)
+		for i, e := range log[:cut] {
+			early.Apply(unit.Offset(i), e.id, e.c)
+		}
+		early.Advance(unit.Offset(cut))
+		saved, err := early.Save()
+		if err != nil {
+			t.Fatal(err)
+		}
+		data, err := record.Marshal(saved)
+		if err != nil {
+			t.Fatal(err)
+		}
+		opened, err := Open(unit.Offset(cut), data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var late Register
+		late.Restore(opened)
+		from := rapid.IntRange(0, cut).Draw(t, "from") // reads some records again
+		for i, e := range log {
+			whole.Apply(unit.Offset(i), e.id, e.c)
+			if i >= from {
+				late.Apply(unit.Offset(i), e.id, e.c)
+			}
+		}
+		for _, r := range []*Register{&whole, &late} {
+			v := r.InForce()
+			if int(v.Revision) != len(want) || len(want) > 0 && string(v.Source) != want[len(want)-1] || r.Chain().Hash != v.Hash {
+				t.Fatalf("revision %d, want %d", v.Revision, len(want))
+			}
+			if past := r.History(nil); len(past) != len(want) {
+				t.Fatalf("history of %d, want %d", len(past), len(want))
+			}
+		}
+	})
+}
+
+// Guards against a lower or another text of a peer that comes into force, and
+// against an adopted one that changes what the journal decides.
+func TestAdopt(t *testing.T) {
+	version := func(r unit.Revision, name any) Version {
+		v, err := CheckVersion(r, HashOf(text(name)), text(name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	tests := map[string]struct {
+		peer Version
+		want Adoption
+		in   unit.Revision // in force afterwards
+	}{
+		"lower":   {version(1, "old"), Lower, 2},
+		"same":    {version(2, "b"), Same, 2},
+		"differs": {version(2, "other"), Differs, 2},
+		"higher":  {version(5, "e"), Adopted, 5},
+		"corrupt": {Version{Revision: 6, Hash: 1, Source: text("x"), Text: new(service.Text)}, Corrupt, 2},
+		"no text": {Version{Revision: 6, Hash: HashOf(nil)}, Corrupt, 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r Register
+			r.Anchor(0)
+			r.Apply(0, record.ID{1}, checked(t, 0, "a"))
+			r.Apply(1, record.ID{2}, checked(t, 1, "b"))
+			is.Equal(r.Adopt(tc.peer), tc.want)
+			is.Equal(r.InForce().Revision, tc.in)
+			is.Equal(r.Chain().Revision, unit.Revision(2))
+			is.Equal(r.Diverged > 0, tc.want == Differs)
+			is.Equal(r.Apply(2, record.ID{3}, checked(t, 2, "c")).Result, Accepted)
+			is.Equal(r.InForce().Revision, max(tc.in, 3))
+		})
+	}
+}
+
+// Guards against a refused operator who isn't told what came first, and
+// against faulty or oversized texts on their way into force.
+func TestOutcomes(t *testing.T) {
+	is := is.New(t)
+	var r Register
+	is.Equal(r.Apply(0, record.ID{}, checked(t, 0, "a")).Result, Undecided) // nothing known yet
+	r.Anchor(0)
+	is.Equal(r.Apply(0, record.ID{1}, checked(t, 0, "a")).Result, Accepted)
+	o := r.Apply(1, record.ID{2}, checked(t, 0, "b"))
+	is.Equal(o.Result, Stale)
+	is.Equal(o.Version.Revision, unit.Revision(1))
+	is.True(strings.Contains(o.Difference(), "-# a\n+# b\n"))
+	is.Equal(r.Apply(2, record.ID{3}, Check(Change{Base: 1, Author: "x"})).Result, Faulty)
+	var faults service.Faults
+	_, err := NewChange(1, "morag", 1, []byte("version: 2\n"))
+	is.True(errors.As(err, &faults))
+	_, err = NewChange(1, "", 1, text("a"))
+	is.True(err != nil) // no author
+	packed, err := Pack(make([]byte, service.MaxTextBytes+1))
+	is.NoErr(err)
+	_, err = Unpack(packed)
+	is.True(err != nil) // inflates beyond the limit
+}
+
+// Guards against a process that serves with an old configuration after a
+// restart, or that never gets ready while the journal is down.
+func TestReadiness(t *testing.T) {
+	tests := map[string]struct {
+		steps func(*Readiness)
+		want  bool
+	}{
+		"nothing known":        {func(*Readiness) {}, false},
+		"read to the end":      {func(r *Readiness) { r.Read() }, true},
+		"only unreachable":     {func(r *Readiness) { r.Unreachable() }, false},
+		"heard a neighbour":    {func(r *Readiness) { r.Unreachable(); r.Heard(3, true) }, true},
+		"heard a stranger":     {func(r *Readiness) { r.Unreachable(); r.Heard(3, false) }, false},
+		"heard a higher one":   {func(r *Readiness) { r.Unreachable(); r.Heard(3, true); r.Heard(4, false) }, false},
+		"journal may answer":   {func(r *Readiness) { r.Heard(3, true) }, false},
+		"stays ready":          {func(r *Readiness) { r.Read(); r.Ready(3); r.Heard(9, true) }, true},
+		"read, higher is told": {func(r *Readiness) { r.Heard(9, true); r.Read() }, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var r Readiness
+			tc.steps(&r)
+			is.Equal(r.Ready(3), tc.want)
+		})
+	}
+}
+
+// Guards against decoders of changes and snapshots that panic or accept a text
+// that the check refuses.
+func FuzzOpen(f *testing.F) {
+	var r Register
+	r.Anchor(0)
+	r.Apply(0, record.ID{1}, checked(f, 0, "a"))
+	saved, _ := r.Save()
+	data, _ := record.Marshal(saved)
+	change, _ := record.Marshal(checked(f, 0, "a").Change)
+	f.Add(data)
+	f.Add(change)
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if opened, err := Open(1, data); err == nil && opened.Version.Revision > 0 && opened.Version.Text == nil {
+			t.Fatal("version without a checked text")
+		}
+		if c, err := record.Unmarshal[Change](data); err == nil {
+			if got := Check(c); got.Err == nil && got.Text == nil {
+				t.Fatal("change without a checked text")
+			}
+		}
+	})
+}
--- a/schedule/snapshot/snapshot.go
+++ b/schedule/snapshot/snapshot.go
@@ -68,6 +68,10 @@
 // Encode returns the records of a snapshot with the given contents, parts
 // first.
 func Encode(o *record.Origin, c Contents, others []Ref) ([]record.Record, error) {
+	return encodeParts(o, c, others, PartBytes)
+}
+
+func encodeParts(o *record.Origin, c Contents, others []Ref, partBytes int) ([]record.Record, error) {
 	data, err := record.Marshal(c)
 	if err != nil {
 		return nil, fmt.Errorf("snapshot: encode %s: %w", c.Scope, err)
@@ -78,7 +82,7 @@
 	end := End{Snapshot: o.NextID(), Checksum: xxhash.Sum64(data), Others: others}
 	var out []record.Record
 	for rest := data; len(rest) > 0; end.Parts++ {
-		n := min(len(rest), PartBytes)
+		n := min(len(rest), partBytes)
 		r, err := record.Encode(o, record.SnapshotPart, Part{Snapshot: end.Snapshot, Index: end.Parts, Data: rest[:n]})
 		if err != nil {
 			return nil, err
--- /dev/null
+++ b/schedule/snapshot/snapshot_test.go
@@ -0,0 +1,193 @@
+package snapshot
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/record"
+	"mimosadock/schedule/unit"
+)
+
+// testPart is the size of a part, small so that short snapshots have several.
+const testPart = 64
+
+func contents(scope Scope, at unit.Offset, size int) Contents {
+	data := make([]byte, size)
+	r := rand.New(rand.NewPCG(uint64(at), 0))
+	for i := range data {
+		data[i] = byte(r.Uint32())
+	}
+	return Contents{Scope: scope, At: at, Sections: []Section{{Name: "jobs", Data: data}}}
+}
+
+func encode(t interface{ Fatal(...any) }, writer unit.Instance, c Contents) []record.Record {
+	records, err := encodeParts(&record.Origin{Writer: writer}, c, []Ref{{Scope: "x", From: 3}}, testPart)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return records
+}
+
+// Guards against a snapshot that is taken though a part is missing, comes from
+// another snapshot or is damaged, and against a whole one that isn't taken
+// because of what lies between its parts or in which order they are read.
+func TestAssembly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type source struct {
+			contents Contents
+			whole    bool
+		}
+		sources := map[unit.Offset]source{}
+		var items []record.Item
+		for i := range rapid.IntRange(1, 4).Draw(t, "snapshots") {
+			at := unit.Offset(100 + i)
+			c := contents(Common, at, rapid.IntRange(0, 3*testPart).Draw(t, "size"))
+			records := encode(t, unit.Instance(fmt.Sprint(i%2)), c)
+			whole := true
+			switch rapid.IntRange(0, 3).Draw(t, "damage") {
+			case 0:
+				drop := rapid.IntRange(0, len(records)-1).Draw(t, "drop")
+				records = append(records[:drop:drop], records[drop+1:]...)
+				whole = false
+			case 1:
+				p, err := record.Decode[Part](records[0])
+				if err != nil {
+					t.Fatal(err)
+				}
+				p.Data[len(p.Data)-1] ^= 1
+				records[0].Body, _ = record.Marshal(p)
+				whole = false
+			}
+			sources[at] = source{c, whole}
+			for _, r := range records {
+				items = append(items, record.Item{Record: r})
+			}
+		}
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 0))
+		rng.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
+		var a Assembler
+		found := 0
+		for i, it := range items {
+			it.Offset = unit.Offset(i)
+			f, ok := a.Add(it)
+			if !ok {
+				continue
+			}
+			found++
+			src := sources[f.At]
+			if !src.whole || string(f.Sections[0].Data) != string(src.contents.Sections[0].Data) || f.To != unit.Offset(i) || f.From > f.To {
+				t.Fatalf("snapshot at %d should not have been taken", f.At)
+			}
+		}
+		for _, src := range sources {
+			if src.whole {
+				found--
+			}
+		}
+		if found != 0 {
+			t.Fatalf("%d whole snapshots too many", found)
+		}
+	})
+}
+
+// Guards against half-written snapshots that fill the memory.
+func TestAssemblerIsBounded(t *testing.T) {
+	is := is.New(t)
+	var a Assembler
+	for i := range 300 {
+		r := encode(t, "a", contents(Common, unit.Offset(i), 2*testPart))
+		a.Add(record.Item{Record: r[0]})
+		is.True(a.open.Len() <= maxOpen+1 && a.bytes <= (maxOpen+1)*testPart)
+	}
+	is.True(a.Dropped > 0)
+	last := encode(t, "a", contents(Common, 1, 10))
+	a.Add(record.Item{Record: last[0]})
+	_, ok := a.Add(record.Item{Record: last[1]})
+	is.True(ok) // the newest is still taken
+}
+
+// Guards against an older snapshot that replaces a newer one, and against a
+// reader that stops before it has seen every scope.
+func TestNewest(t *testing.T) {
+	is := is.New(t)
+	var n Newest
+	_, ok := n.Floor()
+	is.True(!ok)
+	kelso := Found{Contents: Contents{Scope: ScopeOf("kelso"), At: 50}, From: 60, To: 61, Others: []Ref{{Common, 20}, {ScopeOf("hawick"), 30}}}
+	is.True(n.Offer(kelso))
+	floor, _ := n.Floor()
+	is.Equal(floor, unit.Offset(20))
+	_, ok = n.Start()
+	is.True(!ok) // the common snapshot isn't known
+	is.True(n.Offer(Found{Contents: Contents{Scope: Common, At: 15}, From: 20, To: 22}))
+	is.True(!n.Offer(Found{Contents: Contents{Scope: Common, At: 10}, From: 23, To: 24}))
+	start, ok := n.Start()
+	is.True(ok)
+	is.Equal(start, unit.Offset(15))
+	floor, _ = n.Floor()
+	is.Equal(floor, unit.Offset(30))
+}
+
+// Guards against a snapshot that is written too late for the retention, too
+// often, or by the wrong process.
+func TestDue(t *testing.T) {
+	limits := Limits{Entries: 1000, Age: 100 * clock.Second, Tail: 1000, Changes: 10}
+	tests := map[string]struct {
+		next         unit.Offset
+		now          clock.Millis
+		bytes        unit.Bytes
+		changes      int
+		due, overdue bool
+	}{
+		"fresh":              {next: 400, now: 40_000, bytes: 900, changes: 9},
+		"half by count":      {next: 600, due: true},
+		"three quarters":     {next: 850, due: true, overdue: true},
+		"half by age":        {next: 100, now: 50_000, due: true},
+		"three by age":       {next: 100, now: 75_000, due: true, overdue: true},
+		"tail to read":       {next: 100, bytes: 1000, due: true},
+		"changes to check":   {next: 100, changes: 10, due: true},
+		"far beyond in tail": {next: 100, bytes: 1500, due: true, overdue: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := Schedule{Limits: limits}
+			is.True(s.Due(Common, 0, 0)) // none known
+			s.Note(Found{Contents: Contents{Scope: Common, At: 100}, From: 101}, 0, false)
+			s.Grow(tc.bytes, tc.changes)
+			is.Equal(s.Due(Common, tc.next, tc.now), tc.due)
+			is.Equal(s.Overdue(Common, tc.next, tc.now), tc.overdue)
+			s.Tried(Common, tc.now)
+			is.True(!s.Due(Common, tc.next, tc.now.Add(RetryAfter-1))) // is under way
+			s.Note(Found{Contents: Contents{Scope: Common, At: tc.next}}, tc.now, true)
+			is.True(s.Due(Common, tc.next, tc.now)) // age unknown after a recovery
+		})
+	}
+	is := is.New(t)
+	owners := []Owner{{"selkirk", "c"}, {"hawick", "a"}, {"kelso", "b"}}
+	is.Equal(Writer(Common, owners), unit.Instance("a"))
+	is.Equal(Writer(ScopeOf("selkirk"), owners), unit.Instance("c"))
+	is.Equal(Writer(ScopeOf("lost"), owners), unit.Instance(""))
+	is.Equal(Writer(Common, nil), unit.Instance(""))
+}
+
+// Guards against decoders of parts and ends that panic or take up memory that
+// a record only claims.
+func FuzzAssembler(f *testing.F) {
+	for _, r := range encode(f, "a", contents(Common, 1, 40)) {
+		f.Add([]byte(r.Body), []byte(r.Body))
+	}
+	f.Add([]byte{0xa3, 1, 0x40, 2, 1, 3, 0x40}, []byte{})
+	f.Fuzz(func(t *testing.T, part, end []byte) {
+		var a Assembler
+		a.Add(record.Item{Record: record.Record{Kind: record.SnapshotPart, Body: part}})
+		if got, ok := a.Add(record.Item{Record: record.Record{Kind: record.SnapshotEnd, Body: end}}); ok && len(got.Sections) > len(part) {
+			t.Fatal("more sections than bytes")
+		}
+	})
+}
--- /dev/null
+++ b/standin/hosts/list.go
@@ -0,0 +1,130 @@
+package hosts
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"sync"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/verdict"
+)
+
+var _ member.Lister = (*List)(nil)
+
+// stage is the list from an instant on.
+type stage struct {
+	at   clock.Millis
+	rows []member.Listing
+}
+
+// List is the list of hosts. The zero value is empty, doesn't lag and is ready
+// to use. It is safe for concurrent use.
+type List struct {
+	Clock clock.Clock // nil is the system clock
+
+	mu      sync.Mutex
+	stages  []stage
+	lag     clock.Span
+	refuse  bool
+	emptied bool
+}
+
+// Set replaces the list. Readers see it after the lag.
+func (l *List) Set(rows []member.Listing) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stages = append(l.stages, stage{at: l.now(), rows: slices.Clone(rows)})
+}
+
+// Fail sets the lag, whether calls are refused and whether the answer is
+// empty.
+func (l *List) Fail(lag clock.Span, refuse, empty bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag, l.refuse, l.emptied = lag, refuse, empty
+}
+
+// List returns the list as it was one lag ago.
+func (l *List) List(context.Context) ([]member.Listing, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.refuse {
+		return nil, verdict.Refuse("host list refuses calls")
+	}
+	if l.emptied {
+		return nil, nil
+	}
+	seen := l.now().Add(-l.lag)
+	for i := len(l.stages) - 1; i >= 0; i-- {
+		if l.stages[i].at <= seen {
+			return slices.Clone(l.stages[i].rows), nil
+		}
+	}
+	return nil, nil
+}
+
+func (l *List) now() clock.Millis {
+	if l.Clock == nil {
+		return clock.System{}.Now()
+	}
+	return l.Clock.Now()
+}
+
+// Handler serves the list: GET /hosts answers with a JSON array of
+// [member.Listing], or 503 if calls are refused.
+func Handler(l *List) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /hosts", func(w http.ResponseWriter, r *http.Request) {
+		rows, err := l.List(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		if rows == nil {
+			rows = []member.Listing{}
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(rows)
+	})
+	return mux
+}
+
+// maxBodyBytes bounds a list that is set over HTTP.
+const maxBodyBytes = 4 << 20
+
+// Control serves the switches: PUT /hosts sets the list, PUT /hosts/failures
+// sets {"lagMs":N,"refuse":B,"empty":B}.
+func Control(l *List) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /hosts", func(w http.ResponseWriter, r *http.Request) {
+		if rows, ok := decode[[]member.Listing](w, r); ok {
+			l.Set(rows)
+		}
+	})
+	mux.HandleFunc("PUT /hosts/failures", func(w http.ResponseWriter, r *http.Request) {
+		type failures struct {
+			Lag    clock.Span `json:"lagMs"`
+			Refuse bool       `json:"refuse"`
+			Empty  bool       `json:"empty"`
+		}
+		if f, ok := decode[failures](w, r); ok {
+			l.Fail(f.Lag, f.Refuse, f.Empty)
+		}
+	})
+	return mux
+}
+
+// decode reads the body of r strictly, or answers with 400.
+func decode[V any](w http.ResponseWriter, r *http.Request) (V, bool) {
+	var v V
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return v, false
+	}
+	return v, true
+}
--- /dev/null
+++ b/standin/serve.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/unit"
+	"mimosadock/standin/hosts"
+	"mimosadock/standin/journal"
+	"mimosadock/standin/upstream"
+)
+
+// headerTimeout bounds how long a client may take to send its header.
+const headerTimeout = 10 * time.Second
+
+// server is one address with its handler.
+type server struct {
+	name     string
+	listener net.Listener
+	handler  http.Handler
+}
+
+// serve runs the stand-ins until ctx ends.
+func serve(ctx context.Context, s settings, logger *log.Logger) error {
+	servers, err := open(s)
+	if err != nil {
+		return err
+	}
+	g := group.New(ctx)
+	for _, srv := range servers {
+		logger.Info("serving", "what", srv.name, "address", srv.listener.Addr())
+		h := &http.Server{Handler: srv.handler, ReadHeaderTimeout: headerTimeout}
+		g.Go(srv.name, func(context.Context) error {
+			if err := h.Serve(srv.listener); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+		g.Go(srv.name, func(ctx context.Context) error {
+			<-ctx.Done()
+			return h.Close()
+		})
+	}
+	return g.Wait()
+}
+
+// open binds all addresses.
+func open(s settings) ([]server, error) {
+	m := new(journal.Memory)
+	m.SetRetention(journal.Retention{Entries: s.entries, Age: clock.SpanOf(s.age)})
+	list := new(hosts.List)
+	control := http.NewServeMux()
+	control.Handle("/journal", journal.Control(m))
+	control.Handle("/hosts", hosts.Control(list))
+	control.Handle("/hosts/", hosts.Control(list))
+	servers, err := bind(nil, "journal", s.journal, journal.Handler(m))
+	if err == nil {
+		servers, err = bind(servers, "hosts", s.hosts, hosts.Handler(list))
+	}
+	if err == nil {
+		servers, err = bind(servers, "operator", s.operator, control)
+	}
+	if err != nil {
+		return nil, err
+	}
+	servers, rows, err := openUpstreams(s, servers)
+	if err != nil {
+		return nil, err
+	}
+	list.Set(rows)
+	list.Fail(clock.SpanOf(s.lag), false, false)
+	return servers, nil
+}
+
+// openUpstreams binds the stand-in upstreams and returns their listings.
+func openUpstreams(s settings, servers []server) ([]server, []member.Listing, error) {
+	var rows []member.Listing
+	for range s.upstreams {
+		var err error
+		if servers, err = bind(servers, "upstream", net.JoinHostPort(s.address, "0"), new(upstream.Upstream)); err != nil {
+			return nil, nil, err
+		}
+		at := servers[len(servers)-1].listener.Addr().String()
+		rows = append(rows, member.Listing{
+			Address:    at,
+			Host:       unit.Host(netip.MustParseAddrPort(at).Addr().String()),
+			DataCentre: s.centre(),
+			Role:       member.Executor,
+			Service:    unit.Service(s.service),
+			Slots:      unit.Slots(s.slots),
+		})
+	}
+	return servers, rows, nil
+}
+
+func bind(servers []server, name, address string, h http.Handler) ([]server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		for _, s := range servers {
+			s.listener.Close()
+		}
+		return nil, fmt.Errorf("listen for %s: %w", name, err)
+	}
+	return append(servers, server{name, l, h}), nil
+}
