Choose upstreams from a bitmap of free slots; add limits and retries

Cause: the first choice probed upstreams at random, so it missed free slots when most upstreams were full, and nothing judged, limited or retried. Change: route keeps a bitmap of upstreams with a free slot and scores a sample by latency and busyness, with round robin and least connections as baseline policies; health rows eject (at most 30%), try and slow-start upstreams; limit has token buckets without locks, a bounded table of callers and an adaptive limit per upstream; retry has the decision, the hedge and the budget.

--- /dev/null
+++ b/schedule/retry/retry_test.go
@@ -0,0 +1,94 @@
+package retry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/verdict"
+)
+
+// Guards against an order that is issued twice and against retries that can't
+// help.
+func TestAllowed(t *testing.T) {
+	may := Attempt{Verdict: verdict.MayHaveRun, Idempotent: true, Replayable: true, Remaining: 100, Service: 10}
+	tests := map[string]struct {
+		change func(*Attempt)
+		want   bool
+	}{
+		"idempotent":            {func(*Attempt) {}, true},
+		"order may have run":    {func(a *Attempt) { a.Idempotent = false }, false},
+		"order did not run":     {func(a *Attempt) { a.Idempotent, a.Verdict = false, verdict.DidNotRun }, true},
+		"ran":                   {func(a *Attempt) { a.Verdict = verdict.Ran }, false},
+		"body gone":             {func(a *Attempt) { a.Replayable = false }, false},
+		"third retry":           {func(a *Attempt) { a.Retries = MaxRetries }, false},
+		"no time for an answer": {func(a *Attempt) { a.Remaining = 10 }, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			a := may
+			tc.change(&a)
+			is.New(t).Equal(Allowed(a), tc.want)
+		})
+	}
+}
+
+// Guards against hedges of work that must not run twice or that takes long.
+func TestHedgeAfter(t *testing.T) {
+	tests := map[string]struct {
+		service   service.Service
+		p95       clock.Span
+		remaining clock.Span
+		want      bool
+	}{
+		"hedged":          {service.Service{Hedge: true, Idempotent: true}, 20, 100, true},
+		"not idempotent":  {service.Service{Hedge: true}, 20, 100, false},
+		"not asked for":   {service.Service{Idempotent: true}, 20, 100, false},
+		"long":            {service.Service{Hedge: true, Idempotent: true, Class: service.Long}, 20, 100, false},
+		"p95 unknown":     {service.Service{Hedge: true, Idempotent: true}, 0, 100, false},
+		"past the answer": {service.Service{Hedge: true, Idempotent: true}, 95, 100, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			_, ok := HedgeAfter(&tc.service, 10, tc.p95, tc.remaining)
+			is.New(t).Equal(ok, tc.want)
+		})
+	}
+}
+
+// Guards against a budget that lets a storm of failures double the load. The
+// reference keeps every instant.
+func TestBudgetMatchesReference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Budget
+		var requests, repeats []clock.Millis
+		recent := func(at []clock.Millis, now clock.Millis) int {
+			n := 0
+			for _, x := range at {
+				if now/1000-x/1000 < buckets {
+					n++
+				}
+			}
+			return n
+		}
+		now := clock.Millis(0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(clock.Span(rapid.IntRange(0, 400).Draw(t, "pause")))
+			if rapid.IntRange(0, 2).Draw(t, "op") > 0 {
+				b.Request(now)
+				requests = append(requests, now)
+				continue
+			}
+			want := recent(repeats, now) < recent(requests, now)/10+10
+			if b.Spend(now) != want {
+				t.Fatalf("at %d: want %v", now, want)
+			}
+			if want {
+				repeats = append(repeats, now)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/schedule/route/health.go
@@ -0,0 +1,176 @@
+package route
+
+import (
+	"slices"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+)
+
+// Phase is the state of an upstream in the eyes of one entry process.
+type Phase int
+
+// The phases of an upstream.
+const (
+	Starting Phase = iota // starting
+	Steady                // steady
+	Ejected               // ejected
+	Trial                 // trial
+)
+
+// Ejection and return of upstreams.
+const (
+	maxFailures        = 5  // consecutive failures that eject
+	slowFactor         = 3  // times the median latency that ejects
+	minJudged          = 10 // answers since the return before latency is judged
+	maxEjectedPercent  = 30
+	slowStart          = 10 * clock.Second
+	ejectFor           = 2 * clock.Second // doubled with each ejection in a row
+	maxEjectFor        = 60 * clock.Second
+	trialSuccesses     = 3
+	slowFloor          = Latency(1000) // latencies below are never slow: scheduling noise exceeds the factor
+	latencyShare       = 8             // weight of a new sample is 1/8
+	forgetEjections    = clock.Minute
+	forgetLoad         = clock.Second
+	ejectionsCounted   = 6
+	trialLimit         = unit.Slots(1)
+	slowStartStep      = 8 // the slots opened grow in eighths
+	slowStartFirstStep = 1
+)
+
+// Health is the row of one upstream. The zero value starts when it is first
+// judged.
+type Health struct {
+	Phase     Phase
+	Latency   Latency // moving average
+	Failures  int     // in a row
+	Successes int     // since the phase began
+	Ejections int     // in a row
+	Since     clock.Millis
+	LoadAt    clock.Millis // of the last report
+	begun     bool
+}
+
+// Success records an answer and its time.
+func (h *Health) Success(l Latency) {
+	h.Failures = 0
+	h.Successes++
+	if h.Latency == 0 {
+		h.Latency = max(l, 1)
+		return
+	}
+	h.Latency = max(1, h.Latency+(l-h.Latency)/latencyShare)
+}
+
+// Failure records a failure that speaks against the upstream.
+func (h *Health) Failure() {
+	h.Failures++
+	h.Successes = 0
+}
+
+// Open reports whether the upstream may get requests.
+func (h *Health) Open() bool { return h.Phase != Ejected }
+
+func (h *Health) enter(p Phase, now clock.Millis) {
+	h.Phase, h.Since, h.Successes = p, now, 0
+}
+
+// Judge moves h through the phases that depend on h alone, and reports whether
+// it changed between open and ejected.
+func Judge(h *Health, now clock.Millis) bool {
+	if !h.begun {
+		h.begun = true
+		h.enter(Starting, now)
+	}
+	switch {
+	case h.Phase == Ejected && now.Sub(h.Since) >= ejection(h.Ejections):
+		h.enter(Trial, now)
+		h.Failures, h.Latency = 0, 0
+		return true
+	case h.Phase == Trial && h.Failures > 0:
+		h.eject(now)
+		return true
+	case h.Phase == Trial && h.Successes >= trialSuccesses:
+		h.enter(Starting, now)
+	case h.Phase == Starting && now.Sub(h.Since) >= slowStart:
+		h.enter(Steady, now)
+	case h.Phase == Steady && now.Sub(h.Since) >= forgetEjections:
+		h.Ejections = 0
+	}
+	return false
+}
+
+func (h *Health) eject(now clock.Millis) {
+	h.enter(Ejected, now)
+	h.Ejections = min(h.Ejections+1, ejectionsCounted)
+}
+
+func ejection(times int) clock.Span {
+	return min(maxEjectFor, ejectFor<<max(0, times-1))
+}
+
+// Limit returns how many requests the upstream may have in flight by its
+// phase, zero for no bound below its slots.
+func (h *Health) Limit(slots unit.Slots, now clock.Millis) unit.Slots {
+	switch h.Phase {
+	case Trial:
+		return trialLimit
+	case Starting:
+		step := slowStartFirstStep + clock.Span(slowStartStep-slowStartFirstStep)*now.Sub(h.Since)/slowStart
+		return max(1, slots*unit.Slots(step)/slowStartStep)
+	default:
+		return 0
+	}
+}
+
+// Eject ejects failing and slow upstreams among rows, which are those of a
+// service in one data centre. At most 30% are ejected at a time; the worst come
+// first. It reports whether any was ejected.
+func Eject(rows []*Health, now clock.Millis) bool {
+	room := len(rows) * maxEjectedPercent / 100
+	for _, h := range rows {
+		if !h.Open() || h.Phase == Trial {
+			room--
+		}
+	}
+	if room <= 0 {
+		return false
+	}
+	median := medianLatency(rows)
+	bad := slices.DeleteFunc(slices.Clone(rows), func(h *Health) bool {
+		return !h.Open() || h.Phase == Trial || h.Failures < maxFailures && !h.slow(median)
+	})
+	slices.SortStableFunc(bad, func(a, b *Health) int {
+		if a.Failures != b.Failures {
+			return b.Failures - a.Failures
+		}
+		return int(b.Latency - a.Latency)
+	})
+	bad = bad[:min(len(bad), room)]
+	for _, h := range bad {
+		h.eject(now)
+	}
+	return len(bad) > 0
+}
+
+func (h *Health) slow(median Latency) bool {
+	return median > 0 && h.Successes >= minJudged && h.Latency > max(slowFloor, slowFactor*median)
+}
+
+func medianLatency(rows []*Health) Latency {
+	known := make([]Latency, 0, len(rows))
+	for _, h := range rows {
+		if h.Open() && h.Latency > 0 {
+			known = append(known, h.Latency)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
+}
+
+// LoadExpired reports whether the last load report is too old to count. It
+// keeps an upstream that once reported a high load from being avoided for ever.
+func (h *Health) LoadExpired(now clock.Millis) bool { return now.Sub(h.LoadAt) > forgetLoad }
--- /dev/null
+++ b/schedule/route/health_test.go
@@ -0,0 +1,98 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+)
+
+// rowsOf returns n steady rows with a latency of 2 ms.
+func rowsOf(n int) []*Health {
+	rows := make([]*Health, n)
+	for i := range rows {
+		rows[i] = &Health{Phase: Steady, Latency: 2000, Successes: 100, begun: true}
+	}
+	return rows
+}
+
+// Guards against bad upstreams that stay, and against an ejection that takes
+// away more than the capped share.
+func TestEject(t *testing.T) {
+	fail := func(h *Health) { h.Failures = maxFailures }
+	slow := func(h *Health) { h.Latency = 6001 }
+	tests := map[string]struct {
+		n, bad  int
+		spoil   func(*Health)
+		ejected int
+	}{
+		"healthy":             {n: 10, bad: 0, spoil: fail, ejected: 0},
+		"one fails":           {n: 10, bad: 1, spoil: fail, ejected: 1},
+		"one slow":            {n: 10, bad: 1, spoil: slow, ejected: 1},
+		"not quite slow":      {n: 10, bad: 1, spoil: func(h *Health) { h.Latency = 6000 }, ejected: 0},
+		"slow but few judged": {n: 10, bad: 1, spoil: func(h *Health) { h.Latency, h.Successes = 9000, 2 }, ejected: 0},
+		"a failure less":      {n: 10, bad: 1, spoil: func(h *Health) { h.Failures = maxFailures - 1 }, ejected: 0},
+		"all fail":            {n: 10, bad: 10, spoil: fail, ejected: 3},
+		"cap rounds down":     {n: 9, bad: 9, spoil: fail, ejected: 2},
+		"too few to eject":    {n: 3, bad: 1, spoil: fail, ejected: 0},
+		"cap counts trial":    {n: 10, bad: 10, spoil: func(h *Health) { h.Failures, h.Phase = maxFailures, Trial }, ejected: 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rows := rowsOf(tc.n)
+			for _, h := range rows[:tc.bad] {
+				tc.spoil(h)
+			}
+			for range 5 { // the cap holds over ticks
+				Eject(rows, 0)
+			}
+			n := 0
+			for _, h := range rows {
+				if !h.Open() {
+					n++
+				}
+			}
+			is.Equal(n, tc.ejected)
+		})
+	}
+}
+
+// Guards against an upstream that never comes back, comes back with all its
+// slots at once, or comes back as soon after its third ejection as after its
+// first.
+func TestReturnAfterEjection(t *testing.T) {
+	is := is.New(t)
+	h, now := rowsOf(1)[0], clock.Millis(0)
+	step := func(s clock.Span) Phase {
+		now = now.Add(s)
+		Judge(h, now)
+		return h.Phase
+	}
+	h.eject(now)
+	is.Equal(step(ejectFor-1), Ejected)
+	is.Equal(step(1), Trial)
+	is.Equal(h.Limit(8, now), unit.Slots(1))
+	h.Failure()
+	is.Equal(step(1), Ejected)
+	is.Equal(step(ejectFor), Ejected) // twice as long the second time
+	is.Equal(step(ejectFor), Trial)
+	for range trialSuccesses {
+		h.Success(2000)
+	}
+	is.Equal(step(1), Starting)
+	last := unit.Slots(0)
+	for range 9 {
+		n := h.Limit(8, now)
+		is.True(n >= last && n < 8)
+		last = n
+		is.Equal(step(slowStart/10), Starting)
+	}
+	is.True(last > 5)
+	is.Equal(step(slowStart/10), Steady)
+	is.Equal(h.Limit(8, now), unit.Slots(0))
+	step(forgetEjections)
+	is.Equal(h.Ejections, 0)
+}
--- /dev/null
+++ b/schedule/route/stats.go
@@ -0,0 +1,58 @@
+package route
+
+import (
+	"slices"
+	"sync/atomic"
+
+	"mimosadock/schedule/table"
+)
+
+// Stats holds the observed times of a service for the request path. The zero
+// value knows nothing.
+type Stats struct{ p50, p95, p99 atomic.Int64 }
+
+// P50 returns the median, zero if it is unknown.
+func (s *Stats) P50() Latency { return Latency(s.p50.Load()) }
+
+// P95 returns the 95th percentile, zero if it is unknown.
+func (s *Stats) P95() Latency { return Latency(s.p95.Load()) }
+
+// P99 returns the 99th percentile, zero if it is unknown.
+func (s *Stats) P99() Latency { return Latency(s.p99.Load()) }
+
+// Samples collects the times of a service and works out its [Stats]. Only the
+// control goroutine uses it.
+type Samples struct {
+	Stats *Stats
+	ring  table.Ring[Latency]
+	sized bool
+	buf   []Latency
+}
+
+// sampleSize is how many answers the percentiles are taken from.
+const sampleSize = 512
+
+// minSamples is how many answers must be known before a percentile is used.
+const minSamples = 20
+
+// Add records the time of one answer.
+func (s *Samples) Add(l Latency) {
+	if !s.sized {
+		s.ring.Resize(sampleSize)
+		s.sized = true
+	}
+	s.ring.Add(l)
+}
+
+// Publish works out the percentiles.
+func (s *Samples) Publish() {
+	if s.ring.Len() < minSamples {
+		return
+	}
+	s.buf = s.ring.AppendTo(s.buf[:0])
+	slices.Sort(s.buf)
+	at := func(percent int) int64 { return int64(s.buf[(len(s.buf)-1)*percent/100]) }
+	s.Stats.p50.Store(at(50))
+	s.Stats.p95.Store(at(95))
+	s.Stats.p99.Store(at(99))
+}
--- /dev/null
+++ b/schedule/route/upstream.go
@@ -0,0 +1,98 @@
+package route
+
+import (
+	"sync/atomic"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/slot"
+	"mimosadock/schedule/unit"
+)
+
+// Latency is an observed time of an answer in microseconds.
+type Latency int64
+
+// Span returns l in milliseconds, rounded up.
+func (l Latency) Span() clock.Span { return clock.Span((l + 999) / 1000) }
+
+// Upstream is one executor as the request path sees it. It must not be copied.
+type Upstream struct {
+	Address    unit.Upstream
+	DataCentre unit.DataCentre
+	Slots      *slot.Counter // held for short requests
+	Pinned     *slot.Counter // held for long requests; may be nil
+
+	load    atomic.Int64 // last reported requests in flight
+	latency atomic.Int64 // [Latency], zero if unknown
+	limit   atomic.Int64 // most requests in flight, zero for the slots held
+	trial   atomic.Bool  // gets idempotent requests only
+	sent    atomic.Int64
+	seat    atomic.Pointer[seat]
+}
+
+// Report stores the load that the upstream reported with an answer.
+func (u *Upstream) Report(inFlight int64) { u.load.Store(inFlight) }
+
+// SetLatency stores the observed latency. Zero means unknown.
+func (u *Upstream) SetLatency(l Latency) { u.latency.Store(int64(l)) }
+
+// Latency returns the observed latency, zero if it is unknown.
+func (u *Upstream) Latency() Latency { return Latency(u.latency.Load()) }
+
+// SetLimit bounds the requests in flight to n; zero leaves them to the slots
+// held. A limit above the slots held has no effect.
+func (u *Upstream) SetLimit(n unit.Slots) {
+	u.limit.Store(int64(n))
+	u.Refresh()
+}
+
+// Limit returns the bound of [Upstream.SetLimit].
+func (u *Upstream) Limit() unit.Slots { return unit.Slots(u.limit.Load()) }
+
+// SetTrial restricts the upstream to idempotent requests.
+func (u *Upstream) SetTrial(on bool) { u.trial.Store(on) }
+
+// InFlight returns the slots of both kinds in use by this process.
+func (u *Upstream) InFlight() unit.Slots {
+	n := u.Slots.Used()
+	if u.Pinned != nil {
+		n += u.Pinned.Used()
+	}
+	return n
+}
+
+// Busyness returns the requests in flight: the higher of this process's own
+// and the last report, which also covers other entry processes.
+func (u *Upstream) Busyness() int64 { return max(int64(u.InFlight()), u.load.Load()) }
+
+// Release gives a slot taken by Choose back.
+func (u *Upstream) Release() {
+	u.Slots.Release()
+	u.Refresh()
+}
+
+// Refresh offers the upstream to new requests again if it has a free slot. It
+// must be called after more slots are held.
+func (u *Upstream) Refresh() {
+	if s := u.seat.Load(); s != nil && u.open() {
+		s.group.free.set(s.index)
+	}
+}
+
+func (u *Upstream) take(deadline clock.Millis) bool {
+	if !u.Slots.Take(deadline) {
+		return false
+	}
+	if l := u.limit.Load(); l > 0 && int64(u.InFlight()) > l {
+		u.Slots.Release()
+		return false
+	}
+	u.sent.Add(1)
+	return true
+}
+
+// open reports whether the upstream has a slot for another request, whatever
+// its deadline.
+func (u *Upstream) open() bool {
+	l := u.limit.Load()
+	return u.Slots.Free() > 0 && (l == 0 || int64(u.InFlight()) < l)
+}
--- a/schedule/route/view.go
+++ b/schedule/route/view.go
@@ -1,55 +1,97 @@
 package route
 
 import (
-	"math/rand/v2"
-
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/service"
-	"mimosadock/schedule/slot"
 	"mimosadock/schedule/unit"
 )
 
-// Upstream is one executor as the request path sees it.
-type Upstream struct {
-	Address    unit.Upstream
-	DataCentre unit.DataCentre
-	Slots      *slot.Counter // shared with the control goroutine
+// View is what the request path knows of the services. It must not be changed
+// after publication.
+type View struct {
+	Targets map[unit.Service]*Target
 }
 
 // Target is a service with the upstreams that may get its requests now.
 type Target struct {
 	Service   *service.Service
-	Upstreams []*Upstream
+	Team      *service.Team // may be nil
+	Groups    []*Group      // one a data centre; the own one first
+	Upstreams []*Upstream   // of all groups, in their order
+	Stats     *Stats        // observed times of the service; may be nil
 }
 
-// View is what the request path knows of the services. It must not be changed
-// after publication.
-type View struct {
-	Targets map[unit.Service]*Target
+// Group is the upstreams of one set in one data centre that are open to new
+// requests. Services with the same upstream set share it.
+type Group struct {
+	DataCentre unit.DataCentre
+	Local      bool       // in the data centre of this process
+	Way        clock.Span // one-way latency
+	upstreams  []*Upstream
+	free       bitmap // indices of upstreams that may have a free slot
+}
+
+// seat is the place of an upstream in its current group.
+type seat struct {
+	group *Group
+	index int
 }
 
-// probes bounds how many upstreams one choice looks at.
-const probes = 8
+// NewGroup returns a group of the given upstreams. Releases of their slots are
+// seen by this group from then on, no longer by an earlier one.
+func NewGroup(dc unit.DataCentre, local bool, way clock.Span, upstreams []*Upstream) *Group {
+	g := &Group{DataCentre: dc, Local: local, Way: way, upstreams: upstreams, free: newBitmap(len(upstreams))}
+	for i, u := range upstreams {
+		u.seat.Store(&seat{group: g, index: i})
+		u.Refresh()
+	}
+	return g
+}
 
-// Choose takes a slot on an upstream of t for a request that ends at deadline
-// and returns it, or nil if no probed upstream has a free slot. It prefers the
-// one with more free slots of each pair of random probes.
-func (t *Target) Choose(deadline clock.Millis) *Upstream {
-	n := len(t.Upstreams)
-	if n == 0 {
-		return nil
+// Upstreams returns the upstreams of g. They must not be changed.
+func (g *Group) Upstreams() []*Upstream { return g.upstreams }
+
+// settle marks whether upstream i has a free slot. It must follow every take,
+// failed ones too: a failing take makes the upstream look full for a moment, in
+// which a release may have left the mark unset. The second look keeps a release
+// that happens at the same time from being lost.
+func (g *Group) settle(i int) {
+	u := g.upstreams[i]
+	if !u.open() {
+		g.free.clear(i)
+	}
+	if u.open() {
+		g.free.set(i)
 	}
-	for range probes / 2 {
-		a, b := t.Upstreams[rand.IntN(n)], t.Upstreams[rand.IntN(n)]
-		if b.Slots.Free() > a.Slots.Free() {
-			a, b = b, a
-		}
-		if a.Slots.Take(deadline) {
-			return a
-		}
-		if b.Slots.Take(deadline) {
-			return b
-		}
+}
+
+// Query describes a request that needs an upstream.
+type Query struct {
+	Now      clock.Millis
+	Deadline clock.Millis
+	Except   [MaxExcept]*Upstream // not to be chosen: they had earlier attempts
+}
+
+// MaxExcept is the most upstreams that a query can exclude.
+const MaxExcept = 3
+
+func (q *Query) excludes(u *Upstream) bool {
+	return u == q.Except[0] || u == q.Except[1] || u == q.Except[2]
+}
+
+// Choose takes a slot for q on an upstream of t by the [Cost] policy. Another
+// data centre is used when the slots of the own one are full and the deadline
+// allows the way there and back.
+func (t *Target) Choose(q Query) (*Upstream, Outcome) {
+	return Chooser[Cost]{}.Choose(t, q)
+}
+
+// reaches reports whether the remaining time of q suffices for the way to a
+// group and back and the p99 of the service.
+func (t *Target) reaches(g *Group, q *Query) bool {
+	var p99 clock.Span
+	if t.Stats != nil {
+		p99 = t.Stats.P99().Span()
 	}
-	return nil
+	return g.Local || q.Deadline.Sub(q.Now) > 2*g.Way+p99
 }
