Keep connections to upstreams and judge upstreams per tick

Cause: each request dialled, any failure after the dial was mayHaveRun, and the control goroutine only copied the text into routes. Change: pool reuses connections one request at a time, looks for a closed end before it writes, reports exact verdicts, refuses answers without a framing, and closes connections that make no progress while later requests to the host are answered. control has tables of upstreams, groups and services with systems for ejection, slow start, leaving, limits and the view, and a state dump.

--- a/entry/control/routes.go
+++ b/entry/control/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"mimosadock/schedule/clock"
+	"mimosadock/schedule/limit"
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
 	"mimosadock/schedule/slot"
@@ -12,15 +13,47 @@
 // upstreamRow is one upstream of an upstream set.
 type upstreamRow struct {
 	set      string
+	slots    unit.Slots // of the upstream, not only those held
 	upstream *route.Upstream
+	health   route.Health
+	adaptive limit.Adaptive
+	window   window
+	leaving  bool
+	stale    bool // neither in the text nor in the list
+}
+
+// window is what happened at an upstream since the last tick.
+type window struct {
+	answers  int
+	slowness route.Slowness // sum of the answers
+	peak     unit.Slots
+}
+
+// groupKey names the upstreams of one set in one data centre.
+type groupKey struct {
+	set        string
+	dataCentre unit.DataCentre
 }
 
 // routeState holds the tables of the request path.
 type routeState struct {
 	upstreams     table.Table[unit.Upstream, upstreamRow]
+	groups        table.Table[groupKey, []unit.Upstream]
+	services      table.Table[unit.Service, route.Samples]
+	listed        table.Table[string, []service.Member] // by upstream set
+	leaving       table.Table[unit.Upstream, bool]
 	routeRevision unit.Revision
+	membersStale  bool
+	routesStale   bool
+	statsAt       clock.Millis
 }
 
+// statsEvery is the time between two runs over the samples of the services.
+const statsEvery = clock.Second
+
+// Way is the one-way latency that is assumed between two data centres.
+const Way = 2 * clock.Millisecond
+
 // SetText puts a services text into force. Lower revisions than the one in
 // force are ignored.
 type SetText struct {
@@ -37,28 +70,250 @@
 	s.Urge()
 }
 
-// RouteSystem rebuilds the routes after a change of the text.
-func RouteSystem(s *State, _ clock.Millis) {
-	if s.Text == nil || s.routeRevision == s.Revision {
+// SetMembers sets the upstreams of a set that the list of hosts names, beside
+// the fixed ones of the text.
+type SetMembers struct {
+	Set     string
+	Members []service.Member
+}
+
+// Apply stores the members.
+func (m SetMembers) Apply(s *State, _ clock.Millis) {
+	s.listed.Put(m.Set, m.Members)
+	s.membersStale = true
+	s.Urge()
+}
+
+// SetLeaving tells whether an upstream is leaving. It gets nothing new from the
+// next view on, which is made at once.
+type SetLeaving struct {
+	Upstream unit.Upstream
+	Leaving  bool
+}
+
+// Apply marks the upstream. The mark is kept for an upstream that is not known
+// yet.
+func (m SetLeaving) Apply(s *State, _ clock.Millis) {
+	if m.Leaving {
+		s.leaving.Put(m.Upstream, true)
+	} else {
+		s.leaving.Delete(m.Upstream)
+	}
+	if row := s.upstreams.Get(m.Upstream); row != nil && row.leaving != m.Leaving {
+		row.leaving = m.Leaving
+		s.routesStale = true
+		s.Urge()
+	}
+}
+
+// Outcome is what a request goroutine saw of one attempt.
+type Outcome struct {
+	Upstream unit.Upstream
+	Service  unit.Service
+	Class    service.Class
+	Latency  route.Latency // from the start of the attempt to the head of the answer
+	Failed   bool          // speaks against the upstream
+	Reported bool          // the answer had a load
+	InFlight unit.Slots    // of this process at the upstream, with this request
+}
+
+// Apply adds the sample to the rows of the upstream and of the service.
+func (m Outcome) Apply(s *State, now clock.Millis) {
+	row := s.upstreams.Get(m.Upstream)
+	if row == nil {
 		return
 	}
-	s.routeRevision = s.Revision
-	members := make(map[string][]*route.Upstream)
+	row.window.peak = max(row.window.peak, m.InFlight)
+	if m.Failed {
+		row.health.Failure()
+		return
+	}
+	if m.Reported {
+		row.health.LoadAt = now
+	}
+	samples := s.services.Get(m.Service)
+	if samples == nil {
+		return
+	}
+	samples.Add(m.Latency)
+	slow := route.Slowness(0)
+	if m.Class != service.Long { // the time of a long request says nothing
+		slow = route.SlownessOf(m.Latency, samples.Stats.P50())
+	}
+	row.health.Success(slow)
+	if slow > 0 {
+		row.window.answers++
+		row.window.slowness += slow
+	}
+}
+
+// RouteSystems returns the systems of the request path in their order.
+func RouteSystems() []System {
+	return []System{MemberSystem, LocalSlots, HealthSystem, EjectionSystem, LimitSystem, StatsSystem, RouteSystem}
+}
+
+// MemberSystem brings the rows of upstreams and services in line with the text
+// and the list of hosts.
+func MemberSystem(s *State, now clock.Millis) {
+	if s.Text == nil || s.routeRevision == s.Revision && !s.membersStale {
+		return
+	}
+	first := s.upstreams.Len() == 0
+	s.routeRevision, s.membersStale, s.routesStale = s.Revision, false, true
+	for _, row := range s.upstreams.All() {
+		row.stale = true
+	}
+	s.groups = table.Table[groupKey, []unit.Upstream]{}
 	for _, set := range s.Text.UpstreamSets {
-		for _, m := range set.Members {
-			row := s.upstreams.Ensure(m.Address)
-			if row.upstream == nil {
-				row.upstream = &route.Upstream{Address: m.Address, DataCentre: m.DataCentre, Slots: new(slot.Counter)}
-			}
-			row.set = set.Name
-			row.upstream.Slots.Hold(set.Slots, clock.Never)
-			members[set.Name] = append(members[set.Name], row.upstream)
+		members := set.Members
+		if listed := s.listed.Get(set.Name); listed != nil {
+			members = append(members[:len(members):len(members)], *listed...)
+		}
+		for _, m := range members {
+			s.putUpstream(&set, m, first, now)
+		}
+	}
+	// The count of slots in use must survive an upstream that comes back.
+	s.upstreams.DeleteFunc(func(_ unit.Upstream, row *upstreamRow) bool {
+		return row.stale && row.upstream.InFlight() == 0
+	})
+	for _, svc := range s.Text.Services {
+		if row := s.services.Ensure(svc.Name); row.Stats == nil {
+			row.Stats = new(route.Stats)
+		}
+	}
+	s.services.DeleteFunc(func(n unit.Service, _ *route.Samples) bool { return s.Text.Service(n) == nil })
+}
+
+func (s *State) putUpstream(set *service.UpstreamSet, m service.Member, first bool, now clock.Millis) {
+	row := s.upstreams.Ensure(m.Address)
+	if row.upstream != nil && !row.stale {
+		return // listed twice
+	}
+	if row.upstream == nil || row.upstream.DataCentre != m.DataCentre {
+		row.upstream = &route.Upstream{Address: m.Address, DataCentre: m.DataCentre, Slots: new(slot.Counter), Pinned: new(slot.Counter)}
+		phase := route.Starting
+		if first {
+			phase = route.Steady
+		}
+		row.health.Begin(phase, now)
+	}
+	row.set, row.slots, row.stale = set.Name, set.Slots, false
+	row.leaving = s.leaving.Get(m.Address) != nil
+	g := s.groups.Ensure(groupKey{set.Name, m.DataCentre})
+	*g = append(*g, m.Address)
+}
+
+// HealthSystem moves upstreams through slow start and trial, and drops load
+// reports that are too old.
+func HealthSystem(s *State, now clock.Millis) {
+	for _, row := range s.upstreams.All() {
+		if route.Judge(&row.health, now) {
+			s.routesStale = true
+		}
+		if row.health.LoadExpired(now) {
+			row.upstream.Report(0)
+		}
+	}
+}
+
+// EjectionSystem ejects failing and slow upstreams of each group.
+func EjectionSystem(s *State, now clock.Millis) {
+	var rows []*route.Health
+	for _, addresses := range s.groups.All() {
+		rows = rows[:0]
+		for _, a := range *addresses {
+			rows = append(rows, &s.upstreams.Get(a).health)
+		}
+		if route.Eject(rows, now) {
+			s.routesStale = true
+		}
+	}
+}
+
+// LimitSystem publishes to the request path what each upstream may get: the
+// lower of the adaptive limit and that of the slow start or trial.
+func LimitSystem(s *State, now clock.Millis) {
+	for _, row := range s.upstreams.All() {
+		u, w := row.upstream, row.window
+		row.window = window{}
+		held := u.InFlight() + u.Slots.Free() + u.Pinned.Free()
+		t := limit.Tick{Answers: w.answers, Peak: max(w.peak, u.InFlight()), Slots: held}
+		if w.answers > 0 {
+			t.Latency = float64(w.slowness) / float64(w.answers)
+		}
+		bound := row.adaptive.Update(t)
+		if h := row.health.Limit(row.slots, now); h > 0 && (bound == 0 || h < bound) {
+			bound = h
+		}
+		u.SetSlowness(row.health.Slowness)
+		u.SetTrial(row.health.Phase == route.Trial && s.hasIdempotent(row.set))
+		u.SetLimit(bound)
+	}
+}
+
+// hasIdempotent reports whether a trial upstream of set can be tried with
+// requests that may run twice.
+func (s *State) hasIdempotent(set string) bool {
+	for i := range s.Text.Services {
+		if svc := &s.Text.Services[i]; svc.UpstreamSet == set && svc.Idempotent {
+			return true
+		}
+	}
+	return false
+}
+
+// StatsSystem works out the percentiles of the services.
+func StatsSystem(s *State, now clock.Millis) {
+	if now.Sub(s.statsAt) < statsEvery {
+		return
+	}
+	s.statsAt = now
+	for _, samples := range s.services.All() {
+		samples.Publish()
+	}
+}
+
+// RouteSystem rebuilds the view of the routes when upstreams were added,
+// removed, ejected or came back.
+func RouteSystem(s *State, _ clock.Millis) {
+	if s.Text == nil || !s.routesStale {
+		return
+	}
+	s.routesStale = false
+	groups := make(map[string][]*route.Group)
+	for key, addresses := range s.groups.All() {
+		g := s.group(key, *addresses)
+		if g.Local {
+			groups[key.set] = append([]*route.Group{g}, groups[key.set]...)
+		} else {
+			groups[key.set] = append(groups[key.set], g)
 		}
 	}
 	view := &route.View{Targets: make(map[unit.Service]*route.Target, len(s.Text.Services))}
 	for i := range s.Text.Services {
 		svc := &s.Text.Services[i]
-		view.Targets[svc.Name] = &route.Target{Service: svc, Upstreams: members[svc.UpstreamSet]}
+		t := &route.Target{Service: svc, Team: s.Text.Team(svc.Team), Groups: groups[svc.UpstreamSet], Stats: s.services.Get(svc.Name).Stats}
+		for _, g := range t.Groups {
+			t.Upstreams = append(t.Upstreams, g.Upstreams()...)
+		}
+		view.Targets[svc.Name] = t
 	}
 	s.routes = view
 }
+
+// group returns the open upstreams among addresses.
+func (s *State) group(key groupKey, addresses []unit.Upstream) *route.Group {
+	open := make([]*route.Upstream, 0, len(addresses))
+	for _, a := range addresses {
+		if row := s.upstreams.Get(a); row.health.Open() && !row.leaving {
+			open = append(open, row.upstream)
+		}
+	}
+	local := key.dataCentre == s.Self.DataCentre
+	way := Way
+	if local {
+		way = 0
+	}
+	return route.NewGroup(key.dataCentre, local, way, open)
+}
--- /dev/null
+++ b/entry/control/routes_test.go
@@ -0,0 +1,190 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/route"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+)
+
+const remote = "10.0.1.0:80"
+
+func address(i int) unit.Upstream { return unit.Upstream(fmt.Sprintf("10.0.0.%d:80", i)) }
+
+// textOf has upstreams first to n-1 in kelso and one in hawick.
+func textOf(first, n int) *service.Text {
+	members := fmt.Sprintf("{address: %q, dataCentre: hawick}", remote)
+	for i := first; i < n; i++ {
+		members += fmt.Sprintf(", {address: %q, dataCentre: kelso}", address(i))
+	}
+	text, err := service.Parse([]byte(`version: 1
+dataCentres: [{name: kelso, region: lowland}, {name: hawick, region: lowland}]
+teams: [{name: marts}]
+upstreamSets: [{name: weighbook, slots: 8, members: [` + members + `]}]
+services: [{name: lookup, team: marts, class: urgent, upstreamSet: weighbook, deadlineMs: 2000, idempotent: true}]
+`))
+	if err != nil {
+		panic("control: bad text in a test")
+	}
+	return text
+}
+
+// loopOf returns a loop with n local upstreams.
+func loopOf(n int) (*Loop, *clock.Manual) {
+	now := new(clock.Manual)
+	l := New(now, Self{DataCentre: "kelso"}, RouteSystems()...)
+	SetText{Revision: 1, Text: textOf(0, n)}.Apply(&l.state, 0)
+	tick(l, now, 1)
+	return l, now
+}
+
+func tick(l *Loop, now *clock.Manual, n int) {
+	for range n {
+		now.Advance(Tick)
+		l.Step()
+	}
+}
+
+func open(l *Loop, u unit.Upstream) bool {
+	for _, c := range l.View().Routes.Targets["lookup"].Upstreams {
+		if c.Address == u {
+			return true
+		}
+	}
+	return false
+}
+
+// answers applies n outcomes of each upstream; the latency is in milliseconds.
+func answers(l *Loop, now *clock.Manual, n, upstreams int, latency func(i int) route.Latency) {
+	for range n {
+		for i := range upstreams {
+			Outcome{Upstream: address(i), Service: "lookup", Latency: 1000 * latency(i), InFlight: 1}.Apply(&l.state, now.Now())
+		}
+	}
+}
+
+// Guards against an upstream that gets requests although it fails, is slow,
+// leaves or left the text, and against one that gets none although it is well.
+func TestUpstreamIsTakenOut(t *testing.T) {
+	tests := map[string]struct {
+		event func(l *Loop, now *clock.Manual)
+		open  bool
+	}{
+		"well": {func(l *Loop, now *clock.Manual) {
+			answers(l, now, 50, 10, func(int) route.Latency { return 4 })
+		}, true},
+		"fails": {func(l *Loop, now *clock.Manual) {
+			for range 5 {
+				Outcome{Upstream: address(0), Service: "lookup", Failed: true}.Apply(&l.state, now.Now())
+			}
+		}, false},
+		"fails now and then": {func(l *Loop, now *clock.Manual) {
+			for i := range 20 {
+				Outcome{Upstream: address(0), Service: "lookup", Failed: i%4 != 0}.Apply(&l.state, now.Now())
+			}
+		}, true},
+		"slow": {func(l *Loop, now *clock.Manual) {
+			for range 2 {
+				answers(l, now, 30, 10, func(i int) route.Latency {
+					if i == 0 {
+						return 20
+					}
+					return 4
+				})
+				tick(l, now, 20) // the median of the service is known after 1 s
+			}
+		}, false},
+		"leaving": {func(l *Loop, now *clock.Manual) {
+			SetLeaving{Upstream: address(0), Leaving: true}.Apply(&l.state, now.Now())
+		}, false},
+		"stays after all": {func(l *Loop, now *clock.Manual) {
+			SetLeaving{Upstream: address(0), Leaving: true}.Apply(&l.state, now.Now())
+			SetLeaving{Upstream: address(0)}.Apply(&l.state, now.Now())
+		}, true},
+		"leaving before a new list": {func(l *Loop, now *clock.Manual) {
+			SetLeaving{Upstream: address(0), Leaving: true}.Apply(&l.state, now.Now())
+			SetMembers{Set: "weighbook", Members: []service.Member{{Address: address(0), DataCentre: "kelso"}}}.Apply(&l.state, now.Now())
+		}, false},
+		"no longer in the text": {func(l *Loop, now *clock.Manual) {
+			SetText{Revision: 2, Text: textOf(1, 10)}.Apply(&l.state, now.Now())
+		}, false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, now := loopOf(10)
+			is.True(open(l, address(0)))
+			tc.event(l, now)
+			tick(l, now, 1)
+			is.Equal(open(l, address(0)), tc.open)
+			is.True(open(l, address(1)))
+			is.True(open(l, remote))
+		})
+	}
+}
+
+// Guards against an ejected upstream that stays out, and against one that comes
+// back to orders before checks tried it.
+func TestUpstreamComesBack(t *testing.T) {
+	is := is.New(t)
+	l, now := loopOf(10)
+	u := l.state.upstreams.Get(address(0)).upstream
+	for range 5 {
+		Outcome{Upstream: address(0), Failed: true}.Apply(&l.state, now.Now())
+	}
+	tick(l, now, 1)
+	is.True(!open(l, address(0)))
+	tick(l, now, 41)
+	is.True(open(l, address(0)))
+	is.Equal(u.Limit(), unit.Slots(1))
+	for range 3 {
+		Outcome{Upstream: address(0), Service: "lookup", Latency: 1000}.Apply(&l.state, now.Now())
+	}
+	tick(l, now, 1)
+	is.Equal(u.Limit(), unit.Slots(1))
+	tick(l, now, 100)
+	is.True(u.Limit() > 2 && u.Limit() < 8)
+	tick(l, now, 101)
+	is.Equal(u.Limit(), unit.Slots(0))
+}
+
+// Guards against a new upstream that gets its full share at once, and against a
+// slow start of all upstreams when the process starts.
+func TestSlowStartOfNewUpstreams(t *testing.T) {
+	is := is.New(t)
+	l, now := loopOf(1)
+	SetMembers{Set: "weighbook", Members: []service.Member{{Address: "new", DataCentre: "kelso"}}}.Apply(&l.state, now.Now())
+	tick(l, now, 1)
+	is.Equal(l.state.upstreams.Get(address(0)).upstream.Limit(), unit.Slots(0))
+	is.Equal(l.state.upstreams.Get("new").upstream.Limit(), unit.Slots(1))
+}
+
+// Guards against a reported load that counts for ever.
+func TestOldLoadIsForgotten(t *testing.T) {
+	is := is.New(t)
+	l, now := loopOf(1)
+	u := l.state.upstreams.Get(address(0)).upstream
+	u.Report(7)
+	Outcome{Upstream: address(0), Service: "lookup", Latency: 1000, Reported: true}.Apply(&l.state, now.Now())
+	tick(l, now, 10)
+	is.Equal(u.Busyness(), int64(7))
+	tick(l, now, 12)
+	is.Equal(u.Busyness(), int64(0))
+}
+
+// Guards against a state dump without the decisions about an upstream.
+func TestDump(t *testing.T) {
+	is := is.New(t)
+	l, now := loopOf(2)
+	reply := make(chan *Dump, 1)
+	GetDump{reply}.Apply(&l.state, now.Now())
+	d := <-reply
+	is.Equal(len(d.Upstreams), 3)
+	is.Equal(d.Upstreams[0].Phase, route.Steady)
+	is.Equal(d.Services[0].Name, unit.Service("lookup"))
+}
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -1,58 +1,220 @@
 package pool
 
 import (
-	"bufio"
 	"context"
-	"io"
+	"errors"
 	"net"
 	"net/http"
+	"sync"
+	"syscall"
+	"time"
 
+	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
 	"mimosadock/schedule/verdict"
 )
 
-// Pool sends requests to upstreams. The zero value is ready to use.
+// Limits of the connections to one upstream.
+const (
+	// MaxConnections is what an executor accepts.
+	MaxConnections = 60
+	maxIdle        = 16
+	idleFor        = 30 * clock.Second
+	dialTimeout    = 2 * time.Second
+	watchTick      = 100 * clock.Millisecond
+	maxInformation = 8       // 1xx answers before the answer
+	maxHead        = 1 << 20 // bytes of an answer's head
+	smallBody      = 16 << 10
+	forgetHost     = clock.Minute
+	// userTimeout ends a connection whose sent bytes stay unacknowledged; the
+	// kernel sends no keep-alive probes meanwhile. tcpUserTimeout is Linux's
+	// number of the option.
+	userTimeout    = 30 * clock.Second
+	tcpUserTimeout = 18
+)
+
+// Keep-alive probes close a connection whose path is gone after 4 s. They work
+// under long requests too, whose answers may take hours.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
+// ErrSilent is the cause of failures on a connection that made no progress
+// while others to the same host did.
+var ErrSilent = errors.New("connection made no progress while others to the same host did")
+
+// Call is a request to one upstream.
+type Call struct {
+	To      unit.Upstream
+	Request *http.Request
+	// Silence is how long the connection may be without progress while later
+	// requests to the host are answered. Zero sets no bound.
+	Silence clock.Span
+}
+
+// Pool sends requests to upstreams. The zero value is ready to use; silent and
+// idle connections are only closed while [Pool.Run] runs.
 type Pool struct {
-	dialer net.Dialer
+	Clock clock.Clock // nil for the system clock
+	// Dial opens a connection; nil for TCP. Tests set it.
+	Dial func(ctx context.Context, to unit.Upstream) (net.Conn, error)
+
+	mu    sync.Mutex
+	hosts map[unit.Upstream]*host
+}
+
+// Send sends c and returns the head of the answer; the body streams and must be
+// closed. The error has the verdict DidNotRun if no byte of the request has
+// left, else MayHaveRun. The connection is closed when ctx ends before the
+// answer was read whole.
+//
+// A request without a body is written by the caller's goroutine. One with a
+// body is written beside the reading of the answer, and the answer may be
+// whole while the body is still being read.
+func (p *Pool) Send(ctx context.Context, c Call) (*http.Response, error) {
+	h := p.host(c.To)
+	for {
+		cn, err := p.connection(ctx, h)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := cn.exchange(ctx, c)
+		if err == nil {
+			return resp, nil
+		}
+		cn.fail()
+		if cn.wrote.Load() > 0 {
+			return nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "upstream connection failed", Err: cn.cause(ctx, err)}
+		}
+		// A kept-alive connection that fails before its first byte is the
+		// upstream's normal way to end it; a fresh one is tried unless the body
+		// may have been touched.
+		again := rewound(c.Request)
+		if !cn.reused || ctx.Err() != nil || again == nil {
+			return nil, &verdict.Error{Verdict: verdict.DidNotRun, Reason: "upstream closed the connection", Err: cn.cause(ctx, err)}
+		}
+		c.Request = again
+		stale.Add(1)
+	}
+}
+
+// rewound returns r with its body at the start, or nil if it can't be sent
+// again.
+func rewound(r *http.Request) *http.Request {
+	if r.Body == nil || r.Body == http.NoBody {
+		return r
+	}
+	if r.GetBody == nil {
+		return nil
+	}
+	again := *r
+	var err error
+	if again.Body, err = r.GetBody(); err != nil {
+		return nil
+	}
+	return &again
+}
+
+// connection returns an idle connection that is still open, or a new one.
+func (p *Pool) connection(ctx context.Context, h *host) (*conn, error) {
+	for {
+		cn, room := h.idle()
+		if cn == nil && !room {
+			atLimit.Add(1)
+			return nil, verdict.Refuse("all connections to the upstream are in use")
+		}
+		if cn == nil {
+			return p.open(ctx, h)
+		}
+		if cn.alive() {
+			reused.Add(1)
+			cn.reused = true
+			return cn, nil
+		}
+		stale.Add(1)
+		cn.fail()
+	}
 }
 
-// Send sends r to the upstream and returns the head of its answer; the body
-// streams. A refused dial has the verdict DidNotRun, any later failure
-// MayHaveRun. The connection ends with ctx.
-func (p *Pool) Send(ctx context.Context, to unit.Upstream, r *http.Request) (*http.Response, error) {
-	conn, err := p.dialer.DialContext(ctx, "tcp", string(to))
+// open dials with room already reserved on h.
+func (p *Pool) open(ctx context.Context, h *host) (*conn, error) {
+	dials.Add(1)
+	dial := p.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	c, err := dial(ctx, h.address)
 	if err != nil {
+		refused.Add(1)
+		h.unreserve()
 		return nil, &verdict.Error{Verdict: verdict.DidNotRun, Reason: "upstream refused the connection", Err: err}
 	}
-	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	resp, err := exchange(conn, r)
-	if err != nil {
-		stop()
-		conn.Close()
-		return nil, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "upstream connection failed", Err: err}
+	return h.adopt(c, p.clock()), nil
+}
+
+func dialTCP(ctx context.Context, to unit.Upstream) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
+		var err error
+		if cerr := raw.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout))
+		}); cerr != nil {
+			return cerr
+		}
+		return err
+	}}
+	return d.DialContext(ctx, "tcp", string(to))
+}
+
+func (p *Pool) clock() clock.Clock {
+	if p.Clock == nil {
+		return clock.System{}
 	}
-	resp.Body = &body{ReadCloser: resp.Body, conn: conn, stop: stop}
-	return resp, nil
+	return p.Clock
 }
 
-func exchange(conn net.Conn, r *http.Request) (*http.Response, error) {
-	r.Close = true
-	if err := r.Write(conn); err != nil {
-		return nil, err
+func (p *Pool) host(to unit.Upstream) *host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[to]
+	if h == nil {
+		h = &host{address: to}
+		if p.hosts == nil {
+			p.hosts = make(map[unit.Upstream]*host)
+		}
+		p.hosts[to] = h
 	}
-	return http.ReadResponse(bufio.NewReader(conn), r)
+	h.used = p.clock().Now()
+	return h
 }
 
-// body closes the connection with the answer's body.
-type body struct {
-	io.ReadCloser
-	conn net.Conn
-	stop func() bool
+// Run closes silent connections, and idle ones after their time, until ctx
+// ends; then it closes all idle ones.
+func (p *Pool) Run(ctx context.Context) error {
+	ticker := time.NewTicker(watchTick.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.sweep(clock.Never)
+			return nil
+		case <-ticker.C:
+			p.sweep(p.clock().Now())
+		}
+	}
+}
+
+// sweep runs over all hosts once.
+func (p *Pool) sweep(now clock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, h := range p.hosts {
+		if h.sweep(now) == 0 && now.Sub(h.used) > forgetHost {
+			delete(p.hosts, address)
+		}
+	}
 }
 
-// Close closes the body and its connection.
-func (b *body) Close() error {
-	b.stop()
-	_ = b.ReadCloser.Close()
-	return b.conn.Close()
+// Closed reports whether err shows that the connection was closed by the
+// upstream or by this process, so that the upstream knows of its end. A silent
+// connection or a lost path leaves it unaware.
+func Closed(err error) bool {
+	return !errors.Is(err, ErrSilent) && !errors.Is(err, syscall.ETIMEDOUT) && !errors.Is(err, syscall.EHOSTUNREACH)
 }
--- a/schedule/route/choose.go
+++ b/schedule/route/choose.go
@@ -27,21 +27,20 @@
 	_ Policy[*Upstream] = RoundRobin{}
 )
 
-// Cost scores by expected time: observed latency times the requests that would
+// Cost scores by expected time: observed slowness times the requests that would
 // be in flight.
 type Cost struct{}
 
-// unknownLatency stands in until an upstream was observed. It is low, so that
-// a new upstream is tried; its slow start bounds how much it gets.
-const unknownLatency = 100
+// unknownSlowness stands in until an upstream was observed.
+const unknownSlowness = 1000
 
-// Score returns the expected time in microseconds.
+// Score returns the expected time in thousandths of the median.
 func (Cost) Score(u *Upstream) float64 {
-	l := u.latency.Load()
-	if l == 0 {
-		l = unknownLatency
+	s := u.slow.Load()
+	if s == 0 {
+		s = unknownSlowness
 	}
-	return float64(l) * float64(u.Busyness()+1)
+	return float64(s) * float64(u.Busyness()+1)
 }
 
 // LeastConnections is the baseline that looks at the process's own requests in
--- a/schedule/route/health.go
+++ b/schedule/route/health.go
@@ -18,18 +18,20 @@
 	Trial                 // trial
 )
 
+// MarshalText returns the camel-case name of p.
+func (p Phase) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
 // Ejection and return of upstreams.
 const (
 	maxFailures        = 5  // consecutive failures that eject
-	slowFactor         = 3  // times the median latency that ejects
-	minJudged          = 10 // answers since the return before latency is judged
+	slowFactor         = 3  // times the median slowness that ejects
+	minJudged          = 10 // answers since the return before slowness is judged
 	maxEjectedPercent  = 30
 	slowStart          = 10 * clock.Second
 	ejectFor           = 2 * clock.Second // doubled with each ejection in a row
 	maxEjectFor        = 60 * clock.Second
 	trialSuccesses     = 3
-	slowFloor          = Latency(1000) // latencies below are never slow: scheduling noise exceeds the factor
-	latencyShare       = 8             // weight of a new sample is 1/8
+	slownessShare      = 8 // weight of a new sample is 1/8
 	forgetEjections    = clock.Minute
 	forgetLoad         = clock.Second
 	ejectionsCounted   = 6
@@ -42,24 +44,26 @@
 // judged.
 type Health struct {
 	Phase     Phase
-	Latency   Latency // moving average
-	Failures  int     // in a row
-	Successes int     // since the phase began
-	Ejections int     // in a row
+	Slowness  Slowness // moving average, zero if unknown
+	Failures  int      // in a row
+	Successes int      // since the phase began
+	Ejections int      // in a row
 	Since     clock.Millis
 	LoadAt    clock.Millis // of the last report
 	begun     bool
 }
 
-// Success records an answer and its time.
-func (h *Health) Success(l Latency) {
+// Success records an answer and its slowness, zero if that is unknown.
+func (h *Health) Success(s Slowness) {
 	h.Failures = 0
 	h.Successes++
-	if h.Latency == 0 {
-		h.Latency = max(l, 1)
-		return
+	switch {
+	case s == 0:
+	case h.Slowness == 0:
+		h.Slowness = s
+	default:
+		h.Slowness = max(1, h.Slowness+(s-h.Slowness)/slownessShare)
 	}
-	h.Latency = max(1, h.Latency+(l-h.Latency)/latencyShare)
 }
 
 // Failure records a failure that speaks against the upstream.
@@ -71,6 +75,13 @@
 // Open reports whether the upstream may get requests.
 func (h *Health) Open() bool { return h.Phase != Ejected }
 
+// Begin sets the first phase. Upstreams that a process finds when it starts are
+// Steady, later ones Starting.
+func (h *Health) Begin(p Phase, now clock.Millis) {
+	h.begun = true
+	h.enter(p, now)
+}
+
 func (h *Health) enter(p Phase, now clock.Millis) {
 	h.Phase, h.Since, h.Successes = p, now, 0
 }
@@ -79,13 +90,12 @@
 // it changed between open and ejected.
 func Judge(h *Health, now clock.Millis) bool {
 	if !h.begun {
-		h.begun = true
-		h.enter(Starting, now)
+		h.Begin(Starting, now)
 	}
 	switch {
 	case h.Phase == Ejected && now.Sub(h.Since) >= ejection(h.Ejections):
 		h.enter(Trial, now)
-		h.Failures, h.Latency = 0, 0
+		h.Failures, h.Slowness = 0, 0
 		return true
 	case h.Phase == Trial && h.Failures > 0:
 		h.eject(now)
@@ -136,7 +146,7 @@
 	if room <= 0 {
 		return false
 	}
-	median := medianLatency(rows)
+	median := medianSlowness(rows)
 	bad := slices.DeleteFunc(slices.Clone(rows), func(h *Health) bool {
 		return !h.Open() || h.Phase == Trial || h.Failures < maxFailures && !h.slow(median)
 	})
@@ -144,7 +154,7 @@
 		if a.Failures != b.Failures {
 			return b.Failures - a.Failures
 		}
-		return int(b.Latency - a.Latency)
+		return int(b.Slowness - a.Slowness)
 	})
 	bad = bad[:min(len(bad), room)]
 	for _, h := range bad {
@@ -153,15 +163,15 @@
 	return len(bad) > 0
 }
 
-func (h *Health) slow(median Latency) bool {
-	return median > 0 && h.Successes >= minJudged && h.Latency > max(slowFloor, slowFactor*median)
+func (h *Health) slow(median Slowness) bool {
+	return median > 0 && h.Successes >= minJudged && h.Slowness > slowFactor*median
 }
 
-func medianLatency(rows []*Health) Latency {
-	known := make([]Latency, 0, len(rows))
+func medianSlowness(rows []*Health) Slowness {
+	known := make([]Slowness, 0, len(rows))
 	for _, h := range rows {
-		if h.Open() && h.Latency > 0 {
-			known = append(known, h.Latency)
+		if h.Open() && h.Slowness > 0 {
+			known = append(known, h.Slowness)
 		}
 	}
 	if len(known) == 0 {
--- a/schedule/route/health_test.go
+++ b/schedule/route/health_test.go
@@ -9,11 +9,11 @@
 	"mimosadock/schedule/unit"
 )
 
-// rowsOf returns n steady rows with a latency of 2 ms.
+// rowsOf returns n steady rows with a slowness of 2.
 func rowsOf(n int) []*Health {
 	rows := make([]*Health, n)
 	for i := range rows {
-		rows[i] = &Health{Phase: Steady, Latency: 2000, Successes: 100, begun: true}
+		rows[i] = &Health{Phase: Steady, Slowness: 2000, Successes: 100, begun: true}
 	}
 	return rows
 }
@@ -22,7 +22,7 @@
 // away more than the capped share.
 func TestEject(t *testing.T) {
 	fail := func(h *Health) { h.Failures = maxFailures }
-	slow := func(h *Health) { h.Latency = 6001 }
+	slow := func(h *Health) { h.Slowness = 6001 }
 	tests := map[string]struct {
 		n, bad  int
 		spoil   func(*Health)
@@ -31,8 +31,8 @@
 		"healthy":             {n: 10, bad: 0, spoil: fail, ejected: 0},
 		"one fails":           {n: 10, bad: 1, spoil: fail, ejected: 1},
 		"one slow":            {n: 10, bad: 1, spoil: slow, ejected: 1},
-		"not quite slow":      {n: 10, bad: 1, spoil: func(h *Health) { h.Latency = 6000 }, ejected: 0},
-		"slow but few judged": {n: 10, bad: 1, spoil: func(h *Health) { h.Latency, h.Successes = 9000, 2 }, ejected: 0},
+		"not quite slow":      {n: 10, bad: 1, spoil: func(h *Health) { h.Slowness = 6000 }, ejected: 0},
+		"slow but few judged": {n: 10, bad: 1, spoil: func(h *Health) { h.Slowness, h.Successes = 9000, 2 }, ejected: 0},
 		"a failure less":      {n: 10, bad: 1, spoil: func(h *Health) { h.Failures = maxFailures - 1 }, ejected: 0},
 		"all fail":            {n: 10, bad: 10, spoil: fail, ejected: 3},
 		"cap rounds down":     {n: 9, bad: 9, spoil: fail, ejected: 2},
--- a/schedule/route/upstream.go
+++ b/schedule/route/upstream.go
@@ -14,6 +14,25 @@
 // Span returns l in milliseconds, rounded up.
 func (l Latency) Span() clock.Span { return clock.Span((l + 999) / 1000) }
 
+// Slowness is an observed time of an answer in thousandths of the median of its
+// service, so that services with different work can share an upstream.
+type Slowness int64
+
+// noise is the time below which an answer is never slow: delays of the
+// scheduler exceed the factor of short work.
+const noise = Latency(1000)
+
+// SlownessOf returns the slowness of an answer, zero if the median is unknown.
+func SlownessOf(l, median Latency) Slowness {
+	if median <= 0 {
+		return 0
+	}
+	if l <= noise {
+		return min(1000, max(1, Slowness(l*1000/median)))
+	}
+	return max(1, Slowness(l*1000/median))
+}
+
 // Upstream is one executor as the request path sees it. It must not be copied.
 type Upstream struct {
 	Address    unit.Upstream
@@ -21,22 +40,19 @@
 	Slots      *slot.Counter // held for short requests
 	Pinned     *slot.Counter // held for long requests; may be nil
 
-	load    atomic.Int64 // last reported requests in flight
-	latency atomic.Int64 // [Latency], zero if unknown
-	limit   atomic.Int64 // most requests in flight, zero for the slots held
-	trial   atomic.Bool  // gets idempotent requests only
-	sent    atomic.Int64
-	seat    atomic.Pointer[seat]
+	load  atomic.Int64 // last reported requests in flight
+	slow  atomic.Int64 // [Slowness], zero if unknown
+	limit atomic.Int64 // most requests in flight, zero for the slots held
+	trial atomic.Bool  // gets idempotent requests only
+	sent  atomic.Int64
+	seat  atomic.Pointer[seat]
 }
 
 // Report stores the load that the upstream reported with an answer.
 func (u *Upstream) Report(inFlight int64) { u.load.Store(inFlight) }
 
-// SetLatency stores the observed latency. Zero means unknown.
-func (u *Upstream) SetLatency(l Latency) { u.latency.Store(int64(l)) }
-
-// Latency returns the observed latency, zero if it is unknown.
-func (u *Upstream) Latency() Latency { return Latency(u.latency.Load()) }
+// SetSlowness stores the observed slowness. Zero means unknown.
+func (u *Upstream) SetSlowness(s Slowness) { u.slow.Store(int64(s)) }
 
 // SetLimit bounds the requests in flight to n; zero leaves them to the slots
 // held. A limit above the slots held has no effect.
