Serve requests with queues, retries, hedges, limits and a graceful stop

Cause: the front sent each request once, refused it when no slot was free, gave the slot back although the upstream might still run the request, and a stop signal refused new requests at once. Change: the front waits in the queue of the upstream set, repeats and hedges within the budget, keeps a slot for the grace where the upstream may go on, pins long requests, streams both ways and gives every refusal a verdict. A stop has the wait for the load balancer, the drain and an end by a second signal. The state dump is on GET /state and SIGUSR1. The stand-in upstream has failure modes.

--- a/demo/job.go
+++ b/demo/job.go
@@ -51,7 +51,7 @@
 		return nil, err
 	}
 	g := group.New(ctx)
-	g.Go("entry", p.Run)
+	g.Go("entry", func(ctx context.Context) error { return p.Run(ctx, context.Background()) })
 	if err := p.Loop.Send(ctx, control.SetText{Revision: 1, Text: text}); err != nil {
 		return nil, err
 	}
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -29,7 +29,8 @@
 
 // View is what the control goroutine publishes. It is immutable.
 type View struct {
-	Ready    bool // whether new requests may be taken
+	Ready    bool // whether new requests may be sent here
+	Draining bool // requests are still taken, but the process is about to stop
 	Revision unit.Revision
 	Text     *service.Text
 	Routes   *route.View
--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -31,6 +31,7 @@
 func (s *State) view() *View {
 	return &View{
 		Ready:    s.Text != nil && !s.Draining,
+		Draining: s.Draining,
 		Revision: s.Revision,
 		Text:     s.Text,
 		Routes:   s.routes,
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -2,17 +2,18 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
-	"strconv"
-
-	"github.com/google/uuid"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
 
 	"mimosadock/entry/control"
+	"mimosadock/entry/pool"
 	"mimosadock/schedule/clock"
-	"mimosadock/schedule/route"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/limit"
+	"mimosadock/schedule/retry"
 	"mimosadock/schedule/unit"
 	"mimosadock/schedule/verdict"
 )
@@ -27,149 +28,222 @@
 	LoadHeader       = "Mimosa-Load"
 )
 
+// Times of the request path.
+const (
+	// QuickGrant is the length of a quick grant. Requests that may take longer
+	// are pinned.
+	QuickGrant = 6 * clock.Second
+	// Grace is how long an upstream may go on with a request after its
+	// connection was closed or its deadline has passed.
+	Grace = 500 * clock.Millisecond
+	// stall is how long a caller may take to accept a part of an answer.
+	stall = 30 * clock.Second
+	// minSilence is the shortest silence that counts against a connection.
+	minSilence = 2 * clock.Second
+	// silenceFactor is how many times the p99 of a service counts as silence.
+	silenceFactor = 4
+	// tick is the time between two looks at the queues.
+	tick = 50 * clock.Millisecond
+	// drainRetry is what callers of a draining process are told to wait.
+	drainRetry = 1 * clock.Second
+)
+
+const servicePrefix = "/s/"
+
 // Sender sends one request to an upstream and returns the answer's head. Errors
 // carry a verdict.
 type Sender interface {
-	Send(ctx context.Context, to unit.Upstream, r *http.Request) (*http.Response, error)
+	Send(ctx context.Context, c pool.Call) (*http.Response, error)
 }
 
-// Front serves callers. All fields must be set.
+// Front serves callers. View, Clock and Sender must be set. Queues are only
+// looked at between releases while [Front.Run] runs.
 type Front struct {
 	View   func() *control.View
 	Clock  clock.Clock
 	Sender Sender
+	// Report takes outcomes without waiting; nil drops them.
+	Report func(m control.Message) bool
+	// Pinner grants slots for long requests; nil for [LocalPinner].
+	Pinner Pinner
+
+	refusing    atomic.Bool
+	inFlight    atomic.Int64
+	budget      retry.Budget
+	once        sync.Once
+	callers     *limit.Table
+	teams       sync.Map // unit.Team to *limit.Gate
+	dispatchers sync.Map // upstream set to *dispatcher
+	attempts    group.Group
 }
 
-// Handler returns the mux of the caller's port.
+// Handler returns the handler of the caller's port.
 func (f *Front) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("/s/{service}/{path...}", f.serve)
-	mux.HandleFunc("GET /ready", f.ready)
-	return mux
+	f.once.Do(func() { f.callers = limit.NewTable() })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		handling(r)
+		switch {
+		case r.URL.Path == "/ready" && r.Method == http.MethodGet:
+			f.ready(w)
+		case strings.HasPrefix(r.URL.Path, servicePrefix):
+			f.serve(w, r)
+		default:
+			count("refusedPath")
+			writeError(w, "", refuse(http.StatusNotFound, "path must begin with %s and a service", servicePrefix))
+		}
+	})
 }
 
-func (f *Front) ready(w http.ResponseWriter, _ *http.Request) {
-	if !f.View().Ready {
+// Refuse makes all new requests be refused as not run.
+func (f *Front) Refuse() { f.refusing.Store(true) }
+
+// InFlight returns the requests that are being served.
+func (f *Front) InFlight() int { return int(f.inFlight.Load()) }
+
+func (f *Front) ready(w http.ResponseWriter) {
+	if !f.View().Ready || f.refusing.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
 func (f *Front) serve(w http.ResponseWriter, r *http.Request) {
-	id := requestID(r)
+	f.inFlight.Add(1)
+	defer f.inFlight.Add(-1)
+	count("requests")
+	id, err := requestID(r)
 	w.Header().Set(RequestHeader, string(id))
-	if err := f.forward(w, r, id); err != nil {
+	if err == nil {
+		err = f.forward(w, r, id)
+	}
+	switch {
+	case err == errCut:
+		// Breaks the caller's connection, so that a cut answer can't be taken
+		// for a whole one.
+		panic(http.ErrAbortHandler)
+	case err != nil:
 		writeError(w, id, err)
 	}
 }
 
-// forward sends r to an upstream and streams the answer. A non-nil error means
-// that nothing was written to w yet.
+// forward sends r to an upstream and streams the answer. An error other than
+// errCut means that nothing was written to w yet.
 func (f *Front) forward(w http.ResponseWriter, r *http.Request, id unit.Request) error {
-	view := f.View()
-	if !view.Ready {
-		return &refusal{http.StatusServiceUnavailable, verdict.Refuse("process is not ready")}
-	}
-	target := view.Routes.Targets[unit.Service(r.PathValue("service"))]
-	if target == nil {
-		return &refusal{http.StatusNotFound, verdict.Refuse("unknown service")}
-	}
-	span, err := deadlineOf(r, target.Service.DeadlineMs)
+	j, err := f.accept(r, id)
 	if err != nil {
 		return err
 	}
-	deadline := f.Clock.Now().Add(span)
-	up := target.Choose(deadline)
-	if up == nil {
-		return &refusal{http.StatusServiceUnavailable, verdict.Refuse("all slots are in use")}
+	leave, err := f.admit(r, j)
+	if err != nil {
+		return err
 	}
-	defer up.Slots.Release()
-	ctx, cancel := context.WithTimeout(r.Context(), span.Duration())
+	defer leave()
+	ctx, cancel := context.WithTimeout(r.Context(), j.deadline.Sub(f.Clock.Now()).Duration())
 	defer cancel()
-	resp, err := f.Sender.Send(ctx, up.Address, outgoing(r, target, up, id, span))
+	rc := http.NewResponseController(w)
+	if err := j.takeBody(ctx, rc, r); err != nil {
+		return err
+	}
+	defer j.endBody(rc)
+	f.budget.Request(f.Clock.Now())
+	res, err := f.run(ctx, j)
 	if err != nil {
 		return err
 	}
-	defer resp.Body.Close()
-	return stream(w, resp)
+	defer res.cancel()
+	return f.stream(w, rc, j, res)
 }
 
-func outgoing(r *http.Request, t *route.Target, up *route.Upstream, id unit.Request, span clock.Span) *http.Request {
-	out := r.Clone(r.Context())
-	out.URL.Scheme, out.URL.Host = "http", string(up.Address)
-	out.URL.Path, out.URL.RawPath = "/"+r.PathValue("path"), ""
-	out.RequestURI = ""
-	out.Header.Set(DeadlineHeader, strconv.FormatInt(int64(span), 10))
-	out.Header.Set(RequestHeader, string(id))
-	out.Header.Set(ClassHeader, t.Service.Class.String())
-	return out
-}
-
-// stream copies the answer. An answer that breaks off breaks the caller's
-// connection too, so that it can't be taken for a whole one.
-func stream(w http.ResponseWriter, resp *http.Response) error {
-	for k, v := range resp.Header {
-		w.Header()[k] = v
+// accept checks what can be checked before anything is done for r.
+func (f *Front) accept(r *http.Request, id unit.Request) (*job, error) {
+	view := f.View()
+	if view.Routes == nil || !view.Ready && !view.Draining || f.refusing.Load() {
+		count("refusedNotReady")
+		return nil, later(http.StatusServiceUnavailable, drainRetry, "process takes no requests")
 	}
-	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
-		panic(http.ErrAbortHandler)
+	if err := checkRequest(r); err != nil {
+		count("refusedRequest")
+		return nil, err
 	}
-	return nil
-}
-
-func requestID(r *http.Request) unit.Request {
-	if id := r.Header.Get(RequestHeader); id != "" {
-		return unit.Request(id)
+	name, path := splitPath(r)
+	target := view.Routes.Targets[name]
+	if target == nil {
+		count("refusedService")
+		return nil, refuse(http.StatusNotFound, "unknown service")
+	}
+	span, err := deadlineOf(r, target.Service.DeadlineMs)
+	if err != nil {
+		count("refusedRequest")
+		return nil, err
 	}
-	return unit.Request(uuid.NewString())
+	return &job{id: id, service: target.Service, target: target, path: path, request: r, deadline: f.Clock.Now().Add(span)}, nil
 }
 
-func deadlineOf(r *http.Request, longest clock.Span) (clock.Span, error) {
-	text := r.Header.Get(DeadlineHeader)
-	if text == "" {
-		return longest, nil
+// admit passes the limits of the team and of the caller.
+func (f *Front) admit(r *http.Request, j *job) (leave func(), err error) {
+	team := j.target.Team
+	if team == nil {
+		return func() {}, nil
+	}
+	now := f.Clock.Now()
+	tg := f.teamGate(team.Name)
+	ok, retryAfter := tg.Enter(limit.Limits{PerSecond: team.RequestsPerSecond, Burst: team.Burst, Concurrent: team.Concurrent}, now)
+	if !ok {
+		count("refusedTeam")
+		return nil, later(http.StatusTooManyRequests, retryAfter, "limit of the team is reached")
 	}
-	ms, err := strconv.ParseInt(text, 10, 64)
-	if err != nil || ms < 1 {
-		return 0, &refusal{http.StatusBadRequest, verdict.Refuse("%s must be a positive number of milliseconds", DeadlineHeader)}
+	cg := f.callers.Gate(callerKey(r), now)
+	ok, retryAfter = cg.Enter(limit.Limits{PerSecond: team.CallerPerSecond, Concurrent: team.CallerConcurrent}, now)
+	if !ok {
+		tg.Leave()
+		count("refusedCaller")
+		return nil, later(http.StatusTooManyRequests, retryAfter, "limit of the caller is reached")
 	}
-	return min(clock.Span(ms), longest), nil
+	return func() { cg.Leave(); tg.Leave() }, nil
 }
 
-// refusal is an error with an HTTP status of its own.
-type refusal struct {
-	status int
-	err    *verdict.Error
+func (f *Front) teamGate(team unit.Team) *limit.Gate {
+	if g, ok := f.teams.Load(team); ok {
+		return g.(*limit.Gate)
+	}
+	g, _ := f.teams.LoadOrStore(team, new(limit.Gate))
+	return g.(*limit.Gate)
 }
 
-func (r *refusal) Error() string { return r.err.Error() }
-func (r *refusal) Unwrap() error { return r.err }
+// Run looks at the queues on each tick until ctx ends: slots can become free
+// without a release, when more are granted.
+func (f *Front) Run(ctx context.Context) error {
+	ticker := time.NewTicker(tick.Duration())
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f.tick()
+		}
+	}
+}
 
-// answer is the body of the system's own answers.
-type answer struct {
-	Verdict      verdict.Verdict `json:"verdict"`
-	Reason       string          `json:"reason"`
-	RetryAfterMs clock.Span      `json:"retryAfterMs,omitempty"`
-	RequestID    unit.Request    `json:"requestId"`
+func (f *Front) tick() {
+	view := f.View()
+	if view.Routes == nil {
+		return
+	}
+	now := f.Clock.Now()
+	seen := make(map[string]bool)
+	for _, t := range view.Routes.Targets {
+		if set := t.Service.UpstreamSet; !seen[set] {
+			seen[set] = true
+			f.dispatcher(t).update(now, t)
+		}
+	}
 }
 
-func writeError(w http.ResponseWriter, id unit.Request, err error) {
-	status := http.StatusBadGateway
-	var ref *refusal
-	if errors.As(err, &ref) {
-		status = ref.status
-	}
-	a := answer{Verdict: verdict.Of(err), Reason: "upstream failed", RequestID: id}
-	var ve *verdict.Error
-	if errors.As(err, &ve) {
-		a.Reason, a.RetryAfterMs = ve.Reason, ve.RetryAfter
-	}
-	h := w.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set(VerdictHeader, a.Verdict.String())
-	if a.RetryAfterMs > 0 {
-		h.Set(RetryAfterHeader, strconv.FormatInt(int64(a.RetryAfterMs), 10))
-	}
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(a)
+// verdictOf joins the verdicts of the attempts of one request: once one may
+// have run, the request may have run.
+func verdictOf(earlier, last verdict.Verdict) verdict.Verdict {
+	if earlier == verdict.MayHaveRun {
+		return verdict.MayHaveRun
+	}
+	return last
 }
--- /dev/null
+++ b/entry/front/front_test.go
@@ -0,0 +1,494 @@
+package front
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosadock/entry/control"
+	"mimosadock/entry/pool"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/route"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/slot"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+)
+
+// bubble is the clock of a synctest bubble.
+type bubble struct{ start time.Time }
+
+func (b bubble) Now() clock.Millis { return clock.Millis(clock.SpanOf(time.Since(b.start))) }
+
+// rig is a front with upstreams that have one quick and one slow slot each.
+type rig struct {
+	*Front
+	view      atomic.Pointer[control.View]
+	upstreams []*route.Upstream
+	mu        sync.Mutex
+	sent      []pool.Call
+}
+
+// newRig returns a rig with n upstreams whose attempts are answered by send.
+func newRig(n int, send func(ctx context.Context, attempt int, c pool.Call) (*http.Response, error)) *rig {
+	g := new(rig)
+	g.view.Store(&control.View{Ready: true, Routes: &route.View{Targets: map[unit.Service]*route.Target{}}})
+	for i := range n {
+		u := &route.Upstream{Address: unit.Upstream(fmt.Sprint("upstream", i)), Slots: new(slot.Counter), Pinned: new(slot.Counter)}
+		u.Slots.Hold(1, clock.Never)
+		u.Pinned.Hold(1, clock.Never)
+		g.upstreams = append(g.upstreams, u)
+	}
+	group := route.NewGroup("kelso", true, 0, g.upstreams)
+	for _, s := range []service.Service{
+		{Name: "lookup", Class: service.Urgent, DeadlineMs: 2000, Idempotent: true, Hedge: true},
+		{Name: "order", Class: service.Standard, DeadlineMs: 2000},
+		{Name: "report", Class: service.Bulk, DeadlineMs: 2000},
+		{Name: "slow", Class: service.Standard, DeadlineMs: 30_000},
+		{Name: "watch", Class: service.Long, DeadlineMs: 60_000},
+	} {
+		g.view.Load().Routes.Targets[s.Name] = &route.Target{Service: &s, Groups: []*route.Group{group}, Upstreams: g.upstreams, Stats: new(route.Stats), Team: &service.Team{Name: "marts"}}
+	}
+	g.Front = &Front{View: g.view.Load, Clock: bubble{time.Now()}}
+	g.Sender = sender(func(ctx context.Context, c pool.Call) (*http.Response, error) {
+		g.mu.Lock()
+		g.sent = append(g.sent, c)
+		attempt := len(g.sent)
+		g.mu.Unlock()
+		return send(ctx, attempt, c)
+	})
+	return g
+}
+
+type sender func(ctx context.Context, c pool.Call) (*http.Response, error)
+
+func (s sender) Send(ctx context.Context, c pool.Call) (*http.Response, error) { return s(ctx, c) }
+
+func (g *rig) target(name unit.Service) *route.Target { return g.view.Load().Routes.Targets[name] }
+
+func answerOf(status int, body string) *http.Response {
+	return &http.Response{StatusCode: status, Header: http.Header{}, ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func failure(v verdict.Verdict, cause error) error {
+	return &verdict.Error{Verdict: v, Reason: "attempt failed", Err: cause}
+}
+
+// get sends a request and returns the answer, nil if it was cut.
+func (g *rig) get(ctx context.Context, path string, change ...func(*http.Request)) (w *httptest.ResponseRecorder) {
+	r := httptest.NewRequestWithContext(ctx, http.MethodGet, path, nil)
+	for _, c := range change {
+		c(r)
+	}
+	w = httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			w = nil
+		}
+	}()
+	g.Handler().ServeHTTP(w, r)
+	return w
+}
+
+func (g *rig) inUse() (n unit.Slots) {
+	for _, u := range g.upstreams {
+		n += u.InFlight()
+	}
+	return n
+}
+
+func header(name, value string) func(*http.Request) {
+	return func(r *http.Request) { r.Header.Add(name, value) }
+}
+
+// Guards against a refusal without a verdict, or with one that keeps the caller
+// from sending the request again.
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		header func(*http.Request)
+		change func(*rig)
+		status int
+	}{
+		"unknown service":    {path: "/s/nothing/", status: http.StatusNotFound},
+		"unknown path":       {path: "/other", status: http.StatusNotFound},
+		"deadline no number": {header: header(DeadlineHeader, "soon"), status: http.StatusBadRequest},
+		"deadline zero":      {header: header(DeadlineHeader, "0"), status: http.StatusBadRequest},
+		"deadline too large": {header: header(DeadlineHeader, "99999999999999999999"), status: http.StatusBadRequest},
+		"two deadlines": {header: func(r *http.Request) {
+			r.Header[DeadlineHeader] = []string{"5", "6"}
+		}, status: http.StatusBadRequest},
+		"bad id":      {header: header(RequestHeader, "a b"), status: http.StatusBadRequest},
+		"long id":     {header: header(RequestHeader, strings.Repeat("a", maxID+1)), status: http.StatusBadRequest},
+		"long header": {header: header("X-Large", strings.Repeat("a", MaxHeader)), status: http.StatusRequestHeaderFieldsTooLarge},
+		"upgrade":     {header: header("Upgrade", "websocket"), status: http.StatusBadRequest},
+		"connect":     {header: func(r *http.Request) { r.Method = http.MethodConnect }, status: http.StatusMethodNotAllowed},
+		"not ready":   {change: func(g *rig) { g.view.Load().Ready = false }, status: http.StatusServiceUnavailable},
+		"draining":    {change: func(g *rig) { g.Refuse() }, status: http.StatusServiceUnavailable},
+		"team rate":   {change: func(g *rig) { team(g).PerTeam(0.001) }, status: http.StatusTooManyRequests},
+		"caller rate": {change: func(g *rig) { team(g).PerCaller(0.001) }, status: http.StatusTooManyRequests},
+		"no upstream": {change: func(g *rig) { g.target("lookup").Groups = nil }, status: http.StatusServiceUnavailable},
+		"queue is late": {change: func(g *rig) {
+			publish(g.target("lookup").Stats, 3_000_000)
+			g.upstreams[0].Slots.Hold(0, clock.Never)
+		}, status: http.StatusServiceUnavailable},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRig(1, func(context.Context, int, pool.Call) (*http.Response, error) { return answerOf(200, "ok"), nil })
+				if tc.change != nil {
+					tc.change(g)
+				}
+				var changes []func(*http.Request)
+				if tc.header != nil {
+					changes = append(changes, tc.header)
+				}
+				if tc.path == "" {
+					tc.path = "/s/lookup/"
+				}
+				w := g.get(t.Context(), tc.path, changes...)
+				if tc.status == http.StatusTooManyRequests { // the first one passes
+					is.Equal(w.Code, http.StatusOK)
+					w = g.get(t.Context(), tc.path)
+				}
+				is.Equal(w.Code, tc.status)
+				is.Equal(w.Header().Get(VerdictHeader), "didNotRun")
+				var a answer
+				is.NoErr(json.Unmarshal(w.Body.Bytes(), &a))
+				is.Equal(a.Verdict, verdict.DidNotRun)
+				is.True(a.Reason != "")
+				is.Equal(g.inUse(), unit.Slots(0))
+			})
+		})
+	}
+}
+
+type teamOf struct{ *service.Team }
+
+func team(g *rig) teamOf                { return teamOf{g.target("lookup").Team} }
+func (t teamOf) PerTeam(rate float64)   { t.RequestsPerSecond = rate }
+func (t teamOf) PerCaller(rate float64) { t.CallerPerSecond = rate }
+
+// publish makes all percentiles of s the given microseconds.
+func publish(s *route.Stats, l route.Latency) {
+	samples := route.Samples{Stats: s}
+	for range 100 {
+		samples.Add(l)
+	}
+	samples.Publish()
+}
+
+// Guards against a slot that is given to another request while the upstream may
+// still run the first, and against one that is kept without need.
+func TestSlotIsHeldUntilTheUpstreamIsDone(t *testing.T) {
+	waitForEnd := func(ctx context.Context, _ int, _ pool.Call) (*http.Response, error) {
+		<-ctx.Done()
+		return nil, failure(verdict.MayHaveRun, ctx.Err())
+	}
+	fails := func(v verdict.Verdict, cause error) func(context.Context, int, pool.Call) (*http.Response, error) {
+		return func(context.Context, int, pool.Call) (*http.Response, error) { return nil, failure(v, cause) }
+	}
+	tests := map[string]struct {
+		path string
+		send func(ctx context.Context, attempt int, c pool.Call) (*http.Response, error)
+		gone clock.Span // when the caller goes away
+		held clock.Span // from the start of the request
+	}{
+		"whole answer": {send: func(context.Context, int, pool.Call) (*http.Response, error) { return answerOf(200, "ok"), nil }},
+		"did not run":  {send: fails(verdict.DidNotRun, nil)},
+		"may have run": {send: fails(verdict.MayHaveRun, io.ErrUnexpectedEOF), held: Grace},
+		"silent":       {send: fails(verdict.MayHaveRun, pool.ErrSilent), held: 2000 + Grace},
+		"cut answer": {send: func(context.Context, int, pool.Call) (*http.Response, error) {
+			a := answerOf(200, "ok")
+			a.Body = io.NopCloser(io.MultiReader(strings.NewReader("o"), failing{}))
+			return a, nil
+		}, held: Grace},
+		"deadline":                 {send: waitForEnd, held: 2000 + Grace},
+		"caller goes away":         {send: waitForEnd, gone: 300, held: 300 + Grace},
+		"long caller goes away":    {path: "/s/watch/", send: waitForEnd, gone: 10_000, held: 10_000 + Grace},
+		"long request is answered": {path: "/s/watch/", send: func(context.Context, int, pool.Call) (*http.Response, error) { return answerOf(200, "ok"), nil }},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRig(1, tc.send)
+				start := time.Now()
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if tc.gone > 0 {
+					time.AfterFunc(tc.gone.Duration(), cancel)
+				}
+				if tc.path == "" {
+					tc.path = "/s/order/"
+				}
+				g.get(ctx, tc.path)
+				synctest.Wait()
+				if tc.held > 0 {
+					time.Sleep(tc.held.Duration() - time.Millisecond - time.Since(start))
+					is.Equal(g.inUse(), unit.Slots(1))
+					time.Sleep(2 * time.Millisecond)
+				}
+				is.Equal(g.inUse(), unit.Slots(0))
+			})
+		})
+	}
+}
+
+type failing struct{}
+
+func (failing) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// Guards against work that runs twice, retries on the same upstream, more than
+// two retries, and a verdict that forgets an earlier attempt.
+func TestRetries(t *testing.T) {
+	didNot, may := failure(verdict.DidNotRun, nil), failure(verdict.MayHaveRun, nil)
+	busy := errors.New("503")
+	tests := map[string]struct {
+		path      string
+		upstreams int
+		outcomes  []error // nil answers
+		status    int
+		verdict   string
+		attempts  int
+	}{
+		"order may have run":        {"/s/order/", 3, []error{may}, 502, "mayHaveRun", 1},
+		"order did not run":         {"/s/order/", 3, []error{didNot, nil}, 200, "", 2},
+		"order ran at the second":   {"/s/order/", 3, []error{didNot, may}, 502, "mayHaveRun", 2},
+		"order is busy":             {"/s/order/", 3, []error{busy}, 503, "", 1},
+		"lookup may have run":       {"/s/lookup/", 3, []error{may, nil}, 200, "", 2},
+		"lookup is busy":            {"/s/lookup/", 3, []error{busy, nil}, 200, "", 2},
+		"lookup fails three times":  {"/s/lookup/", 4, []error{may, may, may, nil}, 502, "mayHaveRun", 3},
+		"no other upstream":         {"/s/lookup/", 1, []error{didNot}, 503, "didNotRun", 1},
+		"no other, may have run":    {"/s/lookup/", 1, []error{may}, 502, "mayHaveRun", 1},
+		"last attempt did not run":  {"/s/lookup/", 4, []error{may, didNot, didNot}, 502, "mayHaveRun", 3},
+		"watch did not run, others": {"/s/watch/", 1, []error{didNot}, 503, "didNotRun", 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRig(tc.upstreams, func(_ context.Context, attempt int, _ pool.Call) (*http.Response, error) {
+					switch err := tc.outcomes[attempt-1]; err {
+					case nil:
+						return answerOf(200, "ok"), nil
+					case busy:
+						return answerOf(503, ""), nil
+					default:
+						return nil, err
+					}
+				})
+				w := g.get(t.Context(), tc.path)
+				is.Equal(w.Code, tc.status)
+				is.Equal(w.Header().Get(VerdictHeader), tc.verdict)
+				is.Equal(len(g.sent), tc.attempts)
+				used := map[unit.Upstream]bool{}
+				for _, c := range g.sent {
+					is.True(!used[c.To])
+					used[c.To] = true
+				}
+			})
+		})
+	}
+}
+
+// Guards against a storm of failures that multiplies the load.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRig(3, func(context.Context, int, pool.Call) (*http.Response, error) {
+			return nil, failure(verdict.DidNotRun, nil)
+		})
+		for range 100 {
+			g.get(t.Context(), "/s/order/")
+		}
+		is.Equal(len(g.sent), 100+100/10+10)
+	})
+}
+
+// Guards against a slow attempt that nothing helps, a hedge of an order, a
+// hedge without a free slot and a lost attempt that keeps its slot.
+func TestHedge(t *testing.T) {
+	tests := map[string]struct {
+		path      string
+		upstreams int
+		attempts  int
+	}{
+		"lookup":           {"/s/lookup/", 2, 2},
+		"order":            {"/s/order/", 2, 1},
+		"no other slot":    {"/s/lookup/", 1, 1},
+		"slot of a fourth": {"/s/lookup/", 4, 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRig(tc.upstreams, func(ctx context.Context, attempt int, _ pool.Call) (*http.Response, error) {
+					if attempt == 2 {
+						return answerOf(200, "second"), nil
+					}
+					select {
+					case <-ctx.Done():
+						return nil, failure(verdict.MayHaveRun, ctx.Err())
+					case <-time.After(time.Second):
+						return answerOf(200, "first"), nil
+					}
+				})
+				publish(g.target("lookup").Stats, 100_000)
+				start := time.Now()
+				w := g.get(t.Context(), tc.path)
+				is.Equal(w.Code, http.StatusOK)
+				is.Equal(len(g.sent), tc.attempts)
+				is.Equal(time.Since(start) == 100*time.Millisecond, tc.attempts == 2)
+				time.Sleep(2 * time.Second)
+				is.Equal(g.inUse(), unit.Slots(0))
+			})
+		})
+	}
+}
+
+// Guards against a request that sleeps while a slot is free, bulk requests that
+// are served before urgent ones, and a queue that answers after the deadline.
+func TestQueueWakes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRig(1, func(context.Context, int, pool.Call) (*http.Response, error) {
+			time.Sleep(400 * time.Millisecond)
+			return answerOf(200, "ok"), nil
+		})
+		var wg sync.WaitGroup
+		start, ends := time.Now(), map[string]time.Duration{}
+		send := func(name, path string, status int, deadline string) {
+			wg.Go(func() {
+				w := g.get(t.Context(), path, header(DeadlineHeader, deadline))
+				if w.Code != status {
+					t.Errorf("%s: status %d, want %d", name, w.Code, status)
+				}
+				g.mu.Lock()
+				ends[name] = time.Since(start)
+				g.mu.Unlock()
+			})
+			synctest.Wait()
+		}
+		send("first", "/s/order/", 200, "2000")
+		send("bulk", "/s/report/", 200, "2000")
+		send("standard", "/s/order/", 200, "1900")
+		send("urgent", "/s/lookup/", 200, "2000")
+		send("late", "/s/report/", 503, "1000")
+		wg.Wait()
+		is.Equal(ends["first"], 400*time.Millisecond)
+		is.Equal(ends["urgent"], 800*time.Millisecond)
+		is.Equal(ends["standard"], 1200*time.Millisecond)
+		is.Equal(ends["late"], 1000*time.Millisecond)
+		is.Equal(ends["bulk"], 1600*time.Millisecond)
+		is.Equal(g.inUse(), unit.Slots(0))
+	})
+}
+
+// Guards against a waiting request that goes to an upstream that left
+// meanwhile, and against newly granted slots that wake nobody.
+func TestQueueUsesTheNewestView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRig(1, func(context.Context, int, pool.Call) (*http.Response, error) { return answerOf(200, "ok"), nil })
+		g.upstreams[0].Slots.Hold(0, clock.Never)
+		g.target("order").Choose(route.Query{}) // the upstream is known to be full
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = g.Front.Run(ctx) })
+		var w *httptest.ResponseRecorder
+		wg.Go(func() { w = g.get(ctx, "/s/order/") })
+		synctest.Wait()
+		fresh := &route.Upstream{Address: "fresh", Slots: new(slot.Counter), Pinned: new(slot.Counter)}
+		fresh.Slots.Hold(1, clock.Never)
+		g.upstreams[0].Slots.Hold(1, clock.Never)
+		target := *g.target("order")
+		target.Upstreams = []*route.Upstream{fresh}
+		target.Groups = []*route.Group{route.NewGroup("kelso", true, 0, target.Upstreams)}
+		g.view.Store(&control.View{Ready: true, Routes: &route.View{Targets: map[unit.Service]*route.Target{"order": &target}}})
+		time.Sleep(tick.Duration() + time.Millisecond)
+		cancel()
+		wg.Wait()
+		is.Equal(w.Code, http.StatusOK)
+		is.Equal(g.sent[0].To, unit.Upstream("fresh"))
+	})
+}
+
+// Guards against long requests in the slots of short ones and the other way
+// round, and against a short grant that is used for a late deadline.
+func TestPinnedSlots(t *testing.T) {
+	tests := map[string]struct {
+		path   string
+		until  clock.Millis // of the quick grant
+		pinned unit.Slots
+	}{
+		"short":                        {"/s/order/", clock.Never, 0},
+		"long":                         {"/s/watch/", clock.Never, 1},
+		"deadline beyond quick grants": {"/s/slow/", clock.Never, 1},
+		"deadline beyond this grant":   {"/s/order/", 1000, 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				var g *rig
+				g = newRig(1, func(context.Context, int, pool.Call) (*http.Response, error) {
+					is.Equal(g.upstreams[0].Pinned.Used(), tc.pinned)
+					is.Equal(g.upstreams[0].Slots.Used(), 1-tc.pinned)
+					return answerOf(200, "ok"), nil
+				})
+				g.upstreams[0].Slots.Hold(1, tc.until)
+				is.Equal(g.get(t.Context(), tc.path).Code, http.StatusOK)
+				is.Equal(g.inUse(), unit.Slots(0))
+				is.True(g.upstreams[0].Pinned.Take(0)) // all are in use: refused at once
+				is.Equal(g.get(t.Context(), "/s/watch/").Header().Get(RetryAfterHeader), "1000")
+			})
+		})
+	}
+}
+
+// Guards against an upstream that gets more time than is left, the wrong path,
+// or the headers of the caller's connection.
+func TestOutgoingRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newRig(1, func(context.Context, int, pool.Call) (*http.Response, error) {
+			time.Sleep(300 * time.Millisecond)
+			a := answerOf(200, "ok")
+			a.Header = http.Header{LoadHeader: {"5"}, VerdictHeader: {"didNotRun"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "Keep-Alive": {"1"}, "X-End": {"1"}}
+			return a, nil
+		})
+		var wg sync.WaitGroup
+		wg.Go(func() { g.get(t.Context(), "/s/order/") })
+		synctest.Wait()
+		w := g.get(t.Context(), "/s/lookup/a%2Fb//c?q=1", header(DeadlineHeader, "1000"), header(RequestHeader, "id-1"),
+			header("Connection", "close, X-Hop"), header("X-Hop", "1"), header("Te", "trailers"), header("X-End", "1"), header("Expect", "100-continue"))
+		wg.Wait()
+		out := g.sent[1].Request
+		is.Equal(out.Header.Get(DeadlineHeader), "700")
+		is.Equal(out.Header.Get(RequestHeader), "id-1")
+		is.Equal(out.Header.Get(ClassHeader), "urgent")
+		is.Equal(out.URL.RequestURI(), "/a%2Fb//c?q=1")
+		is.Equal(g.upstreams[0].Busyness(), int64(5))
+		for _, h := range []http.Header{out.Header, w.Header()} {
+			is.Equal(h.Get("X-End"), "1")
+			for _, name := range []string{"Connection", "X-Hop", "Te", "Keep-Alive", "Expect", LoadHeader, VerdictHeader} {
+				is.Equal(h.Get(name), "")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/entry/front/server.go
@@ -0,0 +1,94 @@
+package front
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"mimosadock/schedule/verdict"
+)
+
+// maxRawHeader is what net/http reads of a header; what lies between MaxHeader
+// and this is refused by the handler.
+const maxRawHeader = 1 << 20
+
+// Listener wraps l so that the refusals of net/http itself, which never reach a
+// handler, carry a verdict too. It works with a server that was passed to
+// [Configure].
+func Listener(l net.Listener) net.Listener { return listener{l} }
+
+type listener struct{ net.Listener }
+
+// Accept waits for a connection.
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	ac := &callerConn{Conn: c}
+	ac.between.Store(true)
+	return ac, nil
+}
+
+type connKey struct{}
+
+// Configure sets the hooks and limits of the caller's server.
+func Configure(s *http.Server) {
+	s.MaxHeaderBytes = maxRawHeader
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if cc, ok := c.(*callerConn); ok && state == http.StateIdle {
+			cc.between.Store(true)
+		}
+	}
+}
+
+// handling marks the connection of r as used by a handler.
+func handling(r *http.Request) {
+	if cc, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		cc.between.Store(false)
+	}
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	net.Conn
+	between atomic.Bool // no handler has run since the last answer ended
+}
+
+// plainError ends the head of the answers that net/http writes by itself.
+const plainError = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
+
+// Write writes b, with a verdict if it is a refusal of net/http.
+func (c *callerConn) Write(b []byte) (int, error) {
+	if !c.between.Load() {
+		return c.Conn.Write(b)
+	}
+	line, rest, ok := bytes.Cut(b, []byte("\r\n"))
+	reason, isPlain := bytes.CutPrefix(rest, []byte(plainError[2:]))
+	status := 0
+	if ok && isPlain && len(line) > len("HTTP/1.1 400") {
+		status, _ = strconv.Atoi(string(line[len("HTTP/1.1 "):len("HTTP/1.1 400")]))
+	}
+	if status < http.StatusBadRequest {
+		return c.Conn.Write(b)
+	}
+	if status >= http.StatusInternalServerError {
+		status = http.StatusBadRequest // a transfer encoding that is not supported
+	}
+	count("refusedRequest")
+	body, err := json.Marshal(answer{Verdict: verdict.DidNotRun, Reason: string(reason)})
+	if err != nil {
+		return 0, err
+	}
+	_, err = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%s: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		status, http.StatusText(status), VerdictHeader, verdict.DidNotRun, len(body), body)
+	return len(b), err
+}
--- /dev/null
+++ b/entry/front/state.go
@@ -0,0 +1,41 @@
+package front
+
+import (
+	"cmp"
+	"expvar"
+	"slices"
+)
+
+// decisions counts what was decided about requests, by decision.
+var decisions = expvar.NewMap("front.decisions")
+
+func count(decision string) { decisions.Add(decision, 1) }
+
+// State is the state of the request path, for the state dump.
+type State struct {
+	InFlight int          `json:"inFlight"`
+	Refusing bool         `json:"refusing"`
+	Queues   []QueueState `json:"queues"`
+}
+
+// QueueState is the requests of one upstream set.
+type QueueState struct {
+	Set       string `json:"set"`
+	Waiting   int64  `json:"waiting"`
+	Active    int64  `json:"active"` // urgent and standard
+	Bulk      int64  `json:"bulk"`
+	Slots     int64  `json:"slots"`
+	BulkShare int64  `json:"bulkShare"`
+}
+
+// State returns the requests in flight and the queues, ordered by set.
+func (f *Front) State() State {
+	s := State{InFlight: f.InFlight(), Refusing: f.refusing.Load(), Queues: []QueueState{}}
+	f.dispatchers.Range(func(set, value any) bool {
+		d := value.(*dispatcher)
+		s.Queues = append(s.Queues, QueueState{set.(string), d.waiting.Load(), d.active.Load(), d.bulk.Load(), d.slots.Load(), d.share.Load()})
+		return true
+	})
+	slices.SortFunc(s.Queues, func(a, b QueueState) int { return cmp.Compare(a.Set, b.Set) })
+	return s
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -14,6 +15,7 @@
 
 	"mimosadock/entry/process"
 	"mimosadock/entry/setting"
+	"mimosadock/schedule/group"
 )
 
 // exitUsage is the exit code for settings that can't be used.
@@ -31,17 +33,55 @@
 	}
 	level, _ := log.ParseLevel(s.LogLevel)
 	logger := log.NewWithOptions(os.Stderr, log.Options{Level: level, ReportTimestamp: true})
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	p, err := process.Open(s, logger)
 	if err != nil {
 		logger.Fatal("start failed", "err", err)
 	}
-	if err := p.Run(ctx); err != nil {
+	signals := group.New(context.Background())
+	stop, kill := watchSignals(signals, p)
+	err = p.Run(stop, kill)
+	signals.Stop()
+	if err != nil {
 		logger.Fatal("stopped", "err", err)
 	}
 }
 
+// watchSignals returns contexts that end with the first and with the second
+// signal to stop. SIGUSR1 writes the state dump to the standard error.
+func watchSignals(g *group.Group, p *process.Process) (stop, kill context.Context) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1)
+	stop, first := context.WithCancel(context.Background())
+	kill, second := context.WithCancel(context.Background())
+	g.Go("signals", func(ctx context.Context) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case sig := <-signals:
+				switch {
+				case sig == syscall.SIGUSR1:
+					dump(ctx, p)
+				case stop.Err() == nil:
+					first()
+				default:
+					second()
+				}
+			}
+		}
+	})
+	return stop, kill
+}
+
+func dump(ctx context.Context, p *process.Process) {
+	s, err := p.State(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "entry: state dump:", err)
+		return
+	}
+	_ = json.NewEncoder(os.Stderr).Encode(s)
+}
+
 func usage(err error) {
 	fmt.Fprintln(os.Stderr, "entry:", err)
 	os.Exit(exitUsage)
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"expvar"
 	"fmt"
@@ -22,8 +23,13 @@
 	"mimosadock/schedule/unit"
 )
 
-// headerTimeout bounds how long a caller may take to send its header.
-const headerTimeout = 10 * time.Second
+const (
+	// headerTimeout bounds how long a caller may take to send its header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a caller's connection is kept without a
+	// request.
+	idleTimeout = 2 * time.Minute
+)
 
 // Process is one entry process. Use [Open].
 type Process struct {
@@ -34,7 +40,10 @@
 	callers  net.Listener
 	operator net.Listener
 	group    *group.Group
-	servers  []*http.Server
+	front    *front.Front
+	pool     *pool.Pool
+	server   *http.Server // for callers
+	admin    *http.Server // for operators
 }
 
 // Open binds the addresses of the process. Nothing is served before Run.
@@ -53,12 +62,16 @@
 		Host:       unit.Host(netip.MustParseAddrPort(s.Listen).Addr().String()),
 		DataCentre: unit.DataCentre(s.DataCentre),
 	}
+	loop := control.New(clock.System{}, self, control.RouteSystems()...)
+	upstreams := new(pool.Pool)
 	return &Process{
-		Loop:     control.New(clock.System{}, self, control.RouteSystem),
+		Loop:     loop,
 		settings: s,
 		log:      logger,
 		callers:  callers,
 		operator: operator,
+		pool:     upstreams,
+		front:    &front.Front{View: loop.View, Clock: clock.System{}, Sender: upstreams, Report: loop.Offer},
 	}, nil
 }
 
@@ -68,26 +81,28 @@
 // OperatorAddress returns the bound address for operators.
 func (p *Process) OperatorAddress() string { return p.operator.Addr().String() }
 
-// Run serves until ctx ends, then lets requests in flight finish for the drain
-// time of the settings.
-func (p *Process) Run(ctx context.Context) error {
+// Run serves until ctx ends, then drains the process. See [Process.drain]. The
+// end of kill cuts the drain short.
+func (p *Process) Run(ctx, kill context.Context) error {
 	p.group = group.New(context.WithoutCancel(ctx))
-	f := &front.Front{View: p.Loop.View, Clock: clock.System{}, Sender: &pool.Pool{}}
 	p.group.Go("control", p.Loop.Run)
-	p.serve("callers", p.callers, f.Handler())
-	p.serve("operators", p.operator, p.operatorHandler())
+	p.group.Go("queues", p.front.Run)
+	p.group.Go("connections", p.pool.Run)
+	p.server = &http.Server{Handler: p.front.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	front.Configure(p.server)
+	p.admin = &http.Server{Handler: p.operatorHandler(), ReadHeaderTimeout: headerTimeout}
+	p.serve("callers", p.server, front.Listener(p.callers))
+	p.serve("operators", p.admin, p.operator)
 	p.log.Info("serving", "callers", p.CallerAddress(), "operators", p.OperatorAddress())
 	select {
 	case <-ctx.Done():
 	case <-p.group.Context().Done():
 	}
-	p.shutdown()
+	p.drain(kill)
 	return p.group.Wait()
 }
 
-func (p *Process) serve(name string, l net.Listener, h http.Handler) {
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	p.servers = append(p.servers, srv)
+func (p *Process) serve(name string, srv *http.Server, l net.Listener) {
 	p.group.Go(name, func(context.Context) error {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -96,20 +111,17 @@
 	})
 }
 
-func (p *Process) shutdown() {
-	p.log.Info("draining", "for", p.settings.DrainFor)
-	ctx, cancel := context.WithTimeout(context.Background(), p.settings.DrainFor)
-	defer cancel()
-	for _, srv := range p.servers {
-		if srv.Shutdown(ctx) != nil {
-			srv.Close()
-		}
-	}
-	p.group.Stop()
-}
-
 func (p *Process) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, r *http.Request) {
+		s, err := p.State(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(s)
+	})
 	return mux
 }
--- a/entry/setting/setting.go
+++ b/entry/setting/setting.go
@@ -11,11 +11,12 @@
 
 // Settings are the settings of one entry process.
 type Settings struct {
-	Listen     string        // callers, "ip:port"
-	Operator   string        // operators, "ip:port"
-	DataCentre string        // data centre of this host
-	LogLevel   string        // debug, info, warn or error
-	DrainFor   time.Duration // how long requests in flight may take after a stop signal
+	Listen       string        // callers, "ip:port"
+	Operator     string        // operators, "ip:port"
+	DataCentre   string        // data centre of this host
+	LogLevel     string        // debug, info, warn or error
+	BalancerWait time.Duration // how long new requests are taken after readiness ended
+	DrainFor     time.Duration // how long requests in flight may take after that
 }
 
 // Register adds the flags of s to app.
@@ -24,6 +25,7 @@
 	app.Flag("operator", "Address for operators: metrics, state dump, administration.").Envar("MIMOSA_OPERATOR").Default("127.0.0.1:8081").StringVar(&s.Operator)
 	app.Flag("data-centre", "Data centre of this host.").Envar("MIMOSA_DATA_CENTRE").Required().StringVar(&s.DataCentre)
 	app.Flag("log-level", "Lowest level to log.").Envar("MIMOSA_LOG_LEVEL").Default("info").StringVar(&s.LogLevel)
+	app.Flag("balancer-wait", "Time for which new requests are still taken after a stop signal, until the load balancer has seen that the process is not ready.").Envar("MIMOSA_BALANCER_WAIT").Default("10s").DurationVar(&s.BalancerWait)
 	app.Flag("drain-for", "Time for requests in flight after a stop signal.").Envar("MIMOSA_DRAIN_FOR").Default("2h").DurationVar(&s.DrainFor)
 }
 
@@ -40,6 +42,9 @@
 	if _, err := log.ParseLevel(s.LogLevel); err != nil {
 		return fmt.Errorf("--log-level is %q, must be debug, info, warn or error", s.LogLevel)
 	}
+	if s.BalancerWait < 0 || s.BalancerWait > 10*time.Minute {
+		return fmt.Errorf("--balancer-wait is %s, must be 0s to 10m", s.BalancerWait)
+	}
 	if s.DrainFor < 0 || s.DrainFor > 24*time.Hour {
 		return fmt.Errorf("--drain-for is %s, must be 0s to 24h", s.DrainFor)
 	}
--- a/entry/setting/setting_test.go
+++ b/entry/setting/setting_test.go
@@ -22,6 +22,7 @@
 		"host name":    {change: func(s *Settings) { s.Listen = "localhost:80" }, want: "--listen"},
 		"same address": {change: func(s *Settings) { s.Listen, s.Operator = "127.0.0.1:80", "127.0.0.1:80" }, want: "--operator"},
 		"log level":    {change: func(s *Settings) { s.LogLevel = "loud" }, want: "--log-level"},
+		"balancer":     {change: func(s *Settings) { s.BalancerWait = time.Hour }, want: "--balancer-wait"},
 		"drain":        {change: func(s *Settings) { s.DrainFor = -1 }, want: "--drain-for"},
 	}
 	for name, tc := range tests {
--- a/schedule/service/check.go
+++ b/schedule/service/check.go
@@ -95,7 +95,7 @@
 		if negative(m.Quota) {
 			c.fault(path+".quota", "quota has a negative component")
 		}
-		if m.RequestsPerSecond < 0 || m.Burst < 0 || m.Concurrent < 0 || m.CallerPerSecond < 0 {
+		if m.RequestsPerSecond < 0 || m.Burst < 0 || m.Concurrent < 0 || m.CallerPerSecond < 0 || m.CallerConcurrent < 0 {
 			c.fault(path, "limits must not be negative")
 		}
 		c.checkTokens(path+".tokens", m.Tokens)
--- a/schedule/service/text.go
+++ b/schedule/service/text.go
@@ -41,6 +41,7 @@
 	Burst             int            `yaml:"burst" json:"burst,omitempty"`
 	Concurrent        int            `yaml:"concurrent" json:"concurrent,omitempty"`
 	CallerPerSecond   float64        `yaml:"callerPerSecond" json:"callerPerSecond,omitempty"` // limit per caller key
+	CallerConcurrent  int            `yaml:"callerConcurrent" json:"callerConcurrent,omitempty"`
 	Tokens            []TokenHash    `yaml:"tokens" json:"-"`
 }
 
--- /dev/null
+++ b/standin/upstream/server.go
@@ -0,0 +1,63 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+
+	"mimosadock/schedule/group"
+)
+
+// Server is an upstream with an address of its own. Use [Listen].
+type Server struct {
+	Upstream
+
+	address string
+	group   group.Group
+	mu      sync.Mutex
+	http    *http.Server
+}
+
+// Listen returns an upstream that serves on a free loopback port.
+func Listen() (*Server, error) {
+	s := &Server{address: "127.0.0.1:0"}
+	return s, s.Resume()
+}
+
+// Address returns "ip:port".
+func (s *Server) Address() string { return s.address }
+
+// Refuse closes all connections and refuses new ones.
+func (s *Server) Refuse() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.http.Close()
+}
+
+// Resume serves again on the same address.
+func (s *Server) Resume() error {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.address = l.Addr().String()
+	srv := &http.Server{Handler: &s.Upstream}
+	s.http = srv
+	s.group.Go("upstream", func(context.Context) error {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+// Close ends the server and waits for it.
+func (s *Server) Close() error {
+	s.Refuse()
+	return s.group.Wait()
+}
