Test the front over real connections with each failure mode

Cause: failures on the wire were not tested from caller to upstream. Change: tests for each failure mode of the stand-in upstream, bad framing, special answers, streaming, callers that stop, late answers and silent connections. A retry is only made if there is an upstream that was not tried; before, a lookup that both upstreams answered with 503 waited for its deadline. The stand-in's cut answer now leaves before the cut. Conclusion: each failure has a test that causes it.

--- a/entry/front/attempt.go
+++ b/entry/front/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -71,7 +72,8 @@
 		if !busy {
 			v = verdict.Of(res.err)
 		}
-		again := ctx.Err() == nil && f.mayRetry(j, v, retries) && f.budget.Spend(f.Clock.Now())
+		j.exclude(h.upstream)
+		again := ctx.Err() == nil && f.mayRetry(j, v, retries) && j.hasOther() && f.budget.Spend(f.Clock.Now())
 		switch {
 		case busy && !again:
 			return res, nil
@@ -82,7 +84,6 @@
 		}
 		worst = verdictOf(worst, v)
 		count("retries")
-		j.exclude(h.upstream)
 	}
 }
 
@@ -104,6 +105,16 @@
 	}
 }
 
+// hasOther reports whether there is an upstream that j was not sent to.
+func (j *job) hasOther() bool {
+	for _, u := range j.target.Upstreams {
+		if !slices.Contains(j.except[:], u) {
+			return true
+		}
+	}
+	return false
+}
+
 func (f *Front) mayRetry(j *job, v verdict.Verdict, retries int) bool {
 	a := retry.Attempt{
 		Verdict:    v,
@@ -151,11 +162,9 @@
 	}
 	count("pinned")
 	h := &hold{front: f, upstream: u, class: j.service.Class}
-	for _, e := range j.except {
-		if e == u {
-			h.release()
-			return nil, verdict.Refuse("no other upstream has a slot")
-		}
+	if slices.Contains(j.except[:], u) {
+		h.release()
+		return nil, verdict.Refuse("no other upstream has a slot")
 	}
 	return h, nil
 }
--- /dev/null
+++ b/entry/front/wire_test.go
@@ -0,0 +1,421 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosadock/entry/pool"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+	"mimosadock/standin/upstream"
+)
+
+// wire is a front with a real pool behind a real server.
+type wire struct {
+	*rig
+	url     string
+	address string
+}
+
+func newWire(t *testing.T, addresses ...string) *wire {
+	w := &wire{rig: newRig(len(addresses), nil)}
+	for i, a := range addresses {
+		w.upstreams[i].Address = unit.Upstream(a)
+		w.upstreams[i].Slots.Hold(8, clock.Never)
+	}
+	w.Clock, w.Sender = clock.System{}, new(pool.Pool)
+	srv := httptest.NewUnstartedServer(w.Handler())
+	srv.Listener = Listener(srv.Listener)
+	Configure(srv.Config)
+	srv.Start()
+	t.Cleanup(srv.Close)
+	w.url, w.address = srv.URL, srv.Listener.Addr().String()
+	return w
+}
+
+// upstreamOf serves h as an upstream.
+func upstreamOf(t *testing.T, h http.HandlerFunc) string {
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+func (w *wire) post(path, body string) (status int, verdict, answer string, err error) {
+	r, err := http.NewRequest(http.MethodPost, w.url+path, strings.NewReader(body))
+	if err != nil {
+		return 0, "", "", err
+	}
+	r.Header.Set(RequestHeader, "id-1")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header.Get(VerdictHeader), string(b), err
+}
+
+// waitFree returns when no slot is in use.
+func (w *wire) waitFree() {
+	for w.inUse() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a wrong verdict for each way in which an upstream fails, and
+// against an order that runs twice.
+func TestUpstreamFailures(t *testing.T) {
+	refuse := upstream.Mode(-1)
+	tests := map[string]struct {
+		mode    upstream.Mode
+		service string
+		status  int
+		verdict string
+		ran     int
+	}{
+		"healthy":                  {upstream.Healthy, "order", 200, "", 1},
+		"refuse":                   {refuse, "order", 503, "didNotRun", 0},
+		"reset before, order":      {upstream.ResetBefore, "order", 502, "mayHaveRun", 0},
+		"reset after, order":       {upstream.ResetAfter, "order", 502, "mayHaveRun", 1},
+		"reset after, lookup":      {upstream.ResetAfter, "lookup", 502, "mayHaveRun", 2},
+		"truncate":                 {upstream.Truncate, "order", 0, "", 1},
+		"silent until deadline":    {upstream.Silent, "order?deadline", 504, "mayHaveRun", 1},
+		"slow":                     {upstream.Slow, "order", 200, "", 1},
+		"wrong load":               {upstream.WrongLoad, "order", 200, "", 1},
+		"busy, order":              {upstream.Busy, "order", 503, "", 0},
+		"busy, lookup, both tried": {upstream.Busy, "lookup", 503, "", 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var servers []*upstream.Server
+			var addresses []string
+			for range 2 {
+				s, err := upstream.Listen()
+				is.NoErr(err)
+				defer s.Close()
+				if s.SetMode(tc.mode); tc.mode == refuse {
+					s.Refuse()
+				}
+				servers, addresses = append(servers, s), append(addresses, s.Address())
+			}
+			w := newWire(t, addresses...)
+			path, short := strings.CutSuffix("/s/"+tc.service, "?deadline")
+			if short {
+				w.target("order").Service.DeadlineMs = 100
+			}
+			status, verdict, answer, err := w.post(path, "body")
+			is.Equal(status, tc.status)
+			is.Equal(verdict, tc.verdict)
+			is.Equal(servers[0].Ran("id-1")+servers[1].Ran("id-1"), tc.ran)
+			switch tc.status {
+			case 0: // the answer was cut
+				is.True(err != nil)
+			case 200:
+				is.Equal(answer, "body")
+			}
+		})
+	}
+}
+
+// Guards against the refusals of the HTTP library that carry no verdict, and
+// against bad framing that reaches an upstream.
+func TestBadFraming(t *testing.T) {
+	head := "POST /s/order/ HTTP/1.1\r\nHost: a\r\n"
+	tests := map[string]struct {
+		request string
+		status  string
+	}{
+		"length no number":    {head + "Content-Length: x\r\n\r\n", "400"},
+		"two lengths":         {head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400"},
+		"unknown coding":      {head + "Transfer-Encoding: gzip\r\n\r\n", "400"},
+		"chunk damaged":       {head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+		"body cut":            {head + "Content-Length: 9\r\n\r\nab", "400"},
+		"header without name": {head + ": x\r\n\r\n", "400"},
+		"endless header":      {head + "X: " + strings.Repeat("x", 2*maxRawHeader), "431"},
+		"long header":         {head + "X: " + strings.Repeat("x", MaxHeader) + "\r\n\r\n", "431"},
+		"no host":             {"GET /s/order/ HTTP/1.1\r\n\r\n", "400"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWire(t, upstreamOf(t, func(http.ResponseWriter, *http.Request) { t.Error("the request reached an upstream") }))
+			c, err := net.Dial("tcp", w.address)
+			is.NoErr(err)
+			defer c.Close()
+			_, _ = io.WriteString(c, tc.request) // fails where the front answers before the end
+			_ = c.(*net.TCPConn).CloseWrite()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			is.NoErr(err)
+			is.True(strings.HasPrefix(resp.Status, tc.status))
+			is.Equal(resp.Header.Get(VerdictHeader), "didNotRun")
+			body, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.True(bytes.HasPrefix(body, []byte(`{"verdict":"didNotRun"`)))
+		})
+	}
+}
+
+// Guards against an answer whose bytes look like a refusal of the library and
+// are changed on the way.
+func TestAnswerThatLooksLikeARefusal(t *testing.T) {
+	is := is.New(t)
+	text := "HTTP/1.1 400 Bad Request" + plainError + "400 Bad Request"
+	w := newWire(t, upstreamOf(t, func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("Content-Length", fmt.Sprint(len(text)))
+		_ = http.NewResponseController(rw).Flush()
+		_, _ = io.WriteString(rw, text)
+	}))
+	for range 2 {
+		_, _, answer, err := w.post("/s/order/", "")
+		is.NoErr(err)
+		is.Equal(answer, text)
+	}
+}
+
+// Guards against special answers and methods that stall, gain a body or leave
+// the connection in a state that spoils the next answer.
+func TestSpecialExchanges(t *testing.T) {
+	tests := map[string]struct {
+		method, body string
+		status       int
+		expect       bool
+	}{
+		"head":             {method: http.MethodHead, status: 200},
+		"no content":       {method: http.MethodGet, status: 204},
+		"not modified":     {method: http.MethodGet, status: 304},
+		"continue":         {method: http.MethodPost, body: "body", status: 200, expect: true},
+		"chunked, unknown": {method: http.MethodPut, body: strings.Repeat("x", 3*smallBody), status: 200},
+		"delete with body": {method: http.MethodDelete, body: "body", status: 200},
+	}
+	w := newWire(t, upstreamOf(t, func(rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/hint" {
+			rw.Header().Set("Link", "a")
+			rw.WriteHeader(http.StatusEarlyHints)
+		}
+		n, _ := io.Copy(io.Discard, r.Body)
+		rw.Header().Set("X-Length", fmt.Sprint(n))
+		var status int
+		_, _ = fmt.Sscan(r.URL.Query().Get("status"), &status)
+		rw.WriteHeader(status)
+	}))
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for range 3 {
+				// The wrapper hides the length, which makes the client send chunks.
+				r, err := http.NewRequest(tc.method, fmt.Sprintf("%s/s/order/hint?status=%d", w.url, tc.status), struct{ io.Reader }{strings.NewReader(tc.body)})
+				is.NoErr(err)
+				if tc.expect {
+					r.Header.Set("Expect", "100-continue")
+				}
+				resp, err := http.DefaultTransport.RoundTrip(r)
+				is.NoErr(err)
+				resp.Body.Close()
+				is.Equal(resp.StatusCode, tc.status)
+				is.Equal(resp.Header.Get("X-Length"), fmt.Sprint(len(tc.body)))
+				w.waitFree()
+			}
+		})
+	}
+}
+
+// Guards against bodies that are kept whole or held back: the upstream answers
+// each part before the caller sends the next.
+func TestStreamsBothWays(t *testing.T) {
+	is := is.New(t)
+	w := newWire(t, upstreamOf(t, func(rw http.ResponseWriter, r *http.Request) {
+		rc := http.NewResponseController(rw)
+		_ = rc.EnableFullDuplex()
+		_ = rc.Flush()
+		buf := make([]byte, 1<<16)
+		for {
+			n, err := r.Body.Read(buf)
+			_, _ = rw.Write(buf[:n])
+			_ = rc.Flush()
+			if err != nil {
+				return
+			}
+		}
+	}))
+	in, out := io.Pipe()
+	r, err := http.NewRequest(http.MethodPost, w.url+"/s/watch/", in)
+	is.NoErr(err)
+	g := make(chan error, 1)
+	w.attempts.Go("test", func(context.Context) error {
+		_, err := io.WriteString(out, "part 0")
+		g <- err
+		return nil
+	})
+	resp, err := http.DefaultClient.Do(r)
+	is.NoErr(err)
+	is.NoErr(<-g)
+	defer resp.Body.Close()
+	for i := range 50 {
+		want := fmt.Sprint("part ", i)
+		got := make([]byte, len(want))
+		_, err := io.ReadFull(resp.Body, got)
+		is.NoErr(err)
+		is.Equal(string(got), want)
+		if i < 49 {
+			_, err = io.WriteString(out, fmt.Sprint("part ", i+1))
+			is.NoErr(err)
+		}
+	}
+	out.Close()
+	rest, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(len(rest), 0)
+	w.waitFree()
+}
+
+// Guards against a caller that goes away, or that stops reading or sending, and
+// holds an upstream and a slot past its deadline.
+func TestCallerStops(t *testing.T) {
+	head := "POST /s/order/ HTTP/1.1\r\nHost: a\r\n"
+	big := "Content-Length: 99999999\r\n\r\n" + strings.Repeat("x", 2*smallBody)
+	tests := map[string]struct {
+		request  string
+		deadline clock.Span
+		closes   bool
+	}{
+		"goes away":                {request: head + "\r\n", deadline: 60_000, closes: true},
+		"goes away while it sends": {request: head + big, deadline: 60_000, closes: true},
+		"stops reading":            {request: head + DeadlineHeader + ": 200\r\n\r\n", deadline: 200},
+		"stops sending":            {request: head + DeadlineHeader + ": 200\r\n" + big, deadline: 200},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			began, ended := make(chan struct{}), make(chan struct{})
+			w := newWire(t, upstreamOf(t, func(rw http.ResponseWriter, r *http.Request) {
+				close(began)
+				defer close(ended)
+				_, _ = io.Copy(io.Discard, r.Body)
+				for r.Context().Err() == nil { // an endless answer
+					if _, err := rw.Write(make([]byte, 1<<20)); err != nil {
+						return
+					}
+				}
+			}))
+			w.target("order").Service.DeadlineMs = tc.deadline
+			w.upstreams[0].Pinned.Hold(8, clock.Never)
+			c, err := net.Dial("tcp", w.address)
+			is.NoErr(err)
+			defer c.Close()
+			_, err = io.WriteString(c, tc.request)
+			is.NoErr(err)
+			<-began
+			if tc.closes {
+				c.Close()
+			}
+			<-ended // the upstream is told
+			w.waitFree()
+			is.Equal(w.InFlight(), 0)
+		})
+	}
+}
+
+// Guards against an answer that reaches another request: an upstream answers
+// late, after the caller's deadline, while others use the same upstream.
+func TestLateAnswers(t *testing.T) {
+	is := is.New(t)
+	s, err := upstream.Listen()
+	is.NoErr(err)
+	defer s.Close()
+	w := newWire(t, s.Address())
+	w.upstreams[0].Slots.Hold(40, clock.Never)
+	late := 0
+	for i := range 40 {
+		body, ms := fmt.Sprint("body ", i), 1
+		r, err := http.NewRequest(http.MethodPost, "", strings.NewReader(body))
+		is.NoErr(err)
+		if i%2 == 0 {
+			ms = 60
+			r.Header.Set(DeadlineHeader, "30")
+		}
+		r.URL, err = r.URL.Parse(fmt.Sprintf("%s/s/order/?ms=%d", w.url, ms))
+		is.NoErr(err)
+		resp, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		got, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			is.Equal(string(got), body)
+		} else {
+			is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+			late++
+		}
+	}
+	is.True(late >= 20)
+}
+
+// Guards against a silent connection that a lookup waits for until its deadline
+// although the host answers on others.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	silenced := make(chan struct{}, 1)
+	release := make(chan struct{})
+	h := func(rw http.ResponseWriter, r *http.Request) {
+		select {
+		case silenced <- struct{}{}: // the first request gets no answer
+			<-release
+		default:
+			_, _ = io.WriteString(rw, "ok")
+		}
+	}
+	w := newWire(t, upstreamOf(t, h), upstreamOf(t, h))
+	defer close(release)
+	w.upstreams[1].Report(100) // the first upstream is preferred
+	lookup := w.target("lookup")
+	lookup.Service.DeadlineMs, lookup.Service.Hedge = 5900, false
+	publish(lookup.Stats, 1000)
+	p := w.Sender.(*pool.Pool)
+	w.Sender = sender(func(ctx context.Context, c pool.Call) (*http.Response, error) {
+		if c.Silence > 0 {
+			c.Silence = 1 // keeps the test short; the time is tested with a manual clock
+		}
+		return p.Send(ctx, c)
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	w.attempts.Go("pool", func(context.Context) error { done <- p.Run(ctx); return nil })
+	answered := make(chan error, 1)
+	w.attempts.Go("lookup", func(context.Context) error {
+		status, _, answer, err := w.post("/s/lookup/", "")
+		if status != http.StatusOK || answer != "ok" {
+			err = errors.Join(err, fmt.Errorf("status %d: %s", status, answer))
+		}
+		answered <- err
+		return nil
+	})
+	for len(silenced) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for waiting := true; waiting; {
+		select {
+		case err := <-answered:
+			is.NoErr(err)
+			waiting = false
+		default: // others make progress on the same host
+			status, _, _, err := w.post("/s/order/", "")
+			is.NoErr(err)
+			is.Equal(status, http.StatusOK)
+		}
+	}
+	cancel()
+	is.NoErr(<-done)
+}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -95,6 +95,7 @@
 	if mode == Truncate {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
 		fmt.Fprintf(w, "%s", body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	fmt.Fprintf(w, "%s", body)
