--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -34,6 +34,7 @@
 func (s *State) view() *View {
 	return &View{
 		Ready:    s.Text != nil && s.readiness.Ready(s.Revision) && !s.Draining,
+		Draining: s.Draining,
 		Revision: s.Revision,
 		Text:     s.Text,
 		Routes:   s.routes,
