--- /dev/null
+++ b/replay/generator/deployment.go
@@ -0,0 +1,90 @@
+package generator
+
+import (
+	"fmt"
+
+	"mimosadock/replay/trace"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+)
+
+// Sizes that both deployments share.
+const (
+	upstreamSlots       unit.Slots    = 8
+	upstreamConnections               = 60
+	workerCPU           unit.MilliCPU = 16000
+	workerMemory        unit.MiB      = 60 << 10
+	clientDelay         trace.Micros  = 1000
+)
+
+// site is the part of a deployment in one data centre.
+type site struct {
+	name      unit.DataCentre
+	entries   int
+	upstreams int
+	workers   int
+}
+
+// layout describes a deployment before its hosts are numbered.
+type layout struct {
+	name     string
+	network  int // second byte of the IP numbers
+	between  trace.Micros
+	perRack  int
+	sites    []site
+	services []trace.Service
+}
+
+// martLayout is deployment 1 of the design page.
+func martLayout() layout {
+	return layout{
+		name: "tweedside", network: 1, between: 500, perRack: 10,
+		sites: []site{{"kelso", 3, 25, 25}, {"hawick", 3, 25, 25}, {"selkirk", 1, 15, 15}},
+		services: []trace.Service{
+			{Name: "lookup", Class: service.Urgent, Deadline: 2 * clock.Second, Idempotent: true},
+			{Name: "weigh", Class: service.Standard, Deadline: 4 * clock.Second},
+			{Name: "growth", Class: service.Bulk, Deadline: 20 * clock.Second, Idempotent: true},
+			{Name: "tags", Class: service.Long, Deadline: 2 * clock.Minute, Idempotent: true},
+		},
+	}
+}
+
+// tileLayout is deployment 2 of the design page.
+func tileLayout() layout {
+	return layout{
+		name: "lampang", network: 2, between: 1500, perRack: 6,
+		sites: []site{{"mueang", 2, 14, 14}, {"hangchat", 2, 14, 14}, {"maetha", 2, 12, 12}, {"kokha", 1, 10, 10}},
+		services: []trace.Service{
+			{Name: "glaze", Class: service.Urgent, Deadline: 2 * clock.Second, Idempotent: true},
+			{Name: "order", Class: service.Standard, Deadline: 4 * clock.Second},
+			{Name: "carving", Class: service.Bulk, Deadline: 20 * clock.Second, Idempotent: true},
+			{Name: "watch", Class: service.Long, Deadline: 2 * clock.Minute, Idempotent: true},
+		},
+	}
+}
+
+func (l layout) deployment() trace.Deployment {
+	d := trace.Deployment{Name: l.name, Between: l.between, Client: clientDelay, Services: l.services}
+	for i, s := range l.sites {
+		d.DataCentres = append(d.DataCentres, s.name)
+		address := func(kind, n int) string { return fmt.Sprintf("10.%d.%d.%d", l.network, i*4+kind, n+1) }
+		for n := range s.entries {
+			d.Entries = append(d.Entries, trace.Entry{Host: unit.Host(address(0, n)), DataCentre: s.name})
+		}
+		for n := range s.upstreams {
+			d.Upstreams = append(d.Upstreams, trace.Upstream{
+				Address: unit.Upstream(address(1, n) + ":80"), DataCentre: s.name,
+				Slots: upstreamSlots, Connections: upstreamConnections,
+			})
+		}
+		for n := range s.workers {
+			d.Workers = append(d.Workers, trace.Worker{
+				Address: unit.Worker(address(2, n) + ":90"), DataCentre: s.name,
+				Rack:     unit.Rack(fmt.Sprintf("%s-%d", s.name, n/l.perRack)),
+				Capacity: unit.Resources{CPU: workerCPU, Memory: workerMemory},
+			})
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/replay/generator/scenario.go
@@ -0,0 +1,34 @@
+package generator
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"mimosadock/replay/trace"
+)
+
+// scenario makes one trace.
+type scenario func(name string, seed uint64) *trace.Trace
+
+var scenarios = map[string]scenario{
+	"marts-swing":   martsSwing,
+	"marts-faults":  martsFaults,
+	"marts-work":    martsWork,
+	"tiles-watches": tilesWatches,
+	"tiles-orders":  tilesOrders,
+	"tiles-work":    tilesWork,
+	"tiles-changes": tilesChanges,
+}
+
+// Names returns the names of all scenarios in order.
+func Names() []string { return slices.Sorted(maps.Keys(scenarios)) }
+
+// Generate returns the trace of the named scenario for the seed.
+func Generate(name string, seed uint64) (*trace.Trace, error) {
+	s := scenarios[name]
+	if s == nil {
+		return nil, fmt.Errorf("generator: unknown scenario %q", name)
+	}
+	return s(name, seed), nil
+}
--- /dev/null
+++ b/replay/main.go
@@ -0,0 +1,66 @@
+// Command replay generates traces, replays them against the decision code in
+// virtual time, and draws a report.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"mimosadock/replay/generator"
+)
+
+// exitUsage is the exit code for settings that can't be used.
+const exitUsage = 2
+
+// settings are the flags of the program.
+type settings struct {
+	traces string
+	seed   uint64
+	names  []string
+	out    string
+}
+
+func main() {
+	var s settings
+	app := kingpin.New("replay", "Replays traces against the decision code in virtual time.")
+	app.Flag("traces", "Directory of traces and their outcome files.").Envar("MIMOSA_TRACES").Default("testdata/traces").StringVar(&s.traces)
+	gen := app.Command("generate", "Write the traces of the scenarios.")
+	gen.Flag("seed", "Seed of the generator.").Envar("MIMOSA_SEED").Default("1").Uint64Var(&s.seed)
+	gen.Arg("scenario", "Scenarios to write; all if none is named.").EnumsVar(&s.names, generator.Names()...)
+	command, err := app.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "replay:", err)
+		os.Exit(exitUsage)
+	}
+	switch command {
+	case gen.FullCommand():
+		err = generate(s)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "replay:", err)
+		os.Exit(1)
+	}
+}
+
+// generate writes the traces of the named scenarios.
+func generate(s settings) error {
+	names := s.names
+	if len(names) == 0 {
+		names = generator.Names()
+	}
+	for _, name := range names {
+		t, err := generator.Generate(name, s.seed)
+		if err != nil {
+			return err
+		}
+		path := filepath.Join(s.traces, name+".jsonl.gz")
+		if err := t.Save(path); err != nil {
+			return err
+		}
+		fmt.Printf("%s %d events\n", path, len(t.Events))
+	}
+	return nil
+}
--- /dev/null
+++ b/replay/outcome/stated.go
@@ -0,0 +1,121 @@
+package outcome
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+)
+
+// Stated is one outcome that a trace must have.
+type Stated struct {
+	Name    string   `json:"name"`
+	AtMost  *float64 `json:"atMost,omitempty"`
+	AtLeast *float64 `json:"atLeast,omitempty"`
+	Target  string   `json:"target"` // the target of the design page that the bound comes from
+}
+
+// File is the content of an outcome file.
+type File struct {
+	Trace    string   `json:"trace"`
+	Outcomes []Stated `json:"outcomes"`
+}
+
+// Load reads the outcome file at path. Every outcome must have exactly one
+// bound and a target, and every name must be used once.
+func Load(path string) (*File, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	f := new(File)
+	if err := dec.Decode(f); err != nil {
+		return nil, fmt.Errorf("outcome: %s: %w", path, err)
+	}
+	if err := f.check(); err != nil {
+		return nil, fmt.Errorf("outcome: %s: %w", path, err)
+	}
+	return f, nil
+}
+
+func (f *File) check() error {
+	if len(f.Outcomes) == 0 {
+		return errors.New("no outcomes are stated")
+	}
+	seen := make(map[string]bool, len(f.Outcomes))
+	for _, s := range f.Outcomes {
+		if (s.AtMost == nil) == (s.AtLeast == nil) || s.Target == "" {
+			return fmt.Errorf("%s needs one of atMost and atLeast, and a target", s.Name)
+		}
+		if seen[s.Name] {
+			return fmt.Errorf("%s is stated twice", s.Name)
+		}
+		seen[s.Name] = true
+	}
+	return nil
+}
+
+// Set is the measured figures of one run by name, each with its baselines.
+type Set struct {
+	names     []string
+	values    map[string]float64
+	baselines map[string][]Figure
+}
+
+// Put stores a figure of the run.
+func (s *Set) Put(name string, value float64) {
+	if s.values == nil {
+		s.values, s.baselines = make(map[string]float64), make(map[string][]Figure)
+	}
+	if !slices.Contains(s.names, name) {
+		s.names = append(s.names, name)
+	}
+	s.values[name] = value
+}
+
+// Beside stores the figure that a baseline has for the given name.
+func (s *Set) Beside(name, baseline string, value float64) {
+	if s.values == nil {
+		s.values, s.baselines = make(map[string]float64), make(map[string][]Figure)
+	}
+	s.baselines[name] = append(s.baselines[name], Figure{baseline, value})
+}
+
+// Value returns the figure of the given name, and whether it was measured.
+func (s *Set) Value(name string) (float64, bool) {
+	v, ok := s.values[name]
+	return v, ok
+}
+
+// Lines compares the figures with the stated outcomes. An outcome without a
+// figure is a line with a missing value.
+func (s *Set) Lines(f *File) []Line {
+	lines := make([]Line, 0, len(f.Outcomes))
+	for _, o := range f.Outcomes {
+		v, ok := s.values[o.Name]
+		l := Line{Name: f.Trace + "." + o.Name, Value: v, Missing: !ok, Baselines: s.baselines[o.Name]}
+		if o.AtLeast != nil {
+			l.Side, l.Bound = AtLeast, *o.AtLeast
+		} else {
+			l.Bound = *o.AtMost
+		}
+		lines = append(lines, l)
+	}
+	return lines
+}
+
+// Unstated returns the names of measured figures without a stated outcome, in
+// the order in which they were stored.
+func (s *Set) Unstated(f *File) []string {
+	var out []string
+	for _, n := range s.names {
+		if !slices.ContainsFunc(f.Outcomes, func(o Stated) bool { return o.Name == n }) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/replay/trace/header.go
@@ -0,0 +1,102 @@
+package trace
+
+import (
+	"fmt"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+)
+
+// Format and Version identify the format of a trace.
+const (
+	Format  = "mimosadock-trace"
+	Version = 1
+)
+
+// Micros is a length of time in microseconds. Network delays are shorter than
+// the millisecond of the scheduler's clock.
+type Micros int64
+
+// MicrosOf returns s in microseconds.
+func MicrosOf(s clock.Span) Micros { return Micros(s) * 1000 }
+
+// Header is the first line of a trace.
+type Header struct {
+	Format     string     `json:"format"`
+	Version    int        `json:"version"`
+	Name       string     `json:"name"`
+	Origin     string     `json:"origin"` // what made the trace
+	Seed       uint64     `json:"seed"`
+	Length     clock.Span `json:"lengthMs"`
+	PeakFrom   clock.Span `json:"peakFromMs,omitempty"` // from the start; no peak if both are 0
+	PeakTo     clock.Span `json:"peakToMs,omitempty"`
+	Deployment Deployment `json:"deployment"`
+}
+
+// Deployment is the fixed part of the world that a trace was recorded in.
+type Deployment struct {
+	Name        string            `json:"name"`
+	DataCentres []unit.DataCentre `json:"dataCentres"`
+	Between     Micros            `json:"betweenDataCentresMicros"` // one way
+	Client      Micros            `json:"clientMicros"`             // one way
+	Entries     []Entry           `json:"entries"`
+	Upstreams   []Upstream        `json:"upstreams"`
+	Workers     []Worker          `json:"workers"`
+	Services    []Service         `json:"services"`
+}
+
+// Entry is one entry host.
+type Entry struct {
+	Host       unit.Host       `json:"host"`
+	DataCentre unit.DataCentre `json:"dataCentre"`
+}
+
+// Upstream is one executor.
+type Upstream struct {
+	Address     unit.Upstream   `json:"address"`
+	DataCentre  unit.DataCentre `json:"dataCentre"`
+	Slots       unit.Slots      `json:"slots"`
+	Connections int             `json:"connections"`
+}
+
+// Worker is one worker.
+type Worker struct {
+	Address    unit.Worker     `json:"address"`
+	DataCentre unit.DataCentre `json:"dataCentre"`
+	Rack       unit.Rack       `json:"rack"`
+	Capacity   unit.Resources  `json:"capacity"`
+}
+
+// Service is one service.
+type Service struct {
+	Name       unit.Service  `json:"name"`
+	Class      service.Class `json:"class"`
+	Deadline   clock.Span    `json:"deadlineMs"`
+	Idempotent bool          `json:"idempotent,omitempty"`
+}
+
+// ServiceOf returns the service of the given name, or nil if there is none.
+func (d *Deployment) ServiceOf(name unit.Service) *Service {
+	for i := range d.Services {
+		if d.Services[i].Name == name {
+			return &d.Services[i]
+		}
+	}
+	return nil
+}
+
+// InPeak reports whether at lies in the peak of the trace.
+func (h *Header) InPeak(at clock.Millis) bool {
+	return at >= clock.Millis(h.PeakFrom) && at < clock.Millis(h.PeakTo)
+}
+
+func (h *Header) check() error {
+	if h.Format != Format || h.Version != Version {
+		return fmt.Errorf("trace: format %q version %d, want %q version %d", h.Format, h.Version, Format, Version)
+	}
+	if h.Length <= 0 || len(h.Deployment.Entries) == 0 {
+		return fmt.Errorf("trace: %s has no length or no entry hosts", h.Name)
+	}
+	return nil
+}
