Add the open-loop load tool

Cause: nothing put load with kills and swings on the real processes. Change: load sends at times computed before the run, in turn to several entry processes of this host, counts each request id and keeps latencies from the intended send time in HDR histograms. Other hosts than loopback are refused, rates, duration, total and requests in flight are bounded.

--- /dev/null
+++ b/load/main.go
@@ -0,0 +1,103 @@
+// Command load sends requests to entry processes of this host at intended
+// times, whatever became of earlier requests, and prints what came back.
+//
+// Latency counts from the intended send time, so that a stall shows in every
+// request that was due while it lasted.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"mimosadock/load/profile"
+	"mimosadock/load/target"
+)
+
+// exitUsage is the exit code for settings that can't be used.
+const exitUsage = 2
+
+// maxOpen bounds the requests in flight that a flag can ask for.
+const maxOpen = 20_000
+
+// settings are the flags of the program.
+type settings struct {
+	targets  []string
+	services []string
+	profile  profile.Profile
+	deadline time.Duration
+	open     int
+	seed     uint64
+}
+
+func (s *settings) register(app *kingpin.Application) {
+	app.Flag("target", "Entry process as a loopback ip:port; may be repeated, used in turn.").Envar("MIMOSA_LOAD_TARGET").Required().StringsVar(&s.targets)
+	app.Flag("service", "Load on a service as name[:share[:runMs[:bodyBytes]]]; may be repeated.").Envar("MIMOSA_LOAD_SERVICE").Required().StringsVar(&s.services)
+	app.Flag("rate", "Requests a second.").Envar("MIMOSA_LOAD_RATE").Default("100").Float64Var(&s.profile.Rate)
+	app.Flag("factor", "Rate in the swing divided by --rate.").Envar("MIMOSA_LOAD_FACTOR").Default("1").Float64Var(&s.profile.Factor)
+	app.Flag("swing-from", "Start of the swing.").Envar("MIMOSA_LOAD_SWING_FROM").Default("0s").DurationVar(&s.profile.From)
+	app.Flag("swing-to", "End of the swing.").Envar("MIMOSA_LOAD_SWING_TO").Default("0s").DurationVar(&s.profile.To)
+	app.Flag("climb", "Time that the swing takes to climb.").Envar("MIMOSA_LOAD_CLIMB").Default("1s").DurationVar(&s.profile.Climb)
+	app.Flag("duration", "Length of the run.").Envar("MIMOSA_LOAD_DURATION").Default("10s").DurationVar(&s.profile.Duration)
+	app.Flag("total", "Most requests to send.").Envar("MIMOSA_LOAD_TOTAL").Default("100000").IntVar(&s.profile.Total)
+	app.Flag("deadline", "Deadline of a request.").Envar("MIMOSA_LOAD_DEADLINE").Default("2s").DurationVar(&s.deadline)
+	app.Flag("open", "Most requests in flight.").Envar("MIMOSA_LOAD_OPEN").Default("2000").IntVar(&s.open)
+	app.Flag("seed", "Seed of ids and of the choice of services.").Envar("MIMOSA_LOAD_SEED").Default("1").Uint64Var(&s.seed)
+}
+
+// sender checks the settings and returns the sender that they describe.
+func (s *settings) sender() (*sender, error) {
+	targets, err := target.New(s.targets)
+	if err != nil {
+		return nil, fmt.Errorf("--target: %w", err)
+	}
+	if err := s.profile.Check(); err != nil {
+		return nil, err
+	}
+	if s.deadline <= 0 || s.deadline > time.Hour {
+		return nil, fmt.Errorf("--deadline is %s, must be above 0s and at most 1h", s.deadline)
+	}
+	if s.open <= 0 || s.open > maxOpen {
+		return nil, fmt.Errorf("--open is %d, must be 1 to %d", s.open, maxOpen)
+	}
+	streams := make([]stream, len(s.services))
+	for i, text := range s.services {
+		if streams[i], err = parseStream(text, s.deadline); err != nil {
+			return nil, fmt.Errorf("--service: %w", err)
+		}
+	}
+	return newSender(targets, streams, s.profile, s.open, s.seed), nil
+}
+
+func main() {
+	var s settings
+	app := kingpin.New("load", "Open-loop load on entry processes of this host.")
+	s.register(app)
+	_, err := app.Parse(os.Args[1:])
+	var snd *sender
+	if err == nil {
+		snd, err = s.sender()
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "load:", err)
+		os.Exit(exitUsage)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := snd.run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		fmt.Fprintln(os.Stderr, "load:", err)
+		os.Exit(1)
+	}
+	snd.tally.Print(os.Stdout)
+	fmt.Printf("not sent because %d requests were in flight: %d\n", s.open, snd.held.Load())
+	if n := snd.tally.Damaged(); n > 0 {
+		fmt.Printf("wrong or duplicated answers: %d\n", n)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/load/tally/doc.go
@@ -0,0 +1,3 @@
+// Package tally counts the answers of a load run by request id and keeps their
+// latencies.
+package tally
--- /dev/null
+++ b/load/target/doc.go
@@ -0,0 +1,2 @@
+// Package target checks that load goes to this host only.
+package target
--- /dev/null
+++ b/load/target/target_test.go
@@ -0,0 +1,39 @@
+package target
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against load that leaves this host.
+func TestNewTakesLoopbackOnly(t *testing.T) {
+	tests := map[string]struct {
+		addresses []string
+		ok        bool
+	}{
+		"none":            {addresses: nil},
+		"loopback":        {addresses: []string{"127.0.0.1:80", "127.8.0.1:80", "[::1]:80"}, ok: true},
+		"mapped loopback": {addresses: []string{"[::ffff:127.0.0.1]:80"}, ok: true},
+		"other host":      {addresses: []string{"127.0.0.1:80", "10.0.0.1:80"}},
+		"any address":     {addresses: []string{"0.0.0.0:80"}},
+		"mapped other":    {addresses: []string{"[::ffff:10.0.0.1]:80"}},
+		"name":            {addresses: []string{"localhost:80"}},
+		"no port":         {addresses: []string{"127.0.0.1"}},
+		"port zero":       {addresses: []string{"127.0.0.1:0"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r, err := New(tc.addresses)
+			is.Equal(err == nil, tc.ok)
+			if err == nil {
+				first := r.Next()
+				for range r.Len() - 1 {
+					is.True(r.Next() != first)
+				}
+				is.Equal(r.Next(), first)
+			}
+		})
+	}
+}
