Add the bench harness with first bounds

Cause: benchmarks had no bounds that hold on any host. Change: bench/measure runs testing.Benchmark and bounds allocations and counts absolutely, times only as ratios of two measurements of one run; targets in microseconds are ratios to a fixed chain of multiplications measured beside. Conclusion: further measures are one map entry each.

--- /dev/null
+++ b/bench/measure/measure_test.go
@@ -0,0 +1,45 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosadock/replay/outcome"
+)
+
+// Guards against a bench run that passes although a figure is over its bound or
+// a benchmark failed.
+func TestGroupReportsShortfalls(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(SetTime(time.Millisecond))
+	tests := map[string]struct {
+		measure Measure
+		ok      bool
+	}{
+		"within":      {Count(outcome.AtMost, 1, func() float64 { return 1 }), true},
+		"over":        {Count(outcome.AtMost, 1, func() float64 { return 2 }), false},
+		"under":       {Count(outcome.AtLeast, 1, func() float64 { return 0 }), false},
+		"allocates":   {Allocations(0, func(b *testing.B) { allocate(b.N) }), false},
+		"same":        {Ratio(1e9, Yardstick, Yardstick), true},
+		"failed time": {Ratio(1e9, func(b *testing.B) { b.FailNow() }, Yardstick), false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			lines := 0
+			ok := Group{name: tc.measure}.Run("", func(outcome.Line) { lines++ })
+			is.Equal(ok, tc.ok)
+			is.Equal(lines, 1)
+		})
+	}
+}
+
+var kept []*[64]byte
+
+func allocate(n int) {
+	for range n {
+		kept = append(kept[:0], new([64]byte))
+	}
+}
