--- a/replay/generator/requests.go
+++ b/replay/generator/requests.go
@@ -41,6 +41,7 @@
 	b.upstreamFaults(6)
 	b.silences(12)
 	b.entryFaults(2)
+	b.shutdowns(2)
 	return b.finish()
 }
 
@@ -57,6 +58,7 @@
 	b.leavings(5)
 	b.silences(8)
 	b.entryFaults(2)
+	b.shutdowns(2)
 	b.linkFault("kelso", "hawick", 6*clock.Second, 5*clock.Second)
 	b.journalFault(7*clock.Second, 8*clock.Second)
 	return b.finish()
@@ -105,6 +107,17 @@
 	}
 }
 
+// shutdowns lets n entry processes shut down gracefully. A new instance starts
+// four seconds later.
+func (b *builder) shutdowns(n int) {
+	length := b.trace.Header.Length
+	for range n {
+		at, e := clock.Millis(b.between(length/5, length*3/5)), b.entry()
+		b.add(trace.Event{At: at, What: trace.EntryLeave, Entry: e})
+		b.add(trace.Event{At: at.Add(4 * clock.Second), What: trace.EntryUp, Entry: e})
+	}
+}
+
 func (b *builder) linkFault(x, y trace.DataCentre, from, length clock.Span) {
 	link := [2]trace.DataCentre{x, y}
 	b.add(trace.Event{At: clock.Millis(from), What: trace.LinkDown, Between: link})
--- /dev/null
+++ b/replay/proof/proof.go
@@ -0,0 +1,109 @@
+package proof
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"mimosadock/replay/invariant"
+	"mimosadock/replay/outcome"
+	"mimosadock/replay/trace"
+)
+
+// Suffixes of the files of a trace.
+const (
+	traceSuffix   = ".jsonl.gz"
+	outcomeSuffix = ".outcomes.json"
+)
+
+// Result is what the replay of one trace showed.
+type Result struct {
+	Name       string
+	Figures    outcome.Set
+	Lines      []outcome.Line
+	Unstated   []string
+	Violations []invariant.Violation
+	Plots      []Plot
+}
+
+// Plot is a set of curves over the time of the trace.
+type Plot struct {
+	Title  string
+	Unit   string
+	Curves []Curve
+}
+
+// Curve is one line of a plot.
+type Curve struct {
+	Name   string
+	Points []Point
+}
+
+// Point is a point of a curve; At is in seconds.
+type Point struct{ At, Value float64 }
+
+// Names returns the names of the traces in a directory in order.
+func Names(dir string) ([]string, error) {
+	paths, err := filepath.Glob(filepath.Join(dir, "*"+traceSuffix))
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(paths))
+	for _, p := range paths {
+		names = append(names, strings.TrimSuffix(filepath.Base(p), traceSuffix))
+	}
+	slices.Sort(names)
+	if len(names) == 0 {
+		return nil, fmt.Errorf("proof: no traces in %s", dir)
+	}
+	return names, nil
+}
+
+// Run replays the named trace of a directory.
+func Run(dir, name string) (*Result, error) {
+	t, err := trace.Load(filepath.Join(dir, name+traceSuffix))
+	if err != nil {
+		return nil, err
+	}
+	stated, err := outcome.Load(filepath.Join(dir, name+outcomeSuffix))
+	if err != nil {
+		return nil, err
+	}
+	r := &Result{Name: name}
+	if err := r.replay(t); err != nil {
+		return nil, fmt.Errorf("proof: %s: %w", name, err)
+	}
+	r.Lines = r.Figures.Lines(stated)
+	r.Unstated = r.Figures.Unstated(stated)
+	return r, nil
+}
+
+// replay runs the parts of the decision code that the trace has events for.
+func (r *Result) replay(t *trace.Trace) error {
+	parts := []struct {
+		what trace.What
+		run  func(*trace.Trace) error
+	}{
+		{trace.Request, r.traffic},
+	}
+	for _, p := range parts {
+		if !slices.ContainsFunc(t.Events, func(e trace.Event) bool { return e.What == p.what }) {
+			continue
+		}
+		if err := p.run(t); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// invariants stores the violations of each invariant that was checked.
+func (r *Result) invariants(l *invariant.Ledger) {
+	for i := invariant.Capacity; i <= invariant.Adopted; i++ {
+		if l.Checks(i) > 0 {
+			r.Figures.Put(i.String()+".violations", float64(l.Count(i)))
+		}
+	}
+	r.Violations = append(r.Violations, l.Kept()...)
+}
--- a/replay/trace/event.go
+++ b/replay/trace/event.go
@@ -22,6 +22,7 @@
 	UpstreamDown              // upstreamDown
 	UpstreamUp                // upstreamUp
 	UpstreamLeave             // upstreamLeave
+	EntryLeave                // entryLeave
 	EntryDown                 // entryDown
 	EntryUp                   // entryUp
 	WorkerDown                // workerDown
--- a/replay/trace/what_string.go
+++ b/replay/trace/what_string.go
@@ -15,23 +15,24 @@
 	_ = x[UpstreamDown-4]
 	_ = x[UpstreamUp-5]
 	_ = x[UpstreamLeave-6]
-	_ = x[EntryDown-7]
-	_ = x[EntryUp-8]
-	_ = x[WorkerDown-9]
-	_ = x[WorkerUp-10]
-	_ = x[WorkerFails-11]
-	_ = x[WorkerMends-12]
-	_ = x[JournalDown-13]
-	_ = x[JournalUp-14]
-	_ = x[LinkDown-15]
-	_ = x[LinkUp-16]
-	_ = x[Silence-17]
-	_ = x[Change-18]
+	_ = x[EntryLeave-7]
+	_ = x[EntryDown-8]
+	_ = x[EntryUp-9]
+	_ = x[WorkerDown-10]
+	_ = x[WorkerUp-11]
+	_ = x[WorkerFails-12]
+	_ = x[WorkerMends-13]
+	_ = x[JournalDown-14]
+	_ = x[JournalUp-15]
+	_ = x[LinkDown-16]
+	_ = x[LinkUp-17]
+	_ = x[Silence-18]
+	_ = x[Change-19]
 }
 
-const _What_name = "requestsubmitcancelnoiseupstreamDownupstreamUpupstreamLeaveentryDownentryUpworkerDownworkerUpworkerFailsworkerMendsjournalDownjournalUplinkDownlinkUpsilencechange"
+const _What_name = "requestsubmitcancelnoiseupstreamDownupstreamUpupstreamLeaveentryLeaveentryDownentryUpworkerDownworkerUpworkerFailsworkerMendsjournalDownjournalUplinkDownlinkUpsilencechange"
 
-var _What_index = [...]uint8{0, 7, 13, 19, 24, 36, 46, 59, 68, 75, 85, 93, 104, 115, 126, 135, 143, 149, 156, 162}
+var _What_index = [...]uint8{0, 7, 13, 19, 24, 36, 46, 59, 69, 78, 85, 95, 103, 114, 125, 136, 145, 153, 159, 166, 172}
 
 func (i What) String() string {
 	idx := int(i) - 0
