Prove requests against stated outcomes and draw a report

Cause: the traffic decisions had no proof in virtual time. Change: replay prove drives queue, route and retry with the recorded requests and prints a line an outcome with round robin and least connections beside; replay report writes one HTML page with SVG plots.

--- a/replay/main.go
+++ b/replay/main.go
@@ -30,6 +30,11 @@
 	gen := app.Command("generate", "Write the traces of the scenarios.")
 	gen.Flag("seed", "Seed of the generator.").Envar("MIMOSA_SEED").Default("1").Uint64Var(&s.seed)
 	gen.Arg("scenario", "Scenarios to write; all if none is named.").EnumsVar(&s.names, generator.Names()...)
+	pr := app.Command("prove", "Replay the traces and compare what they show with their outcome files.")
+	pr.Arg("trace", "Traces to replay; all if none is named.").StringsVar(&s.names)
+	rep := app.Command("report", "Write an HTML page with plots of the replays.")
+	rep.Flag("out", "File to write.").Envar("MIMOSA_REPORT").Default("report.html").StringVar(&s.out)
+	rep.Arg("trace", "Traces to replay; all if none is named.").StringsVar(&s.names)
 	command, err := app.Parse(os.Args[1:])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "replay:", err)
@@ -38,6 +43,10 @@
 	switch command {
 	case gen.FullCommand():
 		err = generate(s)
+	case pr.FullCommand():
+		err = prove(os.Stdout, s)
+	case rep.FullCommand():
+		err = report(s)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "replay:", err)
--- a/replay/outcome/line.go
+++ b/replay/outcome/line.go
@@ -25,6 +25,9 @@
 	Value float64
 }
 
+// String returns the figure as name=value.
+func (f Figure) String() string { return f.Name + "=" + number(f.Value) }
+
 // Line is one measured value with its bound.
 type Line struct {
 	Name      string
@@ -61,7 +64,7 @@
 	}
 	fmt.Fprintf(&b, "%s %s %s%s %s", l.Name, value, l.Side, number(l.Bound), result)
 	for _, f := range l.Baselines {
-		fmt.Fprintf(&b, " %s=%s", f.Name, number(f.Value))
+		b.WriteString(" " + f.String())
 	}
 	return b.String()
 }
--- a/replay/outcome/stated.go
+++ b/replay/outcome/stated.go
@@ -119,3 +119,13 @@
 	}
 	return out
 }
+
+// Text returns a figure with its baselines in the form of a line without a
+// bound.
+func (s *Set) Text(name string) string {
+	text := name + " " + number(s.values[name])
+	for _, f := range s.baselines[name] {
+		text += " " + f.String()
+	}
+	return text
+}
--- /dev/null
+++ b/replay/prove.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"mimosadock/replay/outcome"
+	"mimosadock/replay/page"
+	"mimosadock/replay/proof"
+)
+
+// errShort is returned when an outcome misses its bound.
+var errShort = errors.New("outcomes are short of their bounds")
+
+// prove replays the named traces, prints their lines and fails if one is short.
+func prove(w io.Writer, s settings) error {
+	results, err := replayAll(s)
+	if err != nil {
+		return err
+	}
+	ok := true
+	for _, r := range results {
+		ok = outcome.Print(w, r.Lines) && ok
+		for _, name := range r.Unstated {
+			fmt.Fprintf(w, "# %s.%s\n", r.Name, r.Figures.Text(name))
+		}
+		for _, v := range r.Violations {
+			fmt.Fprintf(w, "# %s %s\n", r.Name, v)
+		}
+	}
+	if !ok {
+		return errShort
+	}
+	return nil
+}
+
+// replayAll replays the named traces, or all.
+func replayAll(s settings) ([]*proof.Result, error) {
+	names := s.names
+	if len(names) == 0 {
+		var err error
+		if names, err = proof.Names(s.traces); err != nil {
+			return nil, err
+		}
+	}
+	results := make([]*proof.Result, 0, len(names))
+	for _, name := range names {
+		r, err := proof.Run(s.traces, name)
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, r)
+	}
+	return results, nil
+}
+
+// report writes the page of the named traces.
+func report(s settings) error {
+	results, err := replayAll(s)
+	if err != nil {
+		return err
+	}
+	var buf bytes.Buffer
+	if err := page.Write(&buf, results); err != nil {
+		return err
+	}
+	return os.WriteFile(s.out, buf.Bytes(), 0o644)
+}
--- a/replay/traffic/attempt.go
+++ b/replay/traffic/attempt.go
@@ -167,12 +167,22 @@
 	if row.closed {
 		return
 	}
-	row.closed = true
+	w.close(row)
 	row.Verdict = v
-	row.process.inFlight--
+	if row.process.leaving {
+		invariant.CheckDrained(&w.Ledger, w.now.Millis(), &row.Request, false)
+	}
 	w.calendar.add(w.now+stepsOf(w.header.Deployment.Client), action{what: atCaller, request: r, attempt: a})
 }
 
+// close marks a request as answered or given up.
+func (w *World) close(r *requestRow) {
+	if !r.closed {
+		r.closed = true
+		w.open--
+	}
+}
+
 func (w *World) reachCaller(r requestIndex, a attemptIndex) {
 	row := &w.requests[r]
 	row.Answers++
--- a/replay/traffic/events.go
+++ b/replay/traffic/events.go
@@ -51,6 +51,7 @@
 	}
 	i := requestIndex(len(w.requests))
 	w.requests = append(w.requests, r)
+	w.open++
 	arrival := w.now + stepsOf(w.header.Deployment.Client)
 	w.requests[i].deadline = arrival.Millis().Add(span)
 	w.calendar.add(arrival, action{what: delivered, message: func() { w.arrive(i, e.Entry) }})
@@ -64,12 +65,12 @@
 			continue
 		}
 		r.process = p
-		p.inFlight++
 		w.calendar.add(stepAt(r.deadline), action{what: expired, request: i, process: p})
 		p.scheme.Arrive(i)
 		return
 	}
-	r.closed, r.Verdict = true, verdict.DidNotRun
+	w.close(r)
+	r.Verdict = verdict.DidNotRun
 }
 
 // upstreamDown ends everything at an upstream. The processes see broken
@@ -95,12 +96,8 @@
 	}
 	p.up = false
 	for i := range w.requests {
-		if r := &w.requests[i]; r.process == p && !r.closed {
-			r.closed = true
-			if p.leaving {
-				// A crash during a graceful shutdown isn't a fault of it.
-				continue
-			}
+		if r := &w.requests[i]; r.process == p {
+			w.close(r)
 		}
 	}
 }
@@ -126,7 +123,7 @@
 		}
 		late := w.now.Millis() > r.deadline
 		invariant.CheckDrained(&w.Ledger, w.now.Millis(), &r.Request, late)
-		r.closed = true
+		w.close(r)
 	}
 }
 
--- a/replay/traffic/world.go
+++ b/replay/traffic/world.go
@@ -61,12 +61,11 @@
 // processRow is one entry host with its current process.
 type processRow struct {
 	trace.Entry
-	index    trace.EntryIndex
-	life     int
-	up       bool
-	leaving  bool
-	inFlight int
-	scheme   Scheme
+	index   trace.EntryIndex
+	life    int
+	up      bool
+	leaving bool
+	scheme  Scheme
 }
 
 // Instance returns the id of the current process.
@@ -107,7 +106,7 @@
 	listed    table.Table[unit.Upstream, bool] // leaving
 	start     Start
 	samples   []Sample
-	waiting   int // requests that reached a process and have no attempt open
+	open      int // requests without an answer
 }
 
 // Sample is the state of the world at one instant, for the report.
@@ -154,18 +153,15 @@
 func (w *World) startProcess(p *processRow) {
 	p.up, p.leaving = true, false
 	p.life++
-	p.inFlight = 0
 	p.scheme = w.start(w, p)
 }
 
-// tail is the time after the trace in which requests still end.
-const tail = 3 * clock.Second
-
-// Run replays the events.
+// Run replays the events and goes on until every request has ended, at the
+// latest at its deadline.
 func (w *World) Run(events []trace.Event) {
 	next := 0
-	end := stepAt(clock.Millis(w.header.Length + tail))
-	for ; w.now < end; w.now++ {
+	end := stepAt(clock.Millis(w.header.Length))
+	for ; w.now < end || w.open > 0; w.now++ {
 		for ; next < len(events) && stepAt(events[next].At) <= w.now; next++ {
 			w.apply(&events[next], next)
 		}
@@ -179,7 +175,6 @@
 		w.each(Scheme.Step)
 		invariant.CheckUpstreams(&w.Ledger, w.now.Millis(), &w.observed)
 	}
-	w.finish()
 }
 
 func (w *World) each(f func(Scheme)) {
@@ -195,17 +190,12 @@
 	for _, u := range w.upstreams.All() {
 		s.Given += (*u).running + len((*u).waiting)
 	}
-	s.Waiting = w.waiting
-	w.samples = append(w.samples, s)
-}
-
-// finish ends requests that are still open, as callers give up.
-func (w *World) finish() {
 	for i := range w.requests {
-		if r := &w.requests[i]; !r.closed {
-			r.closed = true
+		if r := &w.requests[i]; !r.closed && r.process != nil && r.open == 0 {
+			s.Waiting++
 		}
 	}
+	w.samples = append(w.samples, s)
 }
 
 // reach reports whether two data centres are in contact.
