--- a/replay/generator/jobs.go
+++ b/replay/generator/jobs.go
@@ -138,16 +138,14 @@
 // journal and links fail.
 func tilesChanges(name string, seed uint64) *trace.Trace {
 	b := newBuilder(name, seed, tileLayout(), 2*clock.Minute)
-	base := unit.Revision(1)
 	for at := clock.Millis(2 * clock.Second); at < clock.Millis(100*clock.Second); at = at.Add(b.between(clock.Second, 3*clock.Second)) {
 		racers := 1 + b.rng.IntN(3)
 		for i := range racers {
 			b.add(trace.Event{
-				At: at, What: trace.Change, Entry: b.entry(), Base: base,
+				At: at, What: trace.Change, Entry: b.entry(), Behind: unit.Revision(b.rng.IntN(8) / 7),
 				Author: fmt.Sprintf("operator-%d", i+1),
 			})
 		}
-		base++
 	}
 	b.journalFault(30*clock.Second, 6*clock.Second)
 	b.linkFault("mueang", "kokha", 28*clock.Second, 10*clock.Second)
--- a/replay/invariant/invariant_test.go
+++ b/replay/invariant/invariant_test.go
@@ -40,7 +40,7 @@
 	revision := func(p InForce) func(*Ledger) {
 		var ps table.Table[unit.Instance, InForce]
 		ps.Put("p", p)
-		return func(l *Ledger) { CheckRevisions(l, 10_000, 5, 5_000, &ps) }
+		return func(l *Ledger) { CheckRevisions(l, 10_000, []Acceptance{{4, 1_000}, {5, 5_000}, {6, 9_000}}, &ps) }
 	}
 	cpu := func(n unit.MilliCPU) unit.Resources { return unit.Resources{CPU: n} }
 	tests := map[string]struct {
--- a/replay/trace/event.go
+++ b/replay/trace/event.go
@@ -70,7 +70,7 @@
 	Cancel   unit.Job      `json:"cancel,omitempty"`
 	Factor   float64       `json:"factor,omitempty"` // slowdown of noise, above 1
 	For      clock.Span    `json:"forMs,omitempty"`  // length of noise
-	Base     unit.Revision `json:"base,omitempty"`   // of a change
+	Behind   unit.Revision `json:"behind,omitempty"` // of a change: revisions that its base lies behind
 	Author   string        `json:"author,omitempty"` // of a change
 }
 
--- a/replay/traffic/attempt.go
+++ b/replay/traffic/attempt.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// Send sends a request from its process to an upstream.
-func (w *World) Send(r requestIndex, address unit.Upstream) attemptIndex {
+// send sends a request from its process to an upstream.
+func (w *World) send(r requestIndex, address unit.Upstream) attemptIndex {
 	row := &w.requests[r]
 	row.tries++
 	row.open++
@@ -141,7 +141,9 @@
 		return
 	}
 	a.reported = true
-	w.requests[a.request].open--
+	r := &w.requests[a.request]
+	r.open--
+	r.risked = r.risked || a.outcome != verdict.DidNotRun
 	if a.process.up && a.process.life == a.lifeThen {
 		a.process.scheme.Ended(i)
 	}
@@ -153,16 +155,16 @@
 	if row.closed || row.process != p || !p.up {
 		return
 	}
-	v := verdict.MayHaveRun
-	if row.tries == 0 {
-		v = verdict.DidNotRun
+	v := row.verdict()
+	if row.open > 0 {
+		v = verdict.MayHaveRun
 	}
-	w.Answer(r, v, -1)
+	w.answer(r, v, -1)
 }
 
-// Answer answers the caller of r: with the answer of an attempt, or with a
+// answer answers the caller of r: with the answer of an attempt, or with a
 // verdict only if the attempt is negative.
-func (w *World) Answer(r requestIndex, v verdict.Verdict, a attemptIndex) {
+func (w *World) answer(r requestIndex, v verdict.Verdict, a attemptIndex) {
 	row := &w.requests[r]
 	if row.closed {
 		return
@@ -170,7 +172,8 @@
 	w.close(row)
 	row.Verdict = v
 	if row.process.leaving {
-		invariant.CheckDrained(&w.Ledger, w.now.Millis(), &row.Request, false)
+		cutOff := v != verdict.Ran && row.open > 0 && w.now.Millis() < row.deadline
+		invariant.CheckDrained(&w.Ledger, w.now.Millis(), &row.Request, cutOff)
 	}
 	w.calendar.add(w.now+stepsOf(w.header.Deployment.Client), action{what: atCaller, request: r, attempt: a})
 }
--- a/replay/traffic/events.go
+++ b/replay/traffic/events.go
@@ -107,26 +107,12 @@
 		return
 	}
 	if p.up {
-		w.endLeaving(p)
+		// The old process finishes what it has beside the new one.
+		p = w.replace(p)
 	}
 	w.startProcess(p)
 }
 
-// endLeaving replaces a process that was told to shut down gracefully. It must
-// have finished its short requests by then; long ones go on in the old process,
-// which the platform keeps until its drain time is over.
-func (w *World) endLeaving(p *processRow) {
-	for i := range w.requests {
-		r := &w.requests[i]
-		if r.process != p || r.closed {
-			continue
-		}
-		late := w.now.Millis() > r.deadline
-		invariant.CheckDrained(&w.Ledger, w.now.Millis(), &r.Request, late)
-		w.close(r)
-	}
-}
-
 // silence makes the open connections between a process and an upstream carry
 // nothing more: those in use and one idle one.
 func (w *World) silence(e trace.EntryIndex, u *upstreamRow) {
--- a/replay/traffic/granted.go
+++ b/replay/traffic/granted.go
@@ -124,7 +124,7 @@
 	row := &s.world.requests[r]
 	item := &queue.Item[requestIndex]{Class: row.service.Class, Deadline: row.deadline, Value: r}
 	if err := s.queue.Offer(item, s.world.now.Millis(), s.capacity(row)); err != nil {
-		s.world.Answer(r, verdict.Of(err), -1)
+		s.world.answer(r, verdict.Of(err), -1)
 		return
 	}
 	s.items[r] = item
@@ -157,7 +157,7 @@
 
 func (s *Granted) send(r requestIndex, to *sendRow) {
 	s.count(r, 1)
-	s.sent[s.world.Send(r, to.upstream.Address)] = to
+	s.sent[s.world.send(r, to.upstream.Address)] = to
 }
 
 func (s *Granted) count(r requestIndex, n int) {
@@ -195,10 +195,11 @@
 	if retry.Allowed(again) && s.budget.Spend(now) && s.again(attempt.request, to) {
 		return
 	}
-	if attempt.outcome != verdict.Ran {
-		a = -1
+	if attempt.outcome == verdict.Ran {
+		s.world.answer(attempt.request, verdict.Ran, a)
+		return
 	}
-	s.world.Answer(attempt.request, attempt.outcome, a)
+	s.world.answer(attempt.request, row.verdict(), -1)
 }
 
 // again sends a request to another upstream than the last.
@@ -262,7 +263,8 @@
 		}
 	}
 	s.startLong()
-	for s.queue.Len() > 0 && s.startNext(now) {
+	for more := s.queue.Len() > 0; more; {
+		more = s.startNext(now)
 	}
 }
 
@@ -281,7 +283,7 @@
 func (s *Granted) startNext(now clock.Millis) bool {
 	if item := s.queue.Expired(now, queue.Capacity{}); item != nil {
 		s.drop(item)
-		s.world.Answer(item.Value, verdict.DidNotRun, -1)
+		s.world.answer(item.Value, verdict.DidNotRun, -1)
 		return true
 	}
 	c := s.capacity(&s.world.requests[0])
--- a/replay/traffic/plain.go
+++ b/replay/traffic/plain.go
@@ -56,10 +56,10 @@
 	q.Now, q.Deadline = s.world.now.Millis(), row.deadline
 	up, _ := s.chooser.Choose(&t, q)
 	if up == nil {
-		s.world.Answer(r, verdict.DidNotRun, -1)
+		s.world.answer(r, verdict.DidNotRun, -1)
 		return
 	}
-	s.at[s.world.Send(r, up.Address)] = up
+	s.at[s.world.send(r, up.Address)] = up
 }
 
 // Ended answers the caller, or sends the request once more.
@@ -80,10 +80,11 @@
 		s.send(attempt.request, route.Query{Except: [route.MaxExcept]*route.Upstream{up}})
 		return
 	}
-	if attempt.outcome != verdict.Ran {
-		a = -1
+	if attempt.outcome == verdict.Ran {
+		s.world.answer(attempt.request, verdict.Ran, a)
+		return
 	}
-	s.world.Answer(attempt.request, attempt.outcome, a)
+	s.world.answer(attempt.request, row.verdict(), -1)
 }
 
 // Step does nothing: nothing waits.
--- a/replay/traffic/world.go
+++ b/replay/traffic/world.go
@@ -28,10 +28,20 @@
 	deadline clock.Millis
 	tries    int  // attempts that were sent
 	open     int  // attempts without an outcome
+	risked   bool // an attempt may have run
 	closed   bool // the process has answered
 	done     Step // the answer reached the caller
 }
 
+// verdict returns the verdict of a request without an answer: it may have run if
+// any of its attempts may have.
+func (r *requestRow) verdict() verdict.Verdict {
+	if r.risked {
+		return verdict.MayHaveRun
+	}
+	return verdict.DidNotRun
+}
+
 // attemptRow is one attempt of a request at an upstream.
 type attemptRow struct {
 	request  requestIndex
@@ -97,7 +107,8 @@
 	text      *service.Text
 	now       Step
 	calendar  calendar
-	processes []*processRow
+	processes []*processRow // the current process of each entry host
+	draining  []*processRow // shut down gracefully and already replaced
 	upstreams table.Table[unit.Upstream, *upstreamRow]
 	observed  table.Table[unit.Upstream, invariant.Upstream]
 	requests  []requestRow
@@ -177,10 +188,21 @@
 	}
 }
 
+// replace puts a new row in the place of a process that is shutting down, which
+// goes on beside it, and returns the new row.
+func (w *World) replace(p *processRow) *processRow {
+	w.draining = append(w.draining, p)
+	next := &processRow{Entry: p.Entry, index: p.index, life: p.life}
+	w.processes[p.index] = next
+	return next
+}
+
 func (w *World) each(f func(Scheme)) {
-	for _, p := range w.processes {
-		if p.up {
-			f(p.scheme)
+	for _, list := range [][]*processRow{w.processes, w.draining} {
+		for _, p := range list {
+			if p.up {
+				f(p.scheme)
+			}
 		}
 	}
 }
@@ -212,9 +234,9 @@
 	return stepsOf(w.header.Deployment.Between)
 }
 
-// Message delivers a message from one process to another after the way between
+// tell delivers a message from one process to another after the way between
 // them, unless they can't reach each other or the receiver has been replaced.
-func (w *World) Message(from, to *processRow, f func()) {
+func (w *World) tell(from, to *processRow, f func()) {
 	if !w.reach(from.DataCentre, to.DataCentre) {
 		return
 	}
