Drive the control systems of the entry process in the replay

Cause: the replay mirrored the systems of the control goroutine, so that a fault in them did not show.

--- a/replay/traffic/world.go
+++ b/replay/traffic/world.go
@@ -106,6 +106,7 @@
 	header    *trace.Header
 	text      *service.Text
 	now       Step
+	clock     clock.Manual // stands at now, for the decision code
 	calendar  calendar
 	processes []*processRow // the current process of each entry host
 	draining  []*processRow // shut down gracefully and already replaced
@@ -173,6 +174,7 @@
 	next := 0
 	end := stepAt(clock.Millis(w.header.Length))
 	for ; w.now < end || w.open > 0; w.now++ {
+		w.clock.Set(w.now.Millis())
 		for ; next < len(events) && stepAt(events[next].At) <= w.now; next++ {
 			w.apply(&events[next], next)
 		}
