--- /dev/null
+++ b/entry/control/membership.go
@@ -0,0 +1,182 @@
+package control
+
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/tenure"
+	"mimosadock/schedule/unit"
+)
+
+// beatEvery is the time between two heartbeats to the same member.
+const beatEvery = 500 * clock.Millisecond
+
+// Outgoing is a message to another process. It may be lost. An empty To stands
+// for whichever instance answers at the address.
+type Outgoing struct {
+	To      unit.Instance
+	Address string
+	Body    any // *tenure.Heartbeat, *slot.Demand, *slot.Grants, *slot.Pin, *slot.Pinned or *Handover
+}
+
+// Peers sends messages to other processes without waiting.
+type Peers interface {
+	Post(Outgoing)
+}
+
+// Records appends records to the journal without waiting. Their effect is seen
+// by reading; see [JournalRead]. A record that certainly was not appended is
+// told by [NotAppended].
+type Records interface {
+	Append(record any) // member.Card (a join), member.Goodbye or tenure.Claim
+}
+
+// memberState holds the tables of membership.
+type memberState struct {
+	node    tenure.Node
+	hosts   member.Hosts
+	peers   Peers
+	records Records
+	seeds   []string // addresses of peers from the settings
+	beats   table.Table[unit.Instance, clock.Millis]
+	seeded  clock.Millis // last heartbeats to the seeds
+	joining clock.Millis // last append of the join record; zero before
+}
+
+// Connect makes the process a member: it sends to peers and appends to the
+// journal. A process that is not connected keeps all slots to itself. It must
+// be called before Run.
+func (l *Loop) Connect(peers Peers, records Records, limits tenure.Limits, seeds []string) {
+	s := &l.state
+	s.peers, s.records, s.seeds = peers, records, seeds
+	s.node.Limits = limits
+	s.node.Self.Card = member.Card{
+		Instance: s.Self.Instance, Address: s.Self.Address, Host: s.Self.Host, DataCentre: s.Self.DataCentre,
+	}
+	s.holder.Self = s.Self.Instance
+}
+
+func (s *State) connected() bool { return s.peers != nil }
+
+// JournalRead tells what a read of the journal found, in journal order. Asked
+// is an instant before the read began; a complete read reached the end.
+type JournalRead struct {
+	Asked    clock.Millis
+	Entries  []tenure.Entry
+	Complete bool
+}
+
+// Apply learns the members and claims and confirms the own tenures.
+func (m JournalRead) Apply(s *State, now clock.Millis) {
+	s.node.Read(m.Entries, m.Asked, m.Complete, now)
+}
+
+// NotAppended tells that a record certainly was not appended.
+type NotAppended struct{ Record any }
+
+// Apply makes the record due again.
+func (m NotAppended) Apply(s *State, _ clock.Millis) {
+	switch r := m.Record.(type) {
+	case member.Card:
+		s.joining = 0
+	case tenure.Claim:
+		if b := s.node.Bids.Get(r.DataCentre); b != nil && b.Epoch == r.Epoch && b.Unsure == 0 {
+			b.Appended = 0
+		}
+	}
+}
+
+// PeerGone tells that the death of an instance is proven: its address refused a
+// connection, or another instance answered there.
+type PeerGone struct{ Instance unit.Instance }
+
+// Apply records the proof.
+func (m PeerGone) Apply(s *State, now clock.Millis) { s.node.Members.Prove(m.Instance, now) }
+
+// Leave starts the hand-over of the tenures. The process must have ended its
+// requests.
+type Leave struct{}
+
+// Apply ends the grants of this process.
+func (Leave) Apply(s *State, _ clock.Millis) {
+	s.node.Leaving = true
+	s.Urge()
+}
+
+// Delivered is a message that came from another process.
+type Delivered struct {
+	From unit.Instance
+	To   unit.Instance // empty if the sender did not know the instance
+	Body any
+}
+
+// MembershipSystem sends heartbeats, joins, acknowledges new members, and
+// applies the deaths that the operator declares.
+func MembershipSystem(s *State, now clock.Millis) {
+	if !s.connected() {
+		return
+	}
+	s.declareLost(now)
+	s.join(now)
+	if s.node.Full() {
+		member.Acknowledge(&s.node.Members, now, tenure.Allow(s.node.Limits.Confirm))
+	}
+	for id, m := range s.node.Members.All() {
+		last := s.beats.Ensure(id)
+		if m.Ended() || *last > 0 && now.Sub(*last) < beatEvery {
+			continue
+		}
+		*last = max(now, 1)
+		s.beat(m, m.Address, now)
+	}
+	if s.node.Members.Len() == 0 && (s.seeded == 0 || now.Sub(s.seeded) >= beatEvery) {
+		s.seeded = max(now, 1)
+		for _, address := range s.seeds {
+			if address != s.Self.Address {
+				s.beat(nil, address, now)
+			}
+		}
+	}
+}
+
+func (s *State) beat(m *member.Row, address string, now clock.Millis) {
+	b := s.node.Beat(m, now)
+	b.Revision = s.Revision
+	out := Outgoing{Address: address, Body: &b}
+	if m != nil {
+		out.To = m.Instance
+	}
+	s.peers.Post(out)
+}
+
+// joinRepeat is the time after which a join record without a known outcome is
+// appended again.
+const joinRepeat = 5 * clock.Second
+
+func (s *State) join(now clock.Millis) {
+	if s.node.JoinedAt > 0 || s.joining > 0 && now.Sub(s.joining) < joinRepeat {
+		return
+	}
+	s.joining = max(now, 1)
+	s.records.Append(s.node.Self.Card)
+}
+
+// declareLost applies the data centres that the services text declares lost,
+// and the fact that no other instance runs at the own address.
+func (s *State) declareLost(now clock.Millis) {
+	s.node.Members.ProveAll(func(m *member.Row) bool {
+		if m.Address == s.Self.Address {
+			return true
+		}
+		dc := s.centre(m.DataCentre)
+		return dc != nil && dc.Lost
+	}, now)
+}
+
+func (s *State) centre(name unit.DataCentre) *service.DataCentre {
+	if s.Text == nil {
+		return nil
+	}
+	return s.Text.DataCentre(name)
+}
--- a/entry/control/routes.go
+++ b/entry/control/routes.go
@@ -12,6 +12,7 @@
 // upstreamRow is one upstream of an upstream set.
 type upstreamRow struct {
 	set      string
+	slots    unit.Slots
 	upstream *route.Upstream
 }
 
@@ -48,10 +49,10 @@
 		for _, m := range set.Members {
 			row := s.upstreams.Ensure(m.Address)
 			if row.upstream == nil {
-				row.upstream = &route.Upstream{Address: m.Address, DataCentre: m.DataCentre, Slots: new(slot.Counter)}
+				row.upstream = &route.Upstream{Address: m.Address, DataCentre: m.DataCentre, Slots: new(slot.Counter), Pinned: new(slot.Counter)}
 			}
-			row.set = set.Name
-			row.upstream.Slots.Hold(set.Slots, clock.Never)
+			row.set, row.slots = set.Name, set.Slots
+			s.trackSlots(row)
 			members[set.Name] = append(members[set.Name], row.upstream)
 		}
 	}
--- /dev/null
+++ b/entry/control/slots.go
@@ -0,0 +1,302 @@
+package control
+
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/slot"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/tenure"
+	"mimosadock/schedule/unit"
+)
+
+// claimRepeat is the time after which a claim without a known outcome is
+// appended again.
+const claimRepeat = 2 * clock.Second
+
+// Handover is what an owner that leaves tells its successor. From then on it
+// grants nothing.
+type Handover struct {
+	DataCentre  unit.DataCentre    `json:"dataCentre" cbor:"1,keyasint"`
+	Epoch       unit.Epoch         `json:"epoch" cbor:"2,keyasint"`
+	Outstanding []slot.Outstanding `json:"outstanding,omitempty" cbor:"3,keyasint,omitempty"`
+}
+
+// granterRow is the granter of one data centre and the holders to answer.
+type granterRow struct {
+	slot.Granter
+	due     table.Table[unit.Instance, struct{}]
+	handed  []slot.Outstanding // from the former owner
+	handing clock.Millis       // last hand-over to a successor
+}
+
+// slotState holds the tables of slot grants.
+type slotState struct {
+	granters table.Table[unit.DataCentre, *granterRow]
+	holder   slot.Holder
+	pinWaits table.Table[slot.PinID, *pinWait]
+	queued   func(slot.Set) unit.Slots
+	asks     []slot.Pin
+	claims   []tenure.Claim
+	centres  []unit.DataCentre
+}
+
+// Systems returns the systems of membership, tenure, routes and slots in the
+// order in which they run.
+func Systems() []System {
+	return []System{MembershipSystem, TenureSystem, RouteSystem, GrantSystem, HoldSystem}
+}
+
+// SetQueued sets the function that tells how many requests of a set wait for a
+// slot. It is called from the control goroutine and must be set before Run.
+func (l *Loop) SetQueued(f func(slot.Set) unit.Slots) { l.state.queued = f }
+
+// trackSlots shares the counters of an upstream with the holder. A process
+// without peers holds all slots itself: the slow ones for pinned requests.
+func (s *State) trackSlots(row *upstreamRow) {
+	if s.connected() {
+		s.holder.Track(row.upstream.Address, row.upstream.DataCentre, slot.Set(row.set), row.upstream.Slots, row.upstream.Pinned)
+		return
+	}
+	parts := slot.Split(row.slots)
+	row.upstream.Slots.Hold(parts.Quick, clock.Never)
+	row.upstream.Pinned.Hold(parts.Slow, clock.Never)
+}
+
+// TenureSystem confirms the own tenures by promises, claims data centres
+// without a live owner, and begins and ends granters accordingly.
+func TenureSystem(s *State, now clock.Millis) {
+	if !s.connected() || s.Text == nil {
+		return
+	}
+	tenure.ConfirmPromises(&s.node.Tenures, &s.node.Members, s.Self.Instance, s.node.Limits, now)
+	s.centres = s.centres[:0]
+	for i := range s.Text.DataCentres {
+		s.centres = append(s.centres, s.Text.DataCentres[i].Name)
+	}
+	s.claims = s.node.Bid(s.claims[:0], s.centres, now, claimRepeat)
+	for _, c := range s.claims {
+		s.records.Append(c)
+	}
+	for dc, r := range s.node.Tenures.All() {
+		if r.Epoch > 0 {
+			s.holder.Adopt(dc, r.Epoch, r.Instance)
+		}
+		if r.Epoch > 0 && r.Instance == s.Self.Instance {
+			s.begin(dc, r, now)
+		}
+	}
+}
+
+// begin starts the granter of an own tenure once.
+func (s *State) begin(dc unit.DataCentre, r *tenure.Row, now clock.Millis) {
+	g := s.granter(dc)
+	if g.Epoch() == r.Epoch {
+		return
+	}
+	g.Limits = s.node.Limits
+	g.Begin(dc, r.Epoch)
+	g.due = table.Table[unit.Instance, struct{}]{}
+	s.syncGranter(dc, g)
+	if n := len(r.Formers); n > 0 && r.Formers[n-1].Handed {
+		g.Receive(g.handed, now)
+	}
+	g.handed = nil
+}
+
+func (s *State) granter(dc unit.DataCentre) *granterRow {
+	if g := s.granters.Get(dc); g != nil {
+		return *g
+	}
+	return *s.granters.Put(dc, new(granterRow))
+}
+
+func (s *State) syncGranter(dc unit.DataCentre, g *granterRow) {
+	for name, row := range s.upstreams.All() {
+		if row.upstream.DataCentre == dc {
+			g.Upstream(name, slot.Set(row.set), row.slots)
+		}
+	}
+}
+
+// owned returns the granter of the data centre and its rights, or nil if this
+// process is not the owner.
+func (s *State) owned(dc unit.DataCentre) (*granterRow, tenure.Right) {
+	r := s.node.Tenures.Get(dc)
+	g := s.granters.Get(dc)
+	if r == nil || g == nil || r.Instance != s.Self.Instance || (*g).Epoch() != r.Epoch {
+		return nil, tenure.Right{}
+	}
+	if s.node.Leaving {
+		return *g, tenure.Right{}
+	}
+	start := tenure.Takeover(r, &s.node.Members, *g, s.node.Limits, s.node.Self.LastRead)
+	return *g, tenure.RightOf(r, start, s.node.Limits)
+}
+
+// GrantSystem divides the slots of the own tenures, answers the demands that
+// came since the last tick, and hands the tenures over when leaving.
+func GrantSystem(s *State, now clock.Millis) {
+	for dc := range s.granters.All() {
+		g, right := s.owned(dc)
+		if g == nil {
+			continue
+		}
+		for id, m := range s.node.Members.All() {
+			if m.Dead {
+				g.Drop(id, now)
+			}
+		}
+		s.syncGranter(dc, g)
+		g.Tick(now, right)
+		for id := range g.due.All() {
+			if answer, ok := g.Answer(id, now, right); ok {
+				s.post(id, &answer, now)
+			}
+		}
+		g.due = table.Table[unit.Instance, struct{}]{}
+		s.declareCleared(dc, right, now)
+		s.handOver(dc, g, now)
+	}
+}
+
+// declareCleared records that the rights of all former owners have ended, so
+// that a later owner need not wait for them.
+func (s *State) declareCleared(dc unit.DataCentre, right tenure.Right, now clock.Millis) {
+	r := s.node.Tenures.Get(dc)
+	if len(r.Formers) > 0 && right.Quick(now) && right.Slow(now) && now.Sub(r.ClearedAt) >= claimRepeat {
+		r.ClearedAt = now
+		s.records.Append(tenure.Claim{DataCentre: dc, Epoch: r.Epoch, Instance: s.Self.Instance, Cleared: r.Epoch})
+	}
+}
+
+// handOver tells the successor what is outstanding, until its claim is known.
+func (s *State) handOver(dc unit.DataCentre, g *granterRow, now clock.Millis) {
+	if !s.node.Leaving || g.handing > 0 && now.Sub(g.handing) < beatEvery {
+		return
+	}
+	r := s.node.Tenures.Get(dc)
+	if len(r.Formers) > 0 { // rights that this process waited for are not its to hand over
+		return
+	}
+	g.handing = max(now, 1)
+	if to := s.successor(dc, now); to != "" {
+		s.post(to, &Handover{DataCentre: dc, Epoch: r.Epoch, Outstanding: g.Hand(now)}, now)
+	}
+}
+
+// successor returns the first live member, one of the data centre if there is
+// one.
+func (s *State) successor(dc unit.DataCentre, now clock.Millis) unit.Instance {
+	var best *member.Row
+	for _, m := range s.node.Members.All() {
+		if m.Ended() || m.Leaving || m.Silent(now) >= s.node.Limits.Confirm {
+			continue
+		}
+		if best == nil || m.DataCentre == dc && best.DataCentre != dc ||
+			(m.DataCentre == dc) == (best.DataCentre == dc) && m.Instance < best.Instance {
+			best = m
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.Instance
+}
+
+// HoldSystem tells the owners what this process needs.
+func HoldSystem(s *State, now clock.Millis) {
+	if !s.connected() {
+		return
+	}
+	queued := s.queued
+	if queued == nil {
+		queued = func(slot.Set) unit.Slots { return 0 }
+	}
+	s.holder.Observe(now)
+	for dc, r := range s.node.Tenures.All() {
+		if d, ok := s.holder.Demand(dc, now, queued); ok {
+			s.post(r.Instance, &d, now)
+		}
+	}
+	s.asks = s.holder.Asks(s.asks[:0], now)
+	for i := range s.asks {
+		owner, _ := s.holder.Owner(s.asks[i].DataCentre)
+		s.post(owner, &s.asks[i], now)
+	}
+	s.refuseClosedPins()
+}
+
+// post sends a message to an instance, which may be this one.
+func (s *State) post(to unit.Instance, body any, now clock.Millis) {
+	if to == s.Self.Instance {
+		Delivered{From: to, To: to, Body: body}.Apply(s, now)
+		return
+	}
+	if m := s.node.Members.Get(to); m != nil && !m.Ended() {
+		s.peers.Post(Outgoing{To: to, Address: m.Address, Body: body})
+	}
+}
+
+// Apply hands the message to the tables. Messages to another instance, which
+// ran at the same address, are dropped.
+func (m Delivered) Apply(s *State, now clock.Millis) {
+	if !s.connected() || m.To != "" && m.To != s.Self.Instance {
+		return
+	}
+	switch b := m.Body.(type) {
+	case *tenure.Heartbeat:
+		s.node.Receive(m.From, b, now)
+	case *slot.Demand:
+		s.demand(m.From, b, now)
+	case *slot.Grants:
+		s.holder.Apply(b)
+	case *slot.Pin:
+		s.pin(m.From, b, now)
+	case *slot.Pinned:
+		s.pinned(b)
+	case *Handover:
+		s.handover(m.From, b)
+	}
+}
+
+// known reports whether from is this process or a member that may be granted
+// slots. Pinned grants outlast a takeover, so they need a holder that the
+// successor finds in the journal.
+func (s *State) known(from unit.Instance, joined bool) bool {
+	if from == s.Self.Instance {
+		return !joined || s.node.JoinedAt > 0
+	}
+	m := s.node.Members.Get(from)
+	return m != nil && !m.Ended() && (!joined || m.Joined)
+}
+
+func (s *State) demand(from unit.Instance, d *slot.Demand, now clock.Millis) {
+	g, _ := s.owned(d.DataCentre)
+	if g == nil || !s.known(from, false) {
+		return
+	}
+	d.Holder = from
+	if g.Demand(d, now) {
+		g.due.Ensure(from)
+	}
+}
+
+func (s *State) pin(from unit.Instance, p *slot.Pin, now clock.Millis) {
+	g, right := s.owned(p.DataCentre)
+	if g == nil || !s.known(from, true) {
+		return
+	}
+	p.Holder = from
+	if answer, ok := g.Pin(p, now, right); ok {
+		s.post(from, &answer, now)
+	}
+}
+
+func (s *State) handover(from unit.Instance, h *Handover) {
+	r := s.node.Tenures.Get(h.DataCentre)
+	if r == nil || r.Epoch != h.Epoch || r.Instance != from || len(r.Formers) > 0 {
+		return
+	}
+	r.Handed = true
+	s.granter(h.DataCentre).handed = h.Outstanding
+}
--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -23,6 +23,8 @@
 	routes   *route.View
 	urgent   bool // run the systems before the next tick
 	routeState
+	slotState
+	memberState
 }
 
 // Urge makes the systems run right after the current message.
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -54,7 +54,7 @@
 		DataCentre: unit.DataCentre(s.DataCentre),
 	}
 	return &Process{
-		Loop:     control.New(clock.System{}, self, control.RouteSystem),
+		Loop:     control.New(clock.System{}, self, control.Systems()...),
 		settings: s,
 		log:      logger,
 		callers:  callers,
--- a/schedule/route/view.go
+++ b/schedule/route/view.go
@@ -14,6 +14,7 @@
 	Address    unit.Upstream
 	DataCentre unit.DataCentre
 	Slots      *slot.Counter // shared with the control goroutine
+	Pinned     *slot.Counter // slow slots that are kept for one request each
 }
 
 // Target is a service with the upstreams that may get its requests now.
