Carry messages between entry processes over gRPC with CBOR

Cause: the tables of tenure and slots had no transport. Change: package peer sends every message as one unary call with a CBOR codec (fxamacker/cbor, bounded sizes), with the sender and the addressee as metadata, mutual TLS whose files are read again when they change, and the passthrough scheme only. A refused connection or another instance at the address is told as proof of death. Measured: go test -race -count=3 ./entry/peer passes.

--- a/entry/control/membership.go
+++ b/entry/control/membership.go
@@ -34,14 +34,16 @@
 
 // memberState holds the tables of membership.
 type memberState struct {
-	node    tenure.Node
-	hosts   member.Hosts
-	peers   Peers
-	records Records
-	seeds   []string // addresses of peers from the settings
-	beats   table.Table[unit.Instance, clock.Millis]
-	seeded  clock.Millis // last heartbeats to the seeds
-	joining clock.Millis // last append of the join record; zero before
+	node       tenure.Node
+	hosts      member.Hosts
+	peers      Peers
+	records    Records
+	seeds      []string // addresses of peers from the settings
+	beats      table.Table[unit.Instance, clock.Millis]
+	seeded     clock.Millis // last heartbeats to the seeds
+	joining    clock.Millis // last append of the join record; zero before
+	left       chan struct{}
+	farewelled bool
 }
 
 // Connect makes the process a member: it sends to peers and appends to the
@@ -94,16 +96,51 @@
 // Apply records the proof.
 func (m PeerGone) Apply(s *State, now clock.Millis) { s.node.Members.Prove(m.Instance, now) }
 
+// AddressRefused tells that a connection to an address was refused. The attempt
+// began at Began.
+type AddressRefused struct {
+	Address string
+	Began   clock.Millis
+}
+
+// Apply records the death of the instances that were known to listen there
+// before. One that was learned of later may have started since.
+func (m AddressRefused) Apply(s *State, now clock.Millis) {
+	s.node.Members.ProveAll(func(r *member.Row) bool {
+		return r.Address == m.Address && r.Learned < m.Began
+	}, now)
+}
+
 // Leave starts the hand-over of the tenures. The process must have ended its
-// requests.
-type Leave struct{}
+// requests. Done is closed when no tenure is left and the goodbye record has
+// been passed on; it may be nil.
+type Leave struct{ Done chan struct{} }
 
 // Apply ends the grants of this process.
-func (Leave) Apply(s *State, _ clock.Millis) {
-	s.node.Leaving = true
+func (m Leave) Apply(s *State, _ clock.Millis) {
+	s.node.Leaving, s.left = true, m.Done
 	s.Urge()
 }
 
+// farewell appends the goodbye record once no tenure is left that a live member
+// could take over.
+func (s *State) farewell(now clock.Millis) {
+	if !s.node.Leaving || s.farewelled {
+		return
+	}
+	alone := s.successor(s.Self.DataCentre, now) == ""
+	for _, r := range s.node.Tenures.All() {
+		if !alone && r.Epoch > 0 && r.Instance == s.Self.Instance {
+			return
+		}
+	}
+	s.farewelled = true
+	s.records.Append(member.Goodbye{Instance: s.Self.Instance})
+	if s.left != nil {
+		close(s.left)
+	}
+}
+
 // Delivered is a message that came from another process.
 type Delivered struct {
 	From unit.Instance
@@ -111,6 +148,11 @@
 	Body any
 }
 
+// Body is a message of another concern. It runs in the control goroutine.
+type Body interface {
+	Deliver(s *State, from unit.Instance, now clock.Millis)
+}
+
 // MembershipSystem sends heartbeats, joins, acknowledges new members, and
 // applies the deaths that the operator declares.
 func MembershipSystem(s *State, now clock.Millis) {
@@ -119,6 +161,7 @@
 	}
 	s.declareLost(now)
 	s.join(now)
+	s.farewell(now)
 	if s.node.Full() {
 		member.Acknowledge(&s.node.Members, now, tenure.Allow(s.node.Limits.Confirm))
 	}
--- a/entry/control/slots.go
+++ b/entry/control/slots.go
@@ -256,6 +256,8 @@
 		s.pinned(b)
 	case *Handover:
 		s.handover(m.From, b)
+	case Body:
+		b.Deliver(s, m.From, now)
 	}
 }
 
--- /dev/null
+++ b/entry/peer/keys.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/credentials"
+)
+
+// Keys are the files of mutual TLS. Files that have changed are read again at
+// the next handshake; if they can't be used, the last usable ones stay.
+type Keys struct {
+	Cert, Key, CA string // PEM files
+
+	mu     sync.Mutex
+	stamps [3]time.Time
+	loaded *loaded
+}
+
+// loaded is the content of the key files.
+type loaded struct {
+	cert tls.Certificate
+	pool *x509.CertPool
+}
+
+// Load reads the files and returns an error if they can't be used.
+func (k *Keys) Load() error {
+	_, err := k.current()
+	return err
+}
+
+// current returns the keys of the files as they are now. The error is that of
+// the last reading if there are no usable keys yet.
+func (k *Keys) current() (*loaded, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	stamps, err := k.stat()
+	if err == nil && (k.loaded == nil || stamps != k.stamps) {
+		var l *loaded
+		if l, err = k.read(); err == nil {
+			k.loaded, k.stamps = l, stamps
+		}
+	}
+	if k.loaded != nil {
+		return k.loaded, nil
+	}
+	return nil, err
+}
+
+func (k *Keys) stat() (stamps [3]time.Time, err error) {
+	for i, name := range []string{k.Cert, k.Key, k.CA} {
+		info, err := os.Stat(name)
+		if err != nil {
+			return stamps, err
+		}
+		stamps[i] = info.ModTime()
+	}
+	return stamps, nil
+}
+
+func (k *Keys) read() (*loaded, error) {
+	cert, err := tls.LoadX509KeyPair(k.Cert, k.Key)
+	if err != nil {
+		return nil, err
+	}
+	pem, err := os.ReadFile(k.CA)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("%s holds no certificate", k.CA)
+	}
+	return &loaded{cert: cert, pool: pool}, nil
+}
+
+// server returns credentials that demand a certificate of the authority.
+func (k *Keys) server() credentials.TransportCredentials {
+	return credentials.NewTLS(&tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			l, err := k.current()
+			if err != nil {
+				return nil, err
+			}
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{l.cert},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    l.pool,
+				NextProtos:   []string{"h2"},
+			}, nil
+		},
+	})
+}
+
+// client returns credentials for a peer at address, whose certificate must name
+// the IP number. The standard verification is replaced by an equal one because
+// its authorities can't change after the configuration is made.
+func (k *Keys) client(address string) credentials.TransportCredentials {
+	host, _, _ := net.SplitHostPort(address)
+	return credentials.NewTLS(&tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		InsecureSkipVerify: true,
+		VerifyConnection:   func(cs tls.ConnectionState) error { return k.verify(host, cs.PeerCertificates) },
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			l, err := k.current()
+			if err != nil {
+				return nil, err
+			}
+			return &l.cert, nil
+		},
+	})
+}
+
+func (k *Keys) verify(host string, chain []*x509.Certificate) error {
+	l, err := k.current()
+	if err != nil {
+		return err
+	}
+	if len(chain) == 0 {
+		return errors.New("peer has no certificate")
+	}
+	between := x509.NewCertPool()
+	for _, c := range chain[1:] {
+		between.AddCert(c)
+	}
+	_, err = chain[0].Verify(x509.VerifyOptions{DNSName: host, Roots: l.pool, Intermediates: between})
+	return err
+}
--- /dev/null
+++ b/entry/peer/server.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"mimosadock/entry/control"
+	"mimosadock/schedule/unit"
+)
+
+// Bounds of the connections of peers.
+const (
+	maxStreams    = 64
+	keepaliveTime = 10 * time.Second
+	keepaliveWait = 2 * time.Second
+	handshakeTime = 2 * time.Second
+)
+
+var (
+	received = expvar.NewInt("peer.received")
+	refused  = expvar.NewInt("peer.receivedForAnother")
+)
+
+// Server receives messages for one instance. Offer must not wait; it reports
+// false if the message was dropped.
+type Server struct {
+	Self  unit.Instance
+	Offer func(control.Message) bool
+	Keys  *Keys // nil for plain text
+}
+
+// Serve serves l until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(int(maxMessage)),
+		grpc.MaxSendMsgSize(int(maxMessage)),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.ConnectionTimeout(handshakeTime),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveWait}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTime / 2, PermitWithoutStream: true}),
+	}
+	if s.Keys != nil {
+		options = append(options, grpc.Creds(s.Keys.server()))
+	}
+	srv := grpc.NewServer(options...)
+	srv.RegisterService(describe(), s)
+	stop := context.AfterFunc(ctx, srv.Stop)
+	defer stop()
+	if err := srv.Serve(l); err != nil && ctx.Err() == nil {
+		return err
+	}
+	return nil
+}
+
+// receive passes one message to the control goroutine.
+func (s *Server) receive(ctx context.Context, body any) error {
+	from, to, err := parties(ctx)
+	if err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	if to != "" && to != s.Self {
+		refused.Add(1)
+		return errOtherInstance
+	}
+	received.Add(1)
+	if !s.Offer(control.Delivered{From: from, To: to, Body: body}) {
+		return status.Error(codes.ResourceExhausted, "inbox is full")
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/peer/service.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"context"
+	"errors"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"mimosadock/entry/control"
+	"mimosadock/schedule/slot"
+	"mimosadock/schedule/tenure"
+	"mimosadock/schedule/unit"
+)
+
+// serviceName is the gRPC service of the entry processes.
+const serviceName = "mimosadock.Peer"
+
+// Metadata of a call.
+const (
+	fromKey = "mimosa-from"
+	toKey   = "mimosa-to"
+)
+
+// empty is the answer of every call.
+type empty struct{}
+
+// method is one kind of message.
+type method struct {
+	name    string
+	matches func(body any) bool
+	decode  func(dec func(any) error) (any, error)
+}
+
+// of returns the method that carries bodies of the type *B.
+func of[B any](name string) method {
+	return method{
+		name:    name,
+		matches: func(body any) bool { _, ok := body.(*B); return ok },
+		decode: func(dec func(any) error) (any, error) {
+			b := new(B)
+			return b, dec(b)
+		},
+	}
+}
+
+// methods are the messages of the service.
+var methods = []method{
+	of[tenure.Heartbeat]("heartbeat"),
+	of[slot.Demand]("demand"),
+	of[slot.Grants]("grants"),
+	of[slot.Pin]("pin"),
+	of[slot.Pinned]("pinned"),
+	of[control.Handover]("handover"),
+}
+
+// methodOf returns the full method name for a body, or false if no method
+// carries it.
+func methodOf(body any) (string, bool) {
+	for i := range methods {
+		if methods[i].matches(body) {
+			return "/" + serviceName + "/" + methods[i].name, true
+		}
+	}
+	return "", false
+}
+
+// receiver is what the service is registered for.
+type receiver interface {
+	receive(ctx context.Context, body any) error
+}
+
+// describe returns the description of the service.
+func describe() *grpc.ServiceDesc {
+	d := &grpc.ServiceDesc{ServiceName: serviceName, HandlerType: (*receiver)(nil)}
+	for _, m := range methods {
+		d.Methods = append(d.Methods, grpc.MethodDesc{
+			MethodName: m.name,
+			Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) { //revive:disable-line:context-as-argument
+				body, err := m.decode(dec)
+				if err != nil {
+					return nil, status.Error(codes.InvalidArgument, "message can't be decoded")
+				}
+				return &empty{}, srv.(receiver).receive(ctx, body)
+			},
+		})
+	}
+	return d
+}
+
+// errOtherInstance tells the sender that the addressee runs no more.
+var errOtherInstance = status.Error(codes.FailedPrecondition, "another instance runs at this address")
+
+// parties returns the sender and the addressee of a call.
+func parties(ctx context.Context) (from, to unit.Instance, err error) {
+	md, _ := metadata.FromIncomingContext(ctx)
+	if v := md.Get(fromKey); len(v) == 1 {
+		from = unit.Instance(v[0])
+	}
+	if v := md.Get(toKey); len(v) == 1 {
+		to = unit.Instance(v[0])
+	}
+	if from == "" {
+		err = errors.New("sender is missing")
+	}
+	return from, to, err
+}
--- a/entry/setting/setting.go
+++ b/entry/setting/setting.go
@@ -16,6 +16,11 @@
 	DataCentre string        // data centre of this host
 	LogLevel   string        // debug, info, warn or error
 	DrainFor   time.Duration // how long requests in flight may take after a stop signal
+	PeerListen string        // other entry processes, "ip:port"; empty keeps all slots to this process
+	Peers      []string      // known entry processes, "ip:port" each
+	PeerCert   string        // PEM files of mutual TLS between entry processes; all or none
+	PeerKey    string
+	PeerCA     string
 }
 
 // Register adds the flags of s to app.
@@ -25,6 +30,11 @@
 	app.Flag("data-centre", "Data centre of this host.").Envar("MIMOSA_DATA_CENTRE").Required().StringVar(&s.DataCentre)
 	app.Flag("log-level", "Lowest level to log.").Envar("MIMOSA_LOG_LEVEL").Default("info").StringVar(&s.LogLevel)
 	app.Flag("drain-for", "Time for requests in flight after a stop signal.").Envar("MIMOSA_DRAIN_FOR").Default("2h").DurationVar(&s.DrainFor)
+	app.Flag("peer-listen", "Address for other entry processes.").Envar("MIMOSA_PEER_LISTEN").StringVar(&s.PeerListen)
+	app.Flag("peers", "Address of a known entry process; repeat for more.").Envar("MIMOSA_PEERS").StringsVar(&s.Peers)
+	app.Flag("peer-cert", "Certificate for TLS between entry processes.").Envar("MIMOSA_PEER_CERT").StringVar(&s.PeerCert)
+	app.Flag("peer-key", "Key of the certificate.").Envar("MIMOSA_PEER_KEY").StringVar(&s.PeerKey)
+	app.Flag("peer-ca", "Authorities that sign the certificates of entry processes.").Envar("MIMOSA_PEER_CA").StringVar(&s.PeerCA)
 }
 
 // Check returns an error that names the flag, its value and what is allowed.
@@ -43,5 +53,23 @@
 	if s.DrainFor < 0 || s.DrainFor > 24*time.Hour {
 		return fmt.Errorf("--drain-for is %s, must be 0s to 24h", s.DrainFor)
 	}
+	return s.checkPeers()
+}
+
+func (s *Settings) checkPeers() error {
+	if a, err := netip.ParseAddrPort(s.PeerListen); s.PeerListen != "" && (err != nil || a.Addr().IsUnspecified()) {
+		return fmt.Errorf("--peer-listen is %q, must be the IP number of this host and a port", s.PeerListen)
+	}
+	for _, p := range s.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			return fmt.Errorf("--peers is %q, must be an IP number and a port", p)
+		}
+	}
+	if len(s.Peers) > 0 && s.PeerListen == "" {
+		return fmt.Errorf("--peer-listen is %q, must be set with --peers", s.PeerListen)
+	}
+	if (s.PeerCert == "") != (s.PeerKey == "") || (s.PeerCert == "") != (s.PeerCA == "") {
+		return fmt.Errorf("--peer-cert is %q, must be set together with --peer-key and --peer-ca", s.PeerCert)
+	}
 	return nil
 }
--- a/entry/setting/setting_test.go
+++ b/entry/setting/setting_test.go
@@ -22,6 +22,9 @@
 		"host name":    {change: func(s *Settings) { s.Listen = "localhost:80" }, want: "--listen"},
 		"same address": {change: func(s *Settings) { s.Listen, s.Operator = "127.0.0.1:80", "127.0.0.1:80" }, want: "--operator"},
 		"log level":    {change: func(s *Settings) { s.LogLevel = "loud" }, want: "--log-level"},
+		"peer host":    {change: func(s *Settings) { s.PeerListen = "0.0.0.0:90" }, want: "--peer-listen"},
+		"peers":        {change: func(s *Settings) { s.PeerListen, s.Peers = "10.0.0.1:90", []string{"a:1"} }, want: "--peers"},
+		"half of keys": {change: func(s *Settings) { s.PeerCert = "c.pem" }, want: "--peer-cert"},
 		"drain":        {change: func(s *Settings) { s.DrainFor = -1 }, want: "--drain-for"},
 	}
 	for name, tc := range tests {
