--- a/entry/control/journal.go
+++ b/entry/control/journal.go
@@ -171,6 +171,7 @@
 	for i := range b.Items {
 		m.applyItem(s, b.Items[i], now)
 	}
+	s.readMembers(b, now)
 	s.next = b.Next
 	s.register.Advance(b.Next)
 	s.schedule.Grow(b.Bytes, len(m.changes))
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -56,7 +56,7 @@
 // New returns a loop that runs the given systems in order on each tick.
 func New(c clock.Clock, self Self, systems ...System) *Loop {
 	l := &Loop{clock: c, systems: systems, inbox: make(chan Message, inboxSize)}
-	l.state.Self = self
+	l.state.Self, l.state.clock = self, c
 	l.state.origin.Writer = self.Instance
 	l.state.receipts = make(chan stream.Receipt, receiptsSize)
 	l.state.onReceipt = make(map[record.ID]func(*State, stream.Receipt, clock.Millis))
--- a/entry/control/routes.go
+++ b/entry/control/routes.go
@@ -131,14 +131,15 @@
 	}
 }
 
-// RouteSystems returns the systems of the request path in their order.
+// RouteSystems returns the systems of the request path in their order, for a
+// process without peers.
 func RouteSystems() []System {
-	return []System{MemberSystem, LocalSlots, HealthSystem, EjectionSystem, LimitSystem, StatsSystem, RouteSystem}
+	return []System{UpstreamSystem, HealthSystem, EjectionSystem, LimitSystem, StatsSystem, RouteSystem}
 }
 
-// MemberSystem brings the rows of upstreams and services in line with the text
+// UpstreamSystem brings the rows of upstreams and services in line with the text
 // and the list of hosts.
-func MemberSystem(s *State, now clock.Millis) {
+func UpstreamSystem(s *State, now clock.Millis) {
 	if s.Text == nil || s.routeRevision == s.Revision && !s.membersStale {
 		return
 	}
@@ -184,6 +185,7 @@
 	}
 	row.set, row.slots, row.stale = set.Name, set.Slots, false
 	row.leaving = s.leaving.Get(m.Address) != nil
+	s.trackSlots(row)
 	g := s.groups.Ensure(groupKey{set.Name, m.DataCentre})
 	*g = append(*g, m.Address)
 }
--- /dev/null
+++ b/entry/control/tenurerecords.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"expvar"
+
+	"mimosadock/entry/stream"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/record"
+	"mimosadock/schedule/snapshot"
+	"mimosadock/schedule/tenure"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+)
+
+// membersSection names the section of members and tenures in the common
+// snapshots.
+const membersSection = "members"
+
+var unreadable = expvar.NewInt("control.unreadableBodies")
+
+// journalRecords appends the records of membership and tenure. Its methods run
+// in the control goroutine.
+type journalRecords struct{ state *State }
+
+var _ Records = journalRecords{}
+
+// JoinJournal makes the loop learn members and tenures from the journal, and
+// returns where it appends its own. It is called before Run.
+func (l *Loop) JoinJournal() Records {
+	l.OnRecord(record.Join, noteMember(func(c *member.Card) tenure.Entry { return tenure.Entry{Join: c} }))
+	l.OnRecord(record.Goodbye, noteMember(func(g *member.Goodbye) tenure.Entry { return tenure.Entry{Goodbye: g} }))
+	l.OnRecord(record.Claim, noteMember(func(c *tenure.Claim) tenure.Entry { return tenure.Entry{Claim: c} }))
+	l.AddSection(Section{Name: membersSection, Common: true, Save: saveMembers, Restore: restoreMembers})
+	return journalRecords{&l.state}
+}
+
+// noteMember returns a handler that collects a record until the end of the
+// batch, when the instant of the read is known.
+func noteMember[B any](entry func(*B) tenure.Entry) Handler {
+	return func(s *State, it record.Item, _ clock.Millis) {
+		body, err := record.Decode[B](it.Record)
+		if err != nil {
+			unreadable.Add(1)
+			return
+		}
+		e := entry(&body)
+		e.Offset = it.Offset
+		s.memberEntries = append(s.memberEntries, e)
+	}
+}
+
+// readMembers applies what the batch had about members and tenures. The batch
+// confirms the own tenures if it reached the end.
+func (s *State) readMembers(b *stream.Batch, now clock.Millis) {
+	if s.connected() {
+		s.node.Read(s.memberEntries, b.Asked, b.End, now)
+	}
+	s.memberEntries = s.memberEntries[:0]
+}
+
+// Append hands one record to the journal.
+func (r journalRecords) Append(body any) {
+	rec, err := r.encode(body)
+	if err == nil {
+		deadline := r.state.clock.Now().Add(claimRepeat)
+		err = r.state.Submit([]record.Record{rec}, deadline, func(s *State, receipt stream.Receipt, now clock.Millis) {
+			if receipt.Err != nil && verdict.Of(receipt.Err) == verdict.DidNotRun {
+				NotAppended{body}.Apply(s, now)
+			}
+		})
+	}
+	if err != nil {
+		NotAppended{body}.Apply(r.state, r.state.clock.Now())
+	}
+}
+
+func (r journalRecords) encode(body any) (record.Record, error) {
+	switch b := body.(type) {
+	case member.Card:
+		return record.Encode(&r.state.origin, record.Join, b)
+	case member.Goodbye:
+		return record.Encode(&r.state.origin, record.Goodbye, b)
+	case tenure.Claim:
+		return record.Encode(&r.state.origin, record.Claim, b)
+	default:
+		panic("control: record of an unknown type")
+	}
+}
+
+// savedMember is a member of the journal in a snapshot.
+type savedMember struct {
+	Card   member.Card `cbor:"1,keyasint"`
+	Offset unit.Offset `cbor:"2,keyasint"`
+}
+
+// savedMembers is the section of members and tenures. Claims has those of
+// former owners whose rights may not have ended before the ones that followed.
+type savedMembers struct {
+	Members []savedMember  `cbor:"1,keyasint"`
+	Claims  []tenure.Claim `cbor:"2,keyasint"`
+}
+
+func saveMembers(s *State, _ snapshot.Scope) ([]byte, error) {
+	var saved savedMembers
+	for _, m := range s.node.Members.All() {
+		if m.Joined && !m.Gone {
+			saved.Members = append(saved.Members, savedMember{m.Card, m.Offset})
+		}
+	}
+	if s.node.JoinedAt > 0 {
+		saved.Members = append(saved.Members, savedMember{s.node.Self.Card, s.node.Offset})
+	}
+	for dc, r := range s.node.Tenures.All() {
+		for _, f := range r.Formers {
+			saved.Claims = append(saved.Claims, tenure.Claim{DataCentre: dc, Epoch: f.Epoch, Instance: f.Instance})
+		}
+		if r.Epoch > 0 {
+			saved.Claims = append(saved.Claims, r.Claim)
+		}
+	}
+	return record.Marshal(saved)
+}
+
+func restoreMembers(s *State, _ snapshot.Scope, _ unit.Offset, data []byte) error {
+	saved, err := record.Unmarshal[savedMembers](data)
+	if err != nil {
+		return err
+	}
+	for i := range saved.Members {
+		m := &saved.Members[i]
+		s.memberEntries = append(s.memberEntries, tenure.Entry{Offset: m.Offset, Join: &m.Card})
+	}
+	for i := range saved.Claims {
+		s.memberEntries = append(s.memberEntries, tenure.Entry{Claim: &saved.Claims[i]})
+	}
+	return nil
+}
+
+// OwnerSystem tells the snapshots who the live owners are.
+func OwnerSystem(s *State, now clock.Millis) {
+	s.Owners = s.Owners[:0]
+	for dc, r := range s.node.Tenures.All() {
+		if r.Epoch == 0 {
+			continue
+		}
+		m := s.node.Members.Get(r.Instance)
+		if r.Instance == s.Self.Instance || m != nil && !m.Ended() && m.Silent(now) < s.node.Limits.Confirm {
+			s.Owners = append(s.Owners, snapshot.Owner{DataCentre: dc, Instance: r.Instance})
+		}
+	}
+}
--- a/entry/process/drain.go
+++ b/entry/process/drain.go
@@ -13,7 +13,7 @@
 //     load balancer.
 //  2. It refuses new requests as not run and lets those in flight end, for the
 //     drain time at most.
-//  3. It closes the connections.
+//  3. It hands its tenures over and closes the connections.
 //
 // The end of kill skips what is left.
 func (p *Process) drain(kill context.Context) {
@@ -26,6 +26,7 @@
 	ctx, cancel := context.WithTimeout(kill, p.settings.DrainFor)
 	defer cancel()
 	p.settle(ctx)
+	p.leave(ctx)
 	if err := p.server.Shutdown(ctx); err != nil {
 		p.log.Warn("requests were cut", "inFlight", p.front.InFlight())
 		p.server.Close()
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -16,10 +16,12 @@
 
 	"mimosadock/entry/control"
 	"mimosadock/entry/front"
+	"mimosadock/entry/peer"
 	"mimosadock/entry/pool"
 	"mimosadock/entry/setting"
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/group"
+	"mimosadock/schedule/tenure"
 	"mimosadock/schedule/unit"
 )
 
@@ -31,6 +33,9 @@
 	idleTimeout = 2 * time.Minute
 )
 
+// leaveTime bounds how long a hand-over of the tenures may take.
+const leaveTime = 10 * time.Second
+
 // Process is one entry process. Use [Open].
 type Process struct {
 	Loop *control.Loop
@@ -40,6 +45,9 @@
 	callers  net.Listener
 	operator net.Listener
 	journal  *journalStream // nil without a journal
+	peers    net.Listener   // nil without peers
+	keys     *peer.Keys     // nil for plain text
+	self     control.Self
 	group    *group.Group
 	front    *front.Front
 	pool     *pool.Pool
@@ -58,29 +66,68 @@
 		callers.Close()
 		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
-	self := control.Self{
+	p := &Process{settings: s, log: logger, callers: callers, operator: operator}
+	if err := p.openPeers(); err != nil {
+		callers.Close()
+		operator.Close()
+		return nil, err
+	}
+	p.self = control.Self{
 		Instance:   unit.Instance(uuid.NewString()),
 		Host:       unit.Host(netip.MustParseAddrPort(s.Listen).Addr().String()),
 		DataCentre: unit.DataCentre(s.DataCentre),
+		Address:    p.PeerAddress(),
 	}
 	systems := []control.System{control.ReceiptSystem, control.ConfigSystem}
-	systems = append(systems, control.RouteSystems()...)
-	systems = append(systems, control.SnapshotSystem)
-	loop := control.New(clock.System{}, self, systems...)
-	upstreams := new(pool.Pool)
-	p := &Process{
-		Loop:     loop,
-		settings: s,
-		log:      logger,
-		callers:  callers,
-		operator: operator,
-		pool:     upstreams,
-		front:    &front.Front{View: loop.View, Clock: clock.System{}, Sender: upstreams, Report: loop.Offer},
-	}
+	systems = append(systems, control.Systems()...)
+	systems = append(systems, control.OwnerSystem, control.SnapshotSystem)
+	p.Loop = control.New(clock.System{}, p.self, systems...)
+	p.pool = new(pool.Pool)
+	p.front = &front.Front{View: p.Loop.View, Clock: clock.System{}, Sender: p.pool, Report: p.Loop.Offer, Pinner: control.Pinner{Loop: p.Loop}}
 	p.openJournal()
 	return p, nil
 }
 
+// openPeers binds the address for peers and reads the keys, if they are set.
+func (p *Process) openPeers() error {
+	s := &p.settings
+	if s.PeerListen == "" {
+		return nil
+	}
+	if s.PeerCert != "" {
+		p.keys = &peer.Keys{Cert: s.PeerCert, Key: s.PeerKey, CA: s.PeerCA}
+		if err := p.keys.Load(); err != nil {
+			return fmt.Errorf("read the keys for peers: %w", err)
+		}
+	}
+	l, err := net.Listen("tcp", s.PeerListen)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	p.peers = l
+	return nil
+}
+
+// PeerAddress returns the bound address for peers, or an empty string.
+func (p *Process) PeerAddress() string {
+	if p.peers == nil {
+		return ""
+	}
+	return p.peers.Addr().String()
+}
+
+// connect starts the exchange with other entry processes.
+func (p *Process) connect() {
+	if p.peers == nil || p.journal == nil {
+		return
+	}
+	client := &peer.Client{Self: p.self.Instance, Group: p.group, Clock: clock.System{}, Offer: p.Loop.Offer, Keys: p.keys}
+	server := &peer.Server{Self: p.self.Instance, Offer: p.Loop.Offer, Keys: p.keys}
+	p.Loop.Connect(client, p.Loop.JoinJournal(), tenure.DefaultLimits(), p.settings.Peers)
+	p.group.Go("peers", func(ctx context.Context) error { return server.Serve(ctx, p.peers) })
+	p.log.Info("serving peers", "address", p.PeerAddress())
+}
+
 // CallerAddress returns the bound address for callers.
 func (p *Process) CallerAddress() string { return p.callers.Addr().String() }
 
@@ -91,6 +138,7 @@
 // end of kill cuts the drain short.
 func (p *Process) Run(ctx, kill context.Context) error {
 	p.group = group.New(context.WithoutCancel(ctx))
+	p.connect()
 	p.group.Go("control", p.Loop.Run)
 	p.journal.run(p.group)
 	p.group.Go("queues", p.front.Run)
@@ -118,6 +166,22 @@
 	})
 }
 
+// leave hands the tenures over and says goodbye, after the requests have ended.
+func (p *Process) leave(ctx context.Context) {
+	if p.peers == nil || p.journal == nil {
+		return
+	}
+	done := make(chan struct{})
+	if p.Loop.Send(ctx, control.Leave{Done: done}) != nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-time.After(leaveTime):
+	}
+}
+
 func (p *Process) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
--- a/entry/setting/setting_test.go
+++ b/entry/setting/setting_test.go
@@ -24,6 +24,9 @@
 		"journal":      {change: func(s *Settings) { s.Journal = "journal:7000" }, want: "--journal"},
 		"log level":    {change: func(s *Settings) { s.LogLevel = "loud" }, want: "--log-level"},
 		"balancer":     {change: func(s *Settings) { s.BalancerWait = time.Hour }, want: "--balancer-wait"},
+		"peer host":    {change: func(s *Settings) { s.PeerListen = "0.0.0.0:90" }, want: "--peer-listen"},
+		"peers":        {change: func(s *Settings) { s.PeerListen, s.Peers = "10.0.0.1:90", []string{"a:1"} }, want: "--peers"},
+		"half of keys": {change: func(s *Settings) { s.PeerCert = "c.pem" }, want: "--peer-cert"},
 		"drain":        {change: func(s *Settings) { s.DrainFor = -1 }, want: "--drain-for"},
 	}
 	for name, tc := range tests {
