--- /dev/null
+++ b/entry/control/bytes_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/slot"
+	"mimosadock/schedule/tenure"
+)
+
+// targetBytes is what control may send and receive on one node in a second.
+const targetBytes = 21_000
+
+// BenchmarkControlBytes measures the encoded messages of a process in a second
+// at the target size: 28 processes in 8 data centres with 150 upstreams each.
+// Steady load repeats; heavy load fills and releases slots all the time.
+func BenchmarkControlBytes(b *testing.B) {
+	for name, tries := range map[string]int{"steady": 0, "light": 1, "heavy": 5} {
+		b.Run(name, func(b *testing.B) {
+			f := quiet()
+			f.centres, f.upstreams, f.tries = []int{4, 4, 4, 4, 3, 3, 3, 3}, 150, tries
+			m := newModel(1, f)
+			m.runTo(8_000)
+			var beats, demands, grants float64
+			sent := make([]float64, len(m.procs))
+			m.onPost = func(p *proc, out Outgoing) {
+				data, err := cbor.Marshal(out.Body)
+				if err != nil {
+					b.Error(err)
+				}
+				sent[p.place] += float64(len(data))
+				switch out.Body.(type) {
+				case *tenure.Heartbeat:
+					beats += float64(len(data))
+				case *slot.Demand:
+					demands += float64(len(data))
+				default:
+					grants += float64(len(data))
+				}
+			}
+			seconds := 0
+			for b.Loop() {
+				m.runTo(m.now.Add(clock.Second))
+				seconds++
+			}
+			nodes := float64(len(m.procs) * seconds)
+			b.ReportMetric(beats/nodes, "heartbeatB/s")
+			b.ReportMetric(demands/nodes, "demandB/s")
+			b.ReportMetric(grants/nodes, "grantsB/s")
+			b.ReportMetric((beats+demands+grants)/nodes, "sentB/s")
+			most := slices.Max(sent) / float64(seconds)
+			b.ReportMetric(most, "mostSentB/s")
+			if 2*most > targetBytes { // an owner receives about as much as it sends
+				b.Errorf("%.0f B/s, want at most %d", 2*most, targetBytes)
+			}
+		})
+	}
+}
--- a/entry/control/membership.go
+++ b/entry/control/membership.go
@@ -118,7 +118,7 @@
 
 // Apply ends the grants of this process.
 func (m Leave) Apply(s *State, _ clock.Millis) {
-	s.node.Leaving, s.left = true, m.Done
+	s.node.Leaving, s.holder.Leaving, s.left = true, true, m.Done
 	s.Urge()
 }
 
--- a/schedule/slot/counter.go
+++ b/schedule/slot/counter.go
@@ -69,16 +69,16 @@
 		return false
 	}
 	used := c.used.Add(1) // before the load, so that a reduction of the held slots sees this request
-	if unit.Slots(used) > c.room(deadline) {
+	if unit.Slots(used) > c.Room(deadline) {
 		c.used.Add(-1)
 		return false
 	}
 	return true
 }
 
-// room returns the slots that requests up to deadline may use. The instants are
+// Room returns the slots that requests up to deadline may use. The instants are
 // loaded after the slots, since they are stored before them.
-func (c *Counter) room(deadline clock.Millis) unit.Slots {
+func (c *Counter) Room(deadline clock.Millis) unit.Slots {
 	held, room := c.Held(), unit.Slots(0)
 	if int64(deadline) <= c.quickUntil.Load() {
 		room += held.Quick
--- a/schedule/slot/granter.go
+++ b/schedule/slot/granter.go
@@ -56,6 +56,7 @@
 	since   Version      // grants before it are unknown to this row
 	lapse   clock.Millis // when nothing that was granted runs any more
 	fresh   bool         // a demand came after the last tick
+	leaving bool
 	wants   []Want
 	excess  []Excess
 	pinSeq  PinID
@@ -122,7 +123,7 @@
 		return false
 	}
 	g.reported.Ensure(d.Holder)
-	h.asked, h.applied, h.fresh = d.Asked, d.Applied, true
+	h.asked, h.applied, h.fresh, h.leaving = d.Asked, d.Applied, true, d.Leaving
 	if d.Applied < h.since || d.Applied > g.version {
 		h.applied = 0
 	}
--- a/schedule/slot/holder.go
+++ b/schedule/slot/holder.go
@@ -56,7 +56,8 @@
 // counters of the request path. Only one goroutine uses it. The zero value
 // holds nothing.
 type Holder struct {
-	Self unit.Instance
+	Self    unit.Instance
+	Leaving bool // the process takes no more requests
 
 	leases table.Table[unit.DataCentre, lease]
 	rows   table.Table[unit.Upstream, heldRow]
@@ -180,6 +181,10 @@
 // of them, so that demand can grow between two demands.
 const headroomPart = 4
 
+// decayPart is the part of the peak that is forgotten with each demand. Falling
+// at once would move slots between holders with every gap between two requests.
+const decayPart = 4
+
 // Demand returns the next demand for the data centre, or reports false if none
 // is due. Queued tells how many requests of a set wait for a slot.
 func (h *Holder) Demand(dc unit.DataCentre, now clock.Millis, queued func(Set) unit.Slots) (Demand, bool) {
@@ -187,7 +192,7 @@
 	if l == nil || l.owner == "" || now.Sub(l.asked) < DemandChanged && !l.urgent {
 		return Demand{}, false
 	}
-	d := Demand{DataCentre: dc, Epoch: l.epoch, Holder: h.Self, Asked: now, Applied: l.applied, PinSeq: h.seq}
+	d := Demand{DataCentre: dc, Epoch: l.epoch, Holder: h.Self, Asked: now, Applied: l.applied, PinSeq: h.seq, Leaving: h.Leaving}
 	sum := unit.Slots(0)
 	for k, peak := range h.peaks.All() {
 		if k.dc != dc {
@@ -208,7 +213,7 @@
 	h.addPins(&d, now)
 	for k, peak := range h.peaks.All() {
 		if k.dc == dc {
-			*peak = 0
+			*peak = max(0, *peak-1-*peak/decayPart)
 		}
 	}
 	l.asked, l.urgent, l.sum = now, false, sum
--- a/schedule/slot/message.go
+++ b/schedule/slot/message.go
@@ -46,9 +46,10 @@
 type Demand struct {
 	DataCentre unit.DataCentre `json:"dataCentre" cbor:"1,keyasint"`
 	Epoch      unit.Epoch      `json:"epoch" cbor:"2,keyasint"`
-	Holder     unit.Instance   `json:"holder" cbor:"-"`                     // the sender
-	Asked      clock.Millis    `json:"asked" cbor:"4,keyasint"`             // on the clock of the holder
-	Applied    Version         `json:"applied" cbor:"5,keyasint,omitempty"` // zero before the first grants of the epoch
+	Holder     unit.Instance   `json:"holder" cbor:"-"`                               // the sender
+	Asked      clock.Millis    `json:"asked" cbor:"4,keyasint"`                       // on the clock of the holder
+	Applied    Version         `json:"applied" cbor:"5,keyasint,omitempty"`           // zero before the first grants of the epoch
+	Leaving    bool            `json:"leaving,omitempty" cbor:"3,keyasint,omitempty"` // the holder needs no slots any more
 	Wants      []Want          `json:"wants,omitempty" cbor:"6,keyasint,omitempty"`
 	Excess     []Excess        `json:"excess,omitempty" cbor:"7,keyasint,omitempty"`
 	PinSeq     PinID           `json:"pinSeq,omitempty" cbor:"8,keyasint,omitempty"`  // last id asked for
--- a/schedule/slot/tick.go
+++ b/schedule/slot/tick.go
@@ -10,10 +10,12 @@
 // are indexed by the ordinal of the holder.
 type setRow struct {
 	members []unit.Upstream
+	rows    []*upstreamRow // of the members, valid during a tick
 	have    []unit.Slots
 	demand  []unit.Slots
 	need    []unit.Slots
 	target  []unit.Slots
+	leaving bool       // a holder that is leaving may have slots of the set
 	waiting unit.Slots // pins that wait for a slow slot
 }
 
@@ -61,7 +63,19 @@
 	u.cells = kept
 }
 
+// number looks up the holders and the upstreams of each set for the tick.
 func (g *Granter) number() {
+	for _, s := range g.sets.All() {
+		s.rows = s.rows[:0]
+	}
+	var set Set
+	var row *setRow
+	for _, u := range g.upstreams.All() {
+		if row == nil || u.set != set {
+			set, row = u.set, g.sets.Get(u.set)
+		}
+		row.rows = append(row.rows, u)
+	}
 	g.numbers = resize(g.numbers, int(g.nextNo))
 	for _, h := range g.holders.All() {
 		g.numbers[h.no] = h
@@ -150,11 +164,13 @@
 	n := len(g.numbers)
 	s.have, s.demand = resize(s.have, n), resize(s.demand, n)
 	s.need, s.target = resize(s.need, n), resize(s.target, n)
+	s.leaving = false
 	for i := range s.demand {
 		s.demand[i] = absent
 	}
 	for _, h := range g.holders.All() {
-		if h.asked == 0 { // known from a former owner only
+		s.leaving = s.leaving || h.leaving
+		if h.asked == 0 || h.leaving { // the first are known from a former owner only
 			continue
 		}
 		s.demand[h.no] = 0
@@ -165,8 +181,7 @@
 		}
 	}
 	capacity := unit.Slots(0)
-	for _, name := range s.members {
-		u := g.upstreams.Get(name)
+	for _, u := range s.rows {
 		capacity += o.of(Parts{Quick: u.slots.Quick, Slow: max(0, u.slots.Slow-u.pinned)}).Total()
 		for i := range u.cells {
 			s.have[u.cells[i].holder] += o.of(u.cells[i].want).Total()
@@ -183,18 +198,22 @@
 	for i, need := range s.need {
 		lack += max(0, need-s.have[i])
 	}
-	for _, name := range s.members { // what is free or on its way back need not be taken
-		u := g.upstreams.Get(name)
+	for _, u := range s.rows { // what is free or on its way back need not be taken
 		f, back := o.of(u.free()), o.of(u.returning())
 		lack -= f.Total() + back.Total()
 		pins -= f.Slow + back.Slow
 	}
-	for _, name := range s.members {
-		u := g.upstreams.Get(name)
+	for _, u := range s.rows {
 		over := u.over()
+		if lack <= 0 && pins <= 0 && over.Quick <= 0 && over.Slow <= 0 && !s.leaving {
+			continue
+		}
 		for i := range u.cells {
 			c := &u.cells[i]
 			keep := c.want
+			if s.demand[c.holder] == absent {
+				keep = Parts{}
+			}
 			move(&keep.Quick, &over.Quick, keep.Quick)
 			move(&keep.Slow, &over.Slow, keep.Slow)
 			spare := s.have[c.holder] - s.need[c.holder] - o.of(c.want).Total() + o.of(keep).Total()
@@ -253,8 +272,7 @@
 // grow gives free slots to the holders that lack most of their target.
 func (g *Granter) grow(s *setRow, o open) {
 	reserved := s.waiting
-	for _, name := range s.members {
-		u := g.upstreams.Get(name)
+	for _, u := range s.rows {
 		f := o.of(u.free())
 		move(&f.Slow, &reserved, f.Slow)
 		for f.Total() > 0 {
--- a/schedule/tenure/bid.go
+++ b/schedule/tenure/bid.go
@@ -44,6 +44,9 @@
 	if r.Instance == self.Instance && r.Epoch > 0 {
 		return false
 	}
+	if r.Handed {
+		return true
+	}
 	wait := rank(members, self, now, l) * l.Confirm / 2
 	if r.Epoch > 0 {
 		if m := members.Get(r.Instance); m != nil && !m.Ended() && !m.Leaving {
@@ -58,7 +61,7 @@
 	}
 	wait += l.Confirm
 	for _, m := range members.All() {
-		if m.DataCentre == dc && !m.Ended() && m.Silent(now) < wait {
+		if m.DataCentre == dc && !m.Ended() && !m.Leaving && m.Silent(now) < wait {
 			return false
 		}
 	}
@@ -69,7 +72,7 @@
 func rank(members *member.Table, self *Standing, now clock.Millis, l Limits) clock.Span {
 	n := clock.Span(0)
 	for id, m := range members.All() {
-		if m.DataCentre == self.DataCentre && id < self.Instance && !m.Ended() && m.Silent(now) < l.Confirm {
+		if m.DataCentre == self.DataCentre && id < self.Instance && !m.Ended() && !m.Leaving && m.Silent(now) < l.Confirm {
 			n++
 		}
 	}
