Connect the list of hosts, audit records and administration to the process

Cause: a leaving host was known to membership only, and the administration interface had no backend. Jobs answer that this process has no workers until the work side is connected.

--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -28,6 +28,7 @@
 	journalState
 	configState
 	snapshotState
+	auditState
 	slotState
 	memberState
 }
--- a/entry/front/state.go
+++ b/entry/front/state.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"expvar"
 	"slices"
+
+	"mimosadock/schedule/unit"
 )
 
 // decisions counts what was decided about requests, by decision.
@@ -39,3 +41,12 @@
 	slices.SortFunc(s.Queues, func(a, b QueueState) int { return cmp.Compare(a.Set, b.Set) })
 	return s
 }
+
+// Waiting returns how many requests wait for a slot of an upstream set.
+func (f *Front) Waiting(set string) unit.Slots {
+	d, ok := f.dispatchers.Load(set)
+	if !ok {
+		return 0
+	}
+	return unit.Slots(d.(*dispatcher).waiting.Load())
+}
--- /dev/null
+++ b/entry/process/backend.go
@@ -0,0 +1,183 @@
+package process
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"mimosadock/entry/admin"
+	"mimosadock/entry/control"
+	"mimosadock/schedule/audit"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/config"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+)
+
+// changeTimeout bounds how long a change waits for the journal. It is shorter
+// than the administration interface's own limit, so that the caller gets the
+// verdict.
+const changeTimeout = 8 * clock.Second
+
+// backend connects the administration interface to the control goroutine.
+type backend struct {
+	process *Process
+}
+
+var _ admin.Backend = (*backend)(nil)
+
+func (b *backend) loop() *control.Loop { return b.process.Loop }
+
+// Text returns the services text in force, or nil.
+func (b *backend) Text() *service.Text { return b.loop().View().Text }
+
+// Config returns the configuration in force.
+func (b *backend) Config(ctx context.Context) (admin.Config, error) {
+	return control.Ask(ctx, b.loop(), func(s *control.State, _ clock.Millis) admin.Config {
+		v := s.InForce()
+		c := admin.Config{Revision: v.Revision, Text: string(v.Source)}
+		if past := s.History(); len(past) > 0 && past[0].Revision == v.Revision {
+			c.Author, c.UnixMs = string(past[0].Author), int64(past[0].When)
+		}
+		return c
+	})
+}
+
+// History returns the last accepted changes, newest first.
+func (b *backend) History(ctx context.Context, limit int) ([]admin.Config, error) {
+	past, err := control.Ask(ctx, b.loop(), func(s *control.State, _ clock.Millis) []config.Past { return s.History() })
+	rows := make([]admin.Config, 0, min(limit, len(past)))
+	for _, p := range past[:min(limit, len(past))] {
+		rows = append(rows, admin.Config{Revision: p.Revision, Author: string(p.Author), UnixMs: int64(p.When)})
+	}
+	return rows, err
+}
+
+// Apply proposes a change and waits until the journal has decided on it.
+func (b *backend) Apply(ctx context.Context, author string, c admin.Change) (unit.Revision, error) {
+	change, err := config.NewChange(c.BaseRevision, config.Author(author), config.Stamp(time.Now().UnixMilli()), []byte(c.Text))
+	if err != nil {
+		return 0, err
+	}
+	reply := make(chan control.ChangeAnswer, 1)
+	deadline := clock.System{}.Now().Add(changeTimeout)
+	a, err := control.Tell(ctx, b.loop(), control.ProposeChange{Change: change, Deadline: deadline, Reply: reply}, reply)
+	if err != nil {
+		return 0, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "change was not decided in time", Err: err}
+	}
+	if a.Err != nil {
+		return 0, changeError(a)
+	}
+	return a.Outcome.Version.Revision, nil
+}
+
+// changeError turns the answer to a refused change into the error that the
+// interface shows.
+func changeError(a control.ChangeAnswer) error {
+	if errors.Is(a.Err, control.ErrStale) {
+		return &admin.Conflict{Newer: a.Outcome.Version.Revision, Diff: a.Outcome.Difference()}
+	}
+	var ve *verdict.Error
+	if errors.As(a.Err, &ve) && ve.RetryAfter > 0 {
+		return &verdict.Error{Verdict: ve.Verdict, Reason: ve.Reason, RetryAfter: ve.RetryAfter, Err: admin.ErrUnavailable}
+	}
+	return a.Err
+}
+
+// Services returns the services with what this process holds of their slots.
+func (b *backend) Services(ctx context.Context) ([]admin.Service, error) {
+	text := b.Text()
+	if text == nil {
+		return nil, nil
+	}
+	totals, err := control.Ask(ctx, b.loop(), func(s *control.State, _ clock.Millis) map[string]control.SlotTotals { return s.SlotTotals() })
+	rows := make([]admin.Service, 0, len(text.Services))
+	for _, svc := range text.Services {
+		t := totals[svc.UpstreamSet]
+		rows = append(rows, admin.Service{Service: svc, Upstreams: t.Upstreams, Held: t.Held, Used: t.Used})
+	}
+	return rows, err
+}
+
+// Status returns the summary of the process.
+func (b *backend) Status(ctx context.Context) (admin.Status, error) {
+	view := b.loop().View()
+	st, err := control.Ask(ctx, b.loop(), func(s *control.State, now clock.Millis) admin.Status {
+		st := admin.Status{Instance: s.Self.Instance, DataCentre: s.Self.DataCentre, Members: s.LiveMembers(now), Owns: s.Owned(), Journal: "none"}
+		if b.process.journal != nil {
+			st.Journal = s.JournalState()
+		}
+		return st
+	})
+	st.Ready, st.Revision = view.Ready, view.Revision
+	return st, err
+}
+
+// Hosts returns the platform's list as it is known.
+func (b *backend) Hosts(ctx context.Context) ([]admin.Host, error) {
+	hosts, err := control.Ask(ctx, b.loop(), func(s *control.State, _ clock.Millis) []member.HostRow { return s.Hosts() })
+	rows := make([]admin.Host, 0, len(hosts))
+	for _, h := range hosts {
+		state := h.State
+		if h.Leaving {
+			state = member.Leaving
+		}
+		rows = append(rows, admin.Host{
+			Address: h.Address, DataCentre: h.DataCentre, Rack: h.Rack, Role: h.Role.String(), State: state.String(), Slots: h.Slots, Capacity: h.Capacity,
+		})
+	}
+	slices.SortFunc(rows, func(x, y admin.Host) int { return cmp.Compare(x.Address, y.Address) })
+	return rows, err
+}
+
+// Drain records that a host is to get no new work. Every process carries it out
+// when it reads the record.
+func (b *backend) Drain(ctx context.Context, author, address string) error {
+	hosts, err := b.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(hosts, func(h admin.Host) bool { return h.Address == address }) {
+		return admin.ErrNotFound
+	}
+	return b.audit(ctx, audit.Entry{Action: audit.Drain, Target: address, Author: author, UnixMs: time.Now().UnixMilli()})
+}
+
+func (b *backend) audit(ctx context.Context, e audit.Entry) error {
+	reply := make(chan error, 1)
+	deadline := clock.System{}.Now().Add(changeTimeout)
+	failed, err := control.Tell(ctx, b.loop(), control.RecordAudit{Entry: e, Deadline: deadline, Reply: reply}, reply)
+	if err != nil {
+		return &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "journal did not answer in time", Err: err}
+	}
+	return failed
+}
+
+// Dump returns the state of the process.
+func (b *backend) Dump(ctx context.Context) (any, error) { return b.process.State(ctx) }
+
+// errNoWorkers is the answer to everything about jobs.
+var errNoWorkers = verdict.Refuse("this process is not connected to workers")
+
+// Usage returns what the teams use.
+func (b *backend) Usage(context.Context) ([]admin.Usage, error) { return nil, errNoWorkers }
+
+// Submit submits a job.
+func (b *backend) Submit(context.Context, unit.Team, admin.Submission) (admin.Job, error) {
+	return admin.Job{}, errNoWorkers
+}
+
+// Jobs returns the jobs of a team.
+func (b *backend) Jobs(context.Context, unit.Team) ([]admin.Job, error) { return nil, errNoWorkers }
+
+// Job returns a job.
+func (b *backend) Job(context.Context, unit.Job) (admin.Job, error) { return admin.Job{}, errNoWorkers }
+
+// Cancel cancels a job.
+func (b *backend) Cancel(context.Context, string, unit.Job) (admin.Job, error) {
+	return admin.Job{}, errNoWorkers
+}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -14,13 +14,17 @@
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
 
+	"mimosadock/entry/admin"
 	"mimosadock/entry/control"
 	"mimosadock/entry/front"
 	"mimosadock/entry/peer"
+	"mimosadock/entry/platform"
 	"mimosadock/entry/pool"
 	"mimosadock/entry/setting"
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/group"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/slot"
 	"mimosadock/schedule/tenure"
 	"mimosadock/schedule/unit"
 )
@@ -84,6 +88,8 @@
 	p.Loop = control.New(clock.System{}, p.self, systems...)
 	p.pool = new(pool.Pool)
 	p.front = &front.Front{View: p.Loop.View, Clock: clock.System{}, Sender: p.pool, Report: p.Loop.Offer, Pinner: control.Pinner{Loop: p.Loop}}
+	p.Loop.SetQueued(func(set slot.Set) unit.Slots { return p.front.Waiting(string(set)) })
+	p.Loop.FollowAudits()
 	p.openJournal()
 	return p, nil
 }
@@ -141,6 +147,10 @@
 	p.connect()
 	p.group.Go("control", p.Loop.Run)
 	p.journal.run(p.group)
+	if p.settings.HostList != "" {
+		lister := platform.NewHosts(p.settings.HostList)
+		p.group.Go("hosts", func(ctx context.Context) error { return p.watchHosts(ctx, lister) })
+	}
 	p.group.Go("queues", p.front.Run)
 	p.group.Go("connections", p.pool.Run)
 	p.server = &http.Server{Handler: p.front.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
@@ -185,6 +195,8 @@
 func (p *Process) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
+	api := &admin.Server{Backend: &backend{p}, Clock: clock.System{}, Bootstrap: service.TokenHash(p.settings.OperatorToken)}
+	mux.Handle("/v1/", api.Handler())
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, r *http.Request) {
 		s, err := p.State(r.Context())
 		if err != nil {
