--- a/replay/traffic/attempt.go
+++ b/replay/traffic/attempt.go
@@ -13,9 +13,9 @@
 	upstreamGrace = 500 * clock.Millisecond
 	// dialTime is how long a dial may take before it is given up.
 	dialTime = 500 * clock.Millisecond
-	// silenceTime is how long a process waits for a sign of life on a
+	// silenceTime is how long a process waits at least for a sign of life on a
 	// connection.
-	silenceTime = 500 * clock.Millisecond
+	silenceTime = 2 * clock.Second
 )
 
 // run runs an action that is due.
@@ -45,7 +45,7 @@
 	row.open++
 	u := *w.upstreams.Get(address)
 	i := attemptIndex(len(w.attempts))
-	w.attempts = append(w.attempts, attemptRow{request: r, process: row.process, lifeThen: row.process.life, to: u, sent: w.now})
+	w.attempts = append(w.attempts, attemptRow{request: r, process: row.process, to: u, sent: w.now})
 	a := &w.attempts[i]
 	switch {
 	case !w.reach(row.process.DataCentre, u.DataCentre):
@@ -144,7 +144,7 @@
 	r := &w.requests[a.request]
 	r.open--
 	r.risked = r.risked || a.outcome != verdict.DidNotRun
-	if a.process.up && a.process.life == a.lifeThen {
+	if a.process.up {
 		a.process.scheme.Ended(i)
 	}
 }
--- a/replay/traffic/events.go
+++ b/replay/traffic/events.go
@@ -28,6 +28,8 @@
 		w.processes[e.Entry].leaving = true
 	case trace.EntryUp:
 		w.processUp(w.processes[e.Entry])
+	case trace.JournalDown, trace.JournalUp:
+		w.journalDown = e.What == trace.JournalDown
 	case trace.LinkDown:
 		w.cut.Put(e.Between, true)
 	case trace.LinkUp:
@@ -106,11 +108,7 @@
 	if p.up && !p.leaving {
 		return
 	}
-	if p.up {
-		// The old process finishes what it has beside the new one.
-		p = w.replace(p)
-	}
-	w.startProcess(p)
+	w.startProcess(w.replace(p))
 }
 
 // silence makes the open connections between a process and an upstream carry
--- a/replay/traffic/figures.go
+++ b/replay/traffic/figures.go
@@ -42,7 +42,7 @@
 }
 
 func (w *World) in(r *requestRow, p Period) bool {
-	peak := w.header.InPeak(r.at.Millis())
+	peak := w.header.InPeak(traceTime(r.at))
 	return p == Whole || peak == (p == Peak)
 }
 
@@ -118,7 +118,7 @@
 	for i := range w.requests {
 		r := &w.requests[i]
 		if r.service.Name == svc && r.Answers > 0 && r.Verdict == verdict.Ran {
-			k := min(int(clock.Span(r.at.Millis())/width), len(byBucket)-1)
+			k := min(int(clock.Span(traceTime(r.at))/width), len(byBucket)-1)
 			byBucket[k] = append(byBucket[k], r.done.MillisSince(r.at))
 		}
 	}
--- a/replay/traffic/granted.go
+++ b/replay/traffic/granted.go
@@ -5,10 +5,14 @@
 
 	"mimosadock/entry/control"
 	"mimosadock/schedule/clock"
+	"mimosadock/schedule/member"
 	"mimosadock/schedule/queue"
 	"mimosadock/schedule/retry"
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
+	"mimosadock/schedule/slot"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/tenure"
 	"mimosadock/schedule/unit"
 	"mimosadock/schedule/verdict"
 )
@@ -16,51 +20,100 @@
 var _ Scheme = (*Granted)(nil)
 
 // Granted drives the decision code of an entry process: the systems of its
-// control goroutine, and queue, route and retry in the order in which the
-// request path asks them. Use [NewGranted].
+// control goroutine, membership, tenure and grants, and queue, route and retry
+// in the order in which the request path asks them. Use [NewGranted].
 type Granted struct {
-	world    *World
-	process  *processRow
-	loop     *control.Loop
-	inbox    []control.Message // applied before the next run of the systems
-	chooser  route.Chooser[route.Cost]
-	leaving  map[unit.Upstream]bool
-	queue    queue.Queue[requestIndex]
-	sent     map[attemptIndex]*route.Upstream
-	long     []requestIndex // wait for a pinned slot
-	demand   queue.Demand
-	pressure bool
-	held     unit.Slots // by this process, at the last tick
-	bulk     unit.Slots // in flight
-	active   int        // urgent and standard in flight
-	budget   retry.Budget
-	kept     []kept
+	world     *World
+	process   *processRow
+	loop      *control.Loop
+	inbox     []control.Message // applied before the next run of the systems
+	chooser   route.Chooser[route.Cost]
+	leaving   map[unit.Upstream]bool
+	queue     queue.Queue[requestIndex]
+	upstreams map[unit.Upstream]*route.Upstream
+	sent      map[attemptIndex]sent
+	peer      peer
+	pinWaits  table.Table[slot.PinID, pinWait]
+	demand    queue.Demand
+	pressure  bool
+	held      unit.Slots // by this process, at the last tick
+	bulk      unit.Slots // in flight
+	active    int        // urgent and standard in flight
+	budget    retry.Budget
+	kept      []kept
+	leftAt    Step
+}
+
+const (
+	// quickGrant is the length of a quick grant; requests with later deadlines
+	// are pinned.
+	quickGrant = 6 * clock.Second
+	// goodbyeAfter is how long a process goes on after its requests have ended,
+	// so that a successor takes its tenures over.
+	goodbyeAfter = 2 * clock.Second
+)
+
+// sent is an attempt with the slot that it has.
+type sent struct {
+	upstream *route.Upstream
+	pinned   bool
 }
 
 // kept is a slot that stays taken although the request was given up, since the
 // upstream may still run it.
 type kept struct {
-	until    clock.Millis
-	upstream *route.Upstream
-	long     bool
+	sent
+	until clock.Millis
 }
 
 // NewGranted returns the scheme of process p.
 func NewGranted(w *World, p *processRow) Scheme {
 	s := &Granted{
 		world: w, process: p,
-		leaving: make(map[unit.Upstream]bool),
-		sent:    make(map[attemptIndex]*route.Upstream),
+		leaving:   make(map[unit.Upstream]bool),
+		sent:      make(map[attemptIndex]sent),
+		upstreams: make(map[unit.Upstream]*route.Upstream),
 	}
 	rng := rand.New(rand.NewPCG(uint64(p.index), uint64(p.life)))
 	s.chooser.Rand = rng.Uint64
 	self := control.Self{Instance: p.Instance(), Host: p.Host, DataCentre: p.DataCentre}
-	s.loop = control.New(&w.clock, self, append([]control.System{s.applyInbox}, control.RouteSystems()...)...)
+	s.loop = control.New(&w.clock, self, append([]control.System{s.applyInbox}, routeSystems()...)...)
 	s.inbox = append(s.inbox, control.SetText{Revision: 1, Text: w.text})
-	s.Tick()
+	s.loop.Step()
+	s.peer.open(w, p)
+	s.peer.queued = func(slot.Set) unit.Slots { return unit.Slots(s.queue.Len()) }
+	s.peer.pinned = s.pinAnswered
+	s.peer.granted = s.refresh
+	for _, u := range s.anyTarget().Upstreams {
+		s.upstreams[u.Address] = u
+		s.peer.track(u)
+	}
 	return s
 }
 
+// routeSystems returns the systems of the request path without the one that
+// holds the slots of a process without peers.
+func routeSystems() []control.System {
+	return []control.System{
+		control.MemberSystem, control.HealthSystem, control.EjectionSystem,
+		control.LimitSystem, control.StatsSystem, control.RouteSystem,
+	}
+}
+
+func (s *Granted) connected() *peer { return &s.peer }
+
+// refresh offers the upstreams to requests again whose slots were changed.
+func (s *Granted) refresh() {
+	for _, u := range s.upstreams {
+		u.Refresh()
+	}
+}
+
+// anyTarget returns the target of a service; all share their upstreams.
+func (s *Granted) anyTarget() *route.Target {
+	return s.loop.View().Routes.Targets[s.world.text.Services[0].Name]
+}
+
 // applyInbox is the first system of the loop.
 func (s *Granted) applyInbox(state *control.State, now clock.Millis) {
 	for _, m := range s.inbox {
@@ -79,8 +132,8 @@
 	now := s.world.now.Millis()
 	row := &s.world.requests[r]
 	s.budget.Request(now)
-	if row.service.Class == service.Long {
-		s.long = append(s.long, r)
+	if row.service.Class == service.Long || row.deadline.Sub(now) > quickGrant {
+		s.pin(r, nil)
 		return
 	}
 	if s.queue.Len() == 0 && s.mayStart(row) && s.choose(r, nil) {
@@ -113,13 +166,15 @@
 	if up == nil {
 		return false
 	}
-	s.send(r, up)
+	s.send(r, up, false)
 	return true
 }
 
-func (s *Granted) send(r requestIndex, to *route.Upstream) {
-	s.count(r, 1)
-	s.sent[s.world.send(r, to.Address)] = to
+func (s *Granted) send(r requestIndex, to *route.Upstream, pinned bool) {
+	if !pinned {
+		s.count(r, 1)
+	}
+	s.sent[s.world.send(r, to.Address)] = sent{to, pinned}
 }
 
 func (s *Granted) count(r requestIndex, n int) {
@@ -139,17 +194,18 @@
 	delete(s.sent, a)
 	row := &s.world.requests[attempt.request]
 	now := s.world.now.Millis()
-	long := row.service.Class == service.Long
 	s.inbox = append(s.inbox, control.Outcome{
-		Upstream: to.Address, Service: row.service.Name, Class: row.service.Class,
+		Upstream: to.upstream.Address, Service: row.service.Name, Class: row.service.Class,
 		Latency: route.Latency(s.world.now.MillisSince(attempt.sent) * 1000),
-		Failed:  attempt.outcome != verdict.Ran, InFlight: to.InFlight(),
+		Failed:  attempt.outcome != verdict.Ran, InFlight: to.upstream.InFlight(),
 	})
-	s.count(attempt.request, -1)
+	if !to.pinned {
+		s.count(attempt.request, -1)
+	}
 	if attempt.outcome == verdict.MayHaveRun {
-		s.kept = append(s.kept, kept{until: row.deadline.Add(upstreamGrace), upstream: to, long: long})
+		s.kept = append(s.kept, kept{to, row.deadline.Add(upstreamGrace)})
 	} else {
-		release(to, long)
+		to.release()
 	}
 	if row.closed {
 		return
@@ -169,35 +225,22 @@
 }
 
 // again sends a request to another upstream than the last.
-func (s *Granted) again(r requestIndex, last *route.Upstream) bool {
-	if s.world.requests[r].service.Class == service.Long {
-		return s.pin(r)
+func (s *Granted) again(r requestIndex, last sent) bool {
+	if last.pinned {
+		s.pin(r, last.upstream)
+		return true
 	}
-	return s.choose(r, last)
+	return s.choose(r, last.upstream)
 }
 
-func release(u *route.Upstream, long bool) {
-	if long {
-		u.Pinned.Release()
-		u.Refresh()
+// release gives the slot back.
+func (a sent) release() {
+	if a.pinned {
+		a.upstream.Pinned.Release()
+		a.upstream.Refresh()
 		return
 	}
-	u.Release()
-}
-
-// pin takes a slow slot for a long request.
-func (s *Granted) pin(r requestIndex) bool {
-	var best *route.Upstream
-	for _, u := range s.target(r).Upstreams {
-		if u.Pinned.Free() > 0 && (best == nil || u.Pinned.Free() > best.Pinned.Free()) {
-			best = u
-		}
-	}
-	if best == nil || !best.Pinned.Take(s.world.requests[r].deadline) {
-		return false
-	}
-	s.send(r, best)
-	return true
+	a.upstream.Release()
 }
 
 // Step starts what waits, as far as slots are free.
@@ -205,26 +248,15 @@
 	now := s.world.now.Millis()
 	for i := len(s.kept) - 1; i >= 0; i-- {
 		if k := s.kept[i]; now > k.until {
-			release(k.upstream, k.long)
+			k.release()
 			s.kept = append(s.kept[:i], s.kept[i+1:]...)
 		}
 	}
-	s.startLong()
 	for more := s.queue.Len() > 0; more; {
 		more = s.startNext(now)
 	}
 }
 
-func (s *Granted) startLong() {
-	for len(s.long) > 0 {
-		r := s.long[0]
-		if !s.world.requests[r].closed && !s.pin(r) {
-			return
-		}
-		s.long = s.long[1:]
-	}
-}
-
 // startNext starts, refuses or drops the next request that waits, and reports
 // whether there was one to handle.
 func (s *Granted) startNext(now clock.Millis) bool {
@@ -247,46 +279,45 @@
 
 // Tick runs the systems of the control goroutine.
 func (s *Granted) Tick() {
+	now := s.world.now.Millis()
 	for address := range s.world.listed.All() {
 		if !s.leaving[address] {
 			s.leaving[address] = true
 			s.inbox = append(s.inbox, control.SetLeaving{Upstream: address, Leaving: true})
 		}
 	}
+	s.leave()
+	s.peer.read(now)
+	s.peer.membership(now)
+	s.peer.own(now)
 	s.loop.Step()
-	s.split()
+	s.peer.grant(now)
+	s.peer.hold(now)
+	s.endPins(now)
+	s.refresh()
 	s.held = 0
-	for _, u := range s.local() {
+	for _, u := range s.anyTarget().Upstreams {
 		s.held += u.Slots.Used() + u.Slots.Free()
 	}
 	waiting := s.queue.LenOf(service.Urgent) + s.queue.LenOf(service.Standard)
-	s.pressure = s.demand.Update(s.world.now.Millis(), s.active+waiting, waiting)
+	s.pressure = s.demand.Update(now, s.active+waiting, waiting)
 }
 
-func (s *Granted) local() []*route.Upstream {
-	for _, t := range s.loop.View().Routes.Targets {
-		return t.Groups[0].Upstreams()
+// leave hands the tenures over once the requests of a process that shuts down
+// have ended, and then says goodbye.
+func (s *Granted) leave() {
+	if !s.process.leaving || s.world.serving(s.process) {
+		return
 	}
-	return nil
-}
-
-// split divides the slots of each upstream evenly over the processes of its
-// data centre.
-func (s *Granted) split() {
-	share := map[unit.DataCentre]unit.Slots{}
-	for _, p := range s.world.processes {
-		share[p.DataCentre]++
+	if !s.peer.node.Leaving {
+		s.peer.node.Leaving = true
+		return
 	}
-	slots := s.world.header.Deployment.Upstreams[0].Slots
-	for _, t := range s.loop.View().Routes.Targets {
-		for _, u := range t.Upstreams {
-			n := slots / share[u.DataCentre]
-			if u.DataCentre != s.process.DataCentre {
-				n = 0
-			}
-			u.Slots.Hold(n-n/2, clock.Never)
-			u.Pinned.Hold(n/2, clock.Never)
-			u.Refresh()
-		}
+	if s.leftAt == 0 {
+		s.leftAt = s.world.now
+	}
+	if s.world.now-s.leftAt > stepsIn(goodbyeAfter) {
+		s.world.record(tenure.Entry{Goodbye: &member.Goodbye{Instance: s.process.Instance()}})
+		s.process.up = false
 	}
 }
--- a/schedule/slot/counter.go
+++ b/schedule/slot/counter.go
@@ -7,36 +7,91 @@
 	"mimosadock/schedule/unit"
 )
 
+// Parts is a number of slots of each part.
+type Parts struct {
+	Quick unit.Slots `json:"quick" cbor:"1,keyasint,omitempty"`
+	Slow  unit.Slots `json:"slow" cbor:"2,keyasint,omitempty"`
+}
+
+// Split divides the slots of an upstream. Half of them are slow, rounded down.
+func Split(n unit.Slots) Parts { return Parts{Quick: n - n/2, Slow: n / 2} }
+
+// Total returns the slots of both parts.
+func (p Parts) Total() unit.Slots { return p.Quick + p.Slow }
+
+// Max returns the greater number of each part.
+func (p Parts) Max(o Parts) Parts {
+	return Parts{Quick: max(p.Quick, o.Quick), Slow: max(p.Slow, o.Slow)}
+}
+
 // Counter counts the slots of one upstream that one entry process holds and
 // uses. The control goroutine sets what is held; request goroutines take and
 // release. It is safe for concurrent use, does not allocate, and never blocks.
 // The zero value holds nothing.
 type Counter struct {
-	held  atomic.Int64
-	used  atomic.Int64
-	until atomic.Int64
+	held       atomic.Uint64 // both parts in one word, so that a reader never mixes two grants
+	used       atomic.Int64
+	quickUntil atomic.Int64
+	slowUntil  atomic.Int64
 }
 
+// quickShift is the position of the quick part in the word of held slots.
+const quickShift = 32
+
 // Hold sets the slots that are held and the instant until which they may be
 // used. Fewer slots than are in use stop new takes until enough are released.
 func (c *Counter) Hold(n unit.Slots, until clock.Millis) {
-	c.until.Store(int64(until))
-	c.held.Store(int64(n))
+	c.HoldParts(Parts{Quick: n}, until, until)
+}
+
+// HoldParts sets the slots of each part that are held and the instants until
+// which they may be used. The instants should not decrease while slots are
+// held.
+func (c *Counter) HoldParts(p Parts, quickUntil, slowUntil clock.Millis) {
+	c.quickUntil.Store(int64(quickUntil))
+	c.slowUntil.Store(int64(slowUntil))
+	c.held.Store(uint64(p.Quick)<<quickShift | uint64(uint32(p.Slow)))
+}
+
+// Held returns the slots that are held, whether or not their time has passed.
+func (c *Counter) Held() Parts {
+	w := c.held.Load()
+	return Parts{Quick: unit.Slots(w >> quickShift), Slow: unit.Slots(uint32(w))}
 }
 
 // Take takes a slot for a request that ends at deadline at the latest. It
-// reports false if no slot is free or the deadline lies after the grant.
+// reports false if no slot is free or the deadline lies after the grant. A
+// request that outlasts the quick slots is admitted only if the requests in
+// flight fit into the slow slots, so that the quick slots can be given away
+// once their time has passed.
 func (c *Counter) Take(deadline clock.Millis) bool {
-	if int64(deadline) > c.until.Load() {
+	if int64(deadline) > max(c.quickUntil.Load(), c.slowUntil.Load()) {
 		return false
 	}
-	if c.used.Add(1) > c.held.Load() {
+	used := c.used.Add(1) // before the load, so that a reduction of the held slots sees this request
+	if unit.Slots(used) > c.room(deadline) {
 		c.used.Add(-1)
 		return false
 	}
 	return true
 }
 
+// room returns the slots that requests up to deadline may use. The instants are
+// loaded after the slots, since they are stored before them.
+func (c *Counter) room(deadline clock.Millis) unit.Slots {
+	held, room := c.Held(), unit.Slots(0)
+	if int64(deadline) <= c.quickUntil.Load() {
+		room += held.Quick
+	}
+	if int64(deadline) <= c.slowUntil.Load() {
+		room += held.Slow
+	}
+	return room
+}
+
+// Occupy takes a slot that the owner has granted to one request.
+func (c *Counter) Occupy() { c.used.Add(1) }
+
 // Release gives a taken slot back.
 func (c *Counter) Release() { c.used.Add(-1) }
 
@@ -45,6 +100,4 @@
 func (c *Counter) Used() unit.Slots { return unit.Slots(c.used.Load()) }
 
 // Free returns the slots that are held and not in use, at least zero.
-func (c *Counter) Free() unit.Slots {
-	return max(0, unit.Slots(c.held.Load()-c.used.Load()))
-}
+func (c *Counter) Free() unit.Slots { return max(0, c.Held().Total()-c.Used()) }
--- /dev/null
+++ b/schedule/slot/holderpins.go
@@ -0,0 +1,68 @@
+package slot
+
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+)
+
+// pinRepeat is the time after which an unanswered pin is asked again.
+const pinRepeat = 250 * clock.Millisecond
+
+// Ask starts a pinned grant for a request that ends at deadline and returns its
+// id, or zero if the data centre has no owner.
+func (h *Holder) Ask(dc unit.DataCentre, set Set, deadline clock.Millis) PinID {
+	l := h.leases.Get(dc)
+	if l == nil || l.owner == "" {
+		return 0
+	}
+	h.seq++
+	h.pins.Put(h.seq, heldPin{dc: dc, epoch: l.epoch, set: set, deadline: deadline})
+	return h.seq
+}
+
+// Asks appends the pins that are due to be asked or repeated to dst.
+func (h *Holder) Asks(dst []Pin, now clock.Millis) []Pin {
+	for id, p := range h.pins.All() {
+		if p.state != pinAsked || p.asked != 0 && now.Sub(p.asked) < pinRepeat {
+			continue
+		}
+		p.asked = max(now, 1)
+		dst = append(dst, Pin{
+			DataCentre: p.dc, Epoch: p.epoch, Holder: h.Self, ID: id, Set: p.set, Remaining: p.deadline.Sub(now),
+		})
+	}
+	return dst
+}
+
+// Answered applies the answer to a pin. It returns the upstream, which is empty
+// after a refusal, and false if the pin is not asked for any more.
+func (h *Holder) Answered(a *Pinned) (unit.Upstream, bool) {
+	p := h.pins.Get(a.ID)
+	l := h.leases.Get(a.DataCentre)
+	if p == nil || p.state != pinAsked || p.dc != a.DataCentre || l == nil || l.epoch != a.Epoch || p.epoch != a.Epoch {
+		return "", false
+	}
+	r := h.rows.Get(a.Upstream)
+	if r == nil || r.pinned == nil {
+		h.pins.Delete(a.ID)
+		return "", true
+	}
+	p.upstream, p.state = a.Upstream, pinHeld
+	r.pinned.Occupy()
+	return a.Upstream, true
+}
+
+// Abandon drops a pin that nobody waits for any more. A held pin is released.
+func (h *Holder) Abandon(id PinID) {
+	p := h.pins.Get(id)
+	if p == nil {
+		return
+	}
+	if p.state == pinHeld {
+		h.rows.Get(p.upstream).pinned.Release()
+	}
+	h.pins.Delete(id)
+}
+
+// Open reports whether the pin is asked for or held.
+func (h *Holder) Open(id PinID) bool { return h.pins.Get(id) != nil }
--- /dev/null
+++ b/schedule/tenure/bid.go
@@ -0,0 +1,91 @@
+package tenure
+
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/unit"
+)
+
+// Bid is an intended claim. From Since on this process promises nothing for
+// the data centre. An appended bid stays until a claim of its epoch is known,
+// since an append whose answer is lost can still take effect.
+type Bid struct {
+	Epoch    unit.Epoch
+	Since    clock.Millis
+	Appended clock.Millis // last append; zero before the first
+	Unsure   int          // appends without a known outcome before that one
+}
+
+// Bids holds the bids by data centre. The zero value is empty.
+type Bids struct {
+	table.Table[unit.DataCentre, Bid]
+}
+
+// Standing is what a process must know of itself to claim.
+type Standing struct {
+	member.Card
+	Acknowledged clock.Millis // when a member acknowledged it; zero if none has
+	Founder      bool         // no member of the journal is left, as proven
+	LastRead     clock.Millis // start of the last complete journal read
+}
+
+// May reports whether the process is a full member that may claim. After the
+// acknowledgement it waits until no confirmation without its promise is valid.
+func (s *Standing) May(now clock.Millis, l Limits) bool {
+	return s.Founder || s.Acknowledged > 0 && now >= s.Acknowledged.Add(Allow(l.Confirm))
+}
+
+// Due reports whether self should claim the data centre: its tenure has no
+// owner or the owner is silent. Members of the data centre come first, each
+// after the ones that sort before it; other processes claim after the data
+// centre has had no live member either for the confirm time more.
+func Due(r *Row, dc unit.DataCentre, members *member.Table, self *Standing, now clock.Millis, l Limits) bool {
+	if r.Instance == self.Instance && r.Epoch > 0 {
+		return false
+	}
+	wait := rank(members, self, now, l) * l.Confirm / 2
+	if r.Epoch > 0 {
+		if m := members.Get(r.Instance); m != nil && !m.Ended() && !m.Leaving {
+			wait += l.Confirm
+			if m.Silent(now) < wait {
+				return false
+			}
+		}
+	}
+	if self.DataCentre == dc {
+		return now >= r.Learned.Add(wait)
+	}
+	wait += l.Confirm
+	for _, m := range members.All() {
+		if m.DataCentre == dc && !m.Ended() && m.Silent(now) < wait {
+			return false
+		}
+	}
+	return now >= max(r.Learned, self.Acknowledged).Add(wait)
+}
+
+// rank counts the live members of the data centre of self that sort before it.
+func rank(members *member.Table, self *Standing, now clock.Millis, l Limits) clock.Span {
+	n := clock.Span(0)
+	for id, m := range members.All() {
+		if m.DataCentre == self.DataCentre && id < self.Instance && !m.Ended() && m.Silent(now) < l.Confirm {
+			n++
+		}
+	}
+	return n
+}
+
+// Ready reports whether the claim of b may be appended now: the journal was
+// read to its end after the last promise was withheld, and that promise has
+// ended or the owner that counted on it is known to have.
+func (b *Bid) Ready(r *Row, members *member.Table, self *Standing, now clock.Millis, l Limits) bool {
+	if !self.May(now, l) || self.LastRead < b.Since {
+		return false
+	}
+	if r.Epoch == 0 || r.Handed || now >= b.Since.Add(Allow(l.Confirm)) {
+		return true
+	}
+	m := members.Get(r.Instance)
+	return m != nil && m.Ended()
+}
