--- a/replay/traffic/pins.go
+++ b/replay/traffic/pins.go
@@ -5,7 +5,6 @@
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/slot"
 	"mimosadock/schedule/unit"
-	"mimosadock/schedule/verdict"
 )
 
 // pinWait is a request that waits for a pinned grant.
@@ -60,7 +59,8 @@
 		s.askNext(w)
 	case s.world.requests[w.request].closed || w.except != nil && w.except.Address == name:
 		s.peer.holder.Abandon(a.ID)
-		s.world.answer(w.request, verdict.DidNotRun, -1)
+		row := &s.world.requests[w.request]
+		s.world.answer(w.request, row.verdict(), -1)
 	default:
 		s.send(w.request, s.upstreams[name], true)
 	}
