--- a/load/main.go
+++ b/load/main.go
@@ -32,11 +32,12 @@
 	services []string
 	profile  profile.Profile
 	deadline time.Duration
+	ready    time.Duration
 	open     int
 	seed     uint64
 }
 
-func (s *settings) register(app *kingpin.Application) {
+func (s *settings) register(app *kingpin.CmdClause) {
 	app.Flag("target", "Entry process as a loopback ip:port; may be repeated, used in turn.").Envar("MIMOSA_LOAD_TARGET").Required().StringsVar(&s.targets)
 	app.Flag("service", "Load on a service as name[:share[:runMs[:bodyBytes]]]; may be repeated.").Envar("MIMOSA_LOAD_SERVICE").Required().StringsVar(&s.services)
 	app.Flag("rate", "Requests a second.").Envar("MIMOSA_LOAD_RATE").Default("100").Float64Var(&s.profile.Rate)
@@ -47,6 +48,7 @@
 	app.Flag("duration", "Length of the run.").Envar("MIMOSA_LOAD_DURATION").Default("10s").DurationVar(&s.profile.Duration)
 	app.Flag("total", "Most requests to send.").Envar("MIMOSA_LOAD_TOTAL").Default("100000").IntVar(&s.profile.Total)
 	app.Flag("deadline", "Deadline of a request.").Envar("MIMOSA_LOAD_DEADLINE").Default("2s").DurationVar(&s.deadline)
+	app.Flag("ready", "How long to wait until all targets are ready.").Envar("MIMOSA_LOAD_READY").Default("0s").DurationVar(&s.ready)
 	app.Flag("open", "Most requests in flight.").Envar("MIMOSA_LOAD_OPEN").Default("2000").IntVar(&s.open)
 	app.Flag("seed", "Seed of ids and of the choice of services.").Envar("MIMOSA_LOAD_SEED").Default("1").Uint64Var(&s.seed)
 }
@@ -77,27 +79,44 @@
 
 func main() {
 	var s settings
+	var c configuration
 	app := kingpin.New("load", "Open-loop load on entry processes of this host.")
-	s.register(app)
-	_, err := app.Parse(os.Args[1:])
-	var snd *sender
-	if err == nil {
-		snd, err = s.sender()
-	}
+	send := app.Command("send", "Send requests and print what came back.")
+	s.register(send)
+	configure := app.Command("configure", "Append the services text of the load script to the journal of a stand-in.")
+	configure.Flag("journal", "Journal of the stand-in.").Envar("MIMOSA_LOAD_JOURNAL").Default("127.0.0.1:7000").StringVar(&c.journal)
+	configure.Flag("hosts", "List of hosts of the stand-in.").Envar("MIMOSA_LOAD_HOSTS").Default("127.0.0.1:7001").StringVar(&c.hosts)
+	configure.Flag("slots", "Slots of each upstream.").Envar("MIMOSA_LOAD_SLOTS").Default("8").IntVar(&c.slots)
+	command, err := app.Parse(os.Args[1:])
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "load:", err)
-		os.Exit(exitUsage)
+		fail(exitUsage, err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	if command == configure.FullCommand() {
+		if err := c.apply(ctx); err != nil {
+			fail(1, err)
+		}
+		return
+	}
+	snd, err := s.sender()
+	if err != nil {
+		fail(exitUsage, err)
+	}
+	if err := snd.awaitReady(ctx, s.ready); err != nil {
+		fail(1, err)
+	}
 	if err := snd.run(ctx); err != nil && !errors.Is(err, context.Canceled) {
-		fmt.Fprintln(os.Stderr, "load:", err)
-		os.Exit(1)
+		fail(1, err)
 	}
 	snd.tally.Print(os.Stdout)
 	fmt.Printf("not sent because %d requests were in flight: %d\n", s.open, snd.held.Load())
 	if n := snd.tally.Damaged(); n > 0 {
-		fmt.Printf("wrong or duplicated answers: %d\n", n)
-		os.Exit(1)
+		fail(1, fmt.Errorf("%d wrong or duplicated answers", n))
 	}
 }
+
+func fail(code int, err error) {
+	fmt.Fprintln(os.Stderr, "load:", err)
+	os.Exit(code)
+}
--- a/load/sender.go
+++ b/load/sender.go
@@ -86,9 +86,27 @@
 	}
 }
 
+// awaitReady waits until all targets are ready.
+func (s *sender) awaitReady(ctx context.Context, limit time.Duration) error {
+	const again = 100 * time.Millisecond
+	for start := time.Now(); ; {
+		s.targets.Look(ctx)
+		if s.targets.Ready() == s.targets.Len() || limit == 0 {
+			return nil
+		}
+		if time.Since(start) > limit || !wait(ctx, again) {
+			return fmt.Errorf("%d of %d targets are ready after %s", s.targets.Ready(), s.targets.Len(), limit)
+		}
+	}
+}
+
 // run sends all requests of the profile and waits for their answers.
 func (s *sender) run(ctx context.Context) error {
 	g := group.New(ctx)
+	watch, stop := context.WithCancel(ctx)
+	defer stop()
+	var watcher group.Group
+	watcher.Go("targets", func(context.Context) error { return s.targets.Watch(watch) })
 	run := strconv.FormatUint(s.rng.Uint64(), 36)
 	start := time.Now()
 	for i, due := range s.profile.AppendTimes(nil) {
@@ -115,8 +133,9 @@
 		})
 	}
 	err := g.Wait()
+	stop()
 	s.tally.Close()
-	return err
+	return errors.Join(err, watcher.Wait())
 }
 
 // wait sleeps for d and reports false if ctx ended first.
--- a/load/target/target_test.go
+++ b/load/target/target_test.go
@@ -1,6 +1,9 @@
 package target
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 
 	"github.com/matryer/is"
@@ -37,3 +40,23 @@
 		})
 	}
 }
+
+// Guards against load on a process that has said that it takes no requests.
+func TestNextLeavesOutThoseNotReady(t *testing.T) {
+	is := is.New(t)
+	status := func(code int) *httptest.Server {
+		return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }))
+	}
+	ready, draining, gone := status(http.StatusOK), status(http.StatusServiceUnavailable), status(http.StatusOK)
+	gone.Close()
+	defer ready.Close()
+	defer draining.Close()
+	r, err := New([]string{draining.Listener.Addr().String(), ready.Listener.Addr().String(), gone.Listener.Addr().String()})
+	is.NoErr(err)
+	is.Equal(r.Ready(), 3)
+	r.Look(context.Background())
+	is.Equal(r.Ready(), 1)
+	for range 5 {
+		is.Equal(r.Next().String(), ready.Listener.Addr().String())
+	}
+}
