--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -10,6 +10,7 @@
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
 	"mimosadock/schedule/unit"
+	"mimosadock/schedule/work"
 )
 
 // Tick is the time between two runs of the systems.
@@ -33,6 +34,7 @@
 	Revision unit.Revision
 	Text     *service.Text
 	Routes   *route.View
+	Work     map[unit.DataCentre]*work.View // summaries, by data centre
 }
 
 var (
--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -23,6 +23,7 @@
 	routes   *route.View
 	urgent   bool // run the systems before the next tick
 	routeState
+	workState
 }
 
 // Urge makes the systems run right after the current message.
@@ -34,5 +35,6 @@
 		Revision: s.Revision,
 		Text:     s.Text,
 		Routes:   s.routes,
+		Work:     s.workViews,
 	}
 }
--- /dev/null
+++ b/entry/control/work.go
@@ -0,0 +1,324 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/job"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/placement"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+	"mimosadock/schedule/work"
+	"mimosadock/schedule/worker"
+)
+
+// Bounds of the waits of batch and standing work.
+const (
+	callTimeout = 2 * time.Second   // of one call to a worker
+	replyWithin = 10 * clock.Second // for an outcome that the journal must hold
+	viewEvery   = 1 * clock.Second  // between two summaries
+)
+
+// Appender takes records to be written to the journal. Written is called once
+// from any goroutine, after the outcome is known or the try was given up.
+type Appender interface {
+	Append(r job.Record, written func(verdict.Verdict))
+}
+
+// Work is what batch and standing work needs of the process. All fields must be
+// set.
+type Work struct {
+	Agent   worker.Agent
+	Records Appender
+	Group   *group.Group // runs the calls to workers
+	Clock   clock.Clock
+	Send    func(context.Context, Message) error // to the control goroutine
+}
+
+// workState holds the tables of batch and standing work: one board for each
+// data centre.
+type workState struct {
+	boards       table.Table[unit.DataCentre, *work.Board]
+	waits        []wait
+	workRevision unit.Revision
+	workViews    map[unit.DataCentre]*work.View
+	workViewed   clock.Millis
+	records      []job.Record
+	batches      []work.Batch
+}
+
+// JobReply is the answer to a submission, a cancellation or a question.
+type JobReply struct {
+	Status work.Status
+	Err    error
+}
+
+// wait is a caller who waits until the journal holds the state of a job.
+type wait struct {
+	home  unit.DataCentre
+	job   unit.Job
+	until clock.Millis
+	reply chan<- JobReply
+}
+
+// Board returns the board of a data centre, adding one if there is none.
+func (s *State) Board(dc unit.DataCentre) *work.Board {
+	if b := s.boards.Get(dc); b != nil {
+		return *b
+	}
+	b := &work.Board{Home: dc, Policies: placement.Default(), Down: s.dependencyDown}
+	if s.Text != nil {
+		b.SetText(s.Text)
+	}
+	return *s.boards.Put(dc, b)
+}
+
+// dependencyDown reports whether a service has no upstream that could answer,
+// or whether nothing runs of a kind that is not batch work.
+func (s *State) dependencyDown(name string) bool {
+	if s.Text == nil {
+		return false
+	}
+	if svc := s.Text.Service(unit.Service(name)); svc != nil && s.routes != nil {
+		t := s.routes.Targets[svc.Name]
+		return t == nil || len(t.Upstreams) == 0
+	}
+	kind := s.Text.Kind(unit.Kind(name))
+	if kind == nil || kind.Class == service.Batch {
+		return false
+	}
+	for _, b := range s.boards.All() {
+		if (*b).Runs(kind.Name) {
+			return false
+		}
+	}
+	return true
+}
+
+// ApplyJob applies a record of a job that was read from the journal.
+func (s *State) ApplyJob(r job.Record, now clock.Millis) {
+	b := s.Board(r.Subject().Home)
+	m, ok := r.(job.Moved)
+	if !ok {
+		b.Jobs.Apply(r)
+		return
+	}
+	if to := s.Board(m.To); job.Move(&b.Jobs, &to.Jobs, m) {
+		to.Arrived(now, m.Job)
+	}
+}
+
+// Submit submits a job to a data centre. Reply needs room for one answer; it
+// comes once the journal holds the job.
+type Submit struct {
+	Home  unit.DataCentre
+	Spec  job.Spec
+	Reply chan<- JobReply
+}
+
+// Apply submits the job.
+func (m Submit) Apply(s *State, now clock.Millis) {
+	if _, err := s.Board(m.Home).Submit(now, m.Spec); err != nil {
+		m.Reply <- JobReply{Err: err}
+		return
+	}
+	s.waits = append(s.waits, wait{m.Home, m.Spec.ID, now.Add(replyWithin), m.Reply})
+}
+
+// Cancel cancels a job. Reply needs room for one answer; it comes once the
+// journal holds the outcome, which may be another one than cancelled.
+type Cancel struct {
+	Home  unit.DataCentre
+	Job   unit.Job
+	Reply chan<- JobReply
+}
+
+// Apply cancels the job. It doesn't run the systems, so that a wave of
+// cancellations leaves starts alone.
+func (m Cancel) Apply(s *State, now clock.Millis) {
+	if _, err := s.Board(m.Home).Cancel(now, m.Job); err != nil {
+		m.Reply <- JobReply{Err: err}
+		return
+	}
+	s.waits = append(s.waits, wait{m.Home, m.Job, now.Add(replyWithin), m.Reply})
+}
+
+// AskJob asks for the state of a job. Reply needs room for one answer.
+type AskJob struct {
+	Home  unit.DataCentre
+	Job   unit.Job
+	Reply chan<- JobReply
+}
+
+// Apply answers.
+func (m AskJob) Apply(s *State, _ clock.Millis) {
+	st, ok := s.Board(m.Home).Status(m.Job)
+	if !ok {
+		m.Reply <- JobReply{Err: verdict.Refuse("unknown job %q", m.Job)}
+		return
+	}
+	m.Reply <- JobReply{Status: st}
+}
+
+// SetWorkers takes the platform's list of hosts.
+type SetWorkers struct{ Listings []member.Listing }
+
+// Apply hands the list to the boards.
+func (m SetWorkers) Apply(s *State, _ clock.Millis) {
+	for _, l := range m.Listings {
+		if l.Role == member.Worker {
+			s.Board(l.DataCentre)
+		}
+	}
+	for _, b := range s.boards.All() {
+		(*b).SetWorkers(m.Listings)
+	}
+}
+
+// SetRight takes the tenure of a data centre as far as work needs it.
+type SetRight struct {
+	DataCentre unit.DataCentre
+	Right      work.Right
+}
+
+// Apply hands the right to the board.
+func (m SetRight) Apply(s *State, now clock.Millis) { s.Board(m.DataCentre).SetRight(now, m.Right) }
+
+// recordWritten is the outcome of writing a record.
+type recordWritten struct {
+	record  job.Record
+	verdict verdict.Verdict
+}
+
+// Apply hands the outcome to the board. A move takes effect when it is written.
+func (m recordWritten) Apply(s *State, now clock.Millis) {
+	if _, ok := m.record.(job.Moved); ok && m.verdict == verdict.Ran {
+		s.ApplyJob(m.record, now)
+	}
+	s.Board(m.record.Subject().Home).Written(now, m.record, m.verdict)
+}
+
+// workerAnswered is the outcome of a batch of calls.
+type workerAnswered struct {
+	home   unit.DataCentre
+	answer work.Answer
+}
+
+// Apply hands the answers to the board.
+func (m workerAnswered) Apply(s *State, now clock.Millis) {
+	s.Board(m.home).Answered(now, m.answer)
+}
+
+// System runs the boards, hands out their records and starts their calls.
+func (w *Work) System(s *State, now clock.Millis) {
+	if s.Text != nil && s.workRevision != s.Revision {
+		s.workRevision = s.Revision
+		for _, b := range s.boards.All() {
+			(*b).SetText(s.Text)
+		}
+	}
+	for _, b := range s.boards.All() {
+		(*b).Tick(now)
+		w.write(s, *b)
+		w.call(s, *b, now)
+	}
+	s.answerWaits(now)
+	s.viewWork(now)
+}
+
+func (w *Work) write(s *State, b *work.Board) {
+	s.records = b.Records(s.records[:0])
+	for _, r := range s.records {
+		w.Records.Append(r, func(v verdict.Verdict) {
+			// The error can only be that the process ends.
+			_ = w.Send(w.Group.Context(), recordWritten{r, v})
+		})
+	}
+}
+
+func (w *Work) call(s *State, b *work.Board, now clock.Millis) {
+	s.batches = b.Batches(now, s.batches[:0])
+	home := b.Home
+	for _, batch := range s.batches {
+		w.Group.Go("worker calls", func(ctx context.Context) error {
+			_ = w.Send(ctx, workerAnswered{home, w.run(ctx, batch)})
+			return nil
+		})
+	}
+}
+
+var errRightEnded = verdict.Refuse("the right to command the worker has ended")
+
+// run makes the calls of a batch in order. The right is checked before each
+// call, since the process may have been paused during the one before.
+func (w *Work) run(ctx context.Context, b work.Batch) work.Answer {
+	a := work.Answer{Batch: b, Errs: make([]error, len(b.Commands))}
+	unreachable := false
+	for i, c := range b.Commands {
+		switch {
+		case w.Clock.Now() >= b.Right:
+			a.Errs[i] = errRightEnded
+		case unreachable:
+			a.Errs[i] = verdict.Refuse("an earlier call of the batch had no answer")
+		default:
+			rep, err := w.callOne(ctx, b, c)
+			a.Errs[i] = err
+			unreachable = verdict.Of(err) == verdict.MayHaveRun
+			if rep != nil {
+				a.Report = rep
+			}
+		}
+	}
+	return a
+}
+
+func (w *Work) callOne(ctx context.Context, b work.Batch, c work.Command) (*worker.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return work.Do(ctx, w.Agent, b, c)
+}
+
+// answerWaits answers the callers whose outcome the journal holds by now, and
+// those who have waited too long.
+func (s *State) answerWaits(now clock.Millis) {
+	kept := s.waits[:0]
+	for _, w := range s.waits {
+		st, known := s.Board(w.home).Status(w.job)
+		switch {
+		case !known:
+			err := verdict.Refuse("the journal did not take the job")
+			err.RetryAfter = clock.Second
+			w.reply <- JobReply{Err: err}
+		case st.Durable:
+			w.reply <- JobReply{Status: st}
+		case now >= w.until:
+			w.reply <- JobReply{Err: &verdict.Error{
+				Verdict: verdict.MayHaveRun, Reason: "the journal has not confirmed it yet", Err: errNotDurable,
+			}}
+		default:
+			kept = append(kept, w)
+		}
+	}
+	clear(s.waits[len(kept):])
+	s.waits = kept
+}
+
+var errNotDurable = errors.New("outcome is not in the journal yet")
+
+func (s *State) viewWork(now clock.Millis) {
+	if s.workViews != nil && now.Sub(s.workViewed) < viewEvery {
+		return
+	}
+	s.workViewed = now
+	views := make(map[unit.DataCentre]*work.View, s.boards.Len())
+	for dc, b := range s.boards.All() {
+		views[dc] = (*b).View(now)
+	}
+	s.workViews = views
+}
--- /dev/null
+++ b/entry/control/work_test.go
@@ -0,0 +1,176 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/job"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+	"mimosadock/schedule/work"
+	standin "mimosadock/standin/worker"
+)
+
+const workText = `
+version: 1
+capacity: {cpu: 100000, memory: 100000}
+teams:
+- {name: marts, quota: {cpu: 50000, memory: 50000}}
+upstreamSets:
+- {name: mart, slots: 2, members: []}
+services:
+- {name: weighbook, team: marts, class: standard, upstreamSet: mart, deadlineMs: 1000, idempotent: true}
+kinds:
+- {name: report, team: marts, class: batch, resources: {cpu: 1000, memory: 1000}, expectedMs: 5000, checkpointMs: 2000}
+- {name: audit, team: marts, class: batch, resources: {cpu: 1000, memory: 1000}, dependsOn: [weighbook]}
+`
+
+// fakeJournal answers every append with one verdict, in its own time.
+type fakeJournal struct {
+	mu      sync.Mutex
+	verdict verdict.Verdict
+	records []job.Record
+	pending []func()
+}
+
+func (j *fakeJournal) Append(r job.Record, written func(verdict.Verdict)) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.records = append(j.records, r)
+	j.pending = append(j.pending, func() { written(j.verdict) })
+}
+
+func (j *fakeJournal) answer() {
+	j.mu.Lock()
+	pending := j.pending
+	j.pending = nil
+	j.mu.Unlock()
+	for _, f := range pending {
+		f()
+	}
+}
+
+// bench is a loop with one worker that is stepped by hand.
+type bench struct {
+	clock   clock.Manual
+	loop    *Loop
+	group   group.Group
+	journal fakeJournal
+	fleet   standin.Fleet
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{}
+	b.clock.Set(1000)
+	world := &standin.World{Clock: &b.clock, Truth: func(unit.Task, unit.Kind) standin.Truth {
+		return standin.Truth{Usage: unit.Resources{CPU: 900, Memory: 900}, Time: 4 * clock.Second}
+	}}
+	b.fleet.Add(standin.New(world, "10.0.0.1:7000", unit.Resources{CPU: 4000, Memory: 4000}))
+	w := &Work{Agent: &b.fleet, Records: &b.journal, Group: &b.group, Clock: &b.clock}
+	b.loop = New(&b.clock, Self{DataCentre: "kelso"}, RouteSystem, w.System)
+	w.Send = b.loop.Send
+	text, err := service.Parse([]byte(workText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.apply(SetText{Revision: 1, Text: text})
+	b.apply(SetWorkers{[]member.Listing{{
+		Address: "10.0.0.1:7000", DataCentre: "kelso", Role: member.Worker,
+		Capacity: unit.Resources{CPU: 4000, Memory: 4000},
+	}}})
+	b.apply(SetRight{"kelso", work.Right{Owner: true, Epoch: 1, Quick: clock.Never, Slow: clock.Never, Sole: -clock.Millis(clock.Hour)}})
+	return b
+}
+
+func (b *bench) apply(m Message) { m.Apply(&b.loop.state, b.clock.Now()) }
+
+// step runs the systems, waits for the calls that they start and takes the
+// answers.
+func (b *bench) step(n int) {
+	for range n {
+		b.clock.Advance(Tick)
+		b.loop.Step()
+		b.journal.answer()
+		if err := b.group.Wait(); err != nil {
+			panic(err)
+		}
+		for len(b.loop.inbox) > 0 {
+			b.apply(<-b.loop.inbox)
+		}
+	}
+}
+
+// Guards against callers who are told that a job was accepted before the
+// journal holds it, or that it was not although it may be.
+func TestSubmitVerdicts(t *testing.T) {
+	tests := map[string]struct {
+		journal verdict.Verdict
+		want    verdict.Verdict
+		state   job.State
+	}{
+		"written":  {verdict.Ran, verdict.Ran, job.StateWaiting},
+		"refused":  {verdict.DidNotRun, verdict.DidNotRun, 0},
+		"doubtful": {verdict.MayHaveRun, verdict.MayHaveRun, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t)
+			b.journal.verdict = tc.journal
+			reply := make(chan JobReply, 1)
+			b.apply(Submit{"kelso", job.Spec{ID: "a", Team: "marts", Kind: "report", Tasks: 1}, reply})
+			is.Equal(len(reply), 0)
+			b.step(int(replyWithin/Tick) + 2)
+			r := <-reply
+			is.Equal(verdict.Of(r.Err), tc.want)
+			is.Equal(r.Status.State.Ended(), false)
+		})
+	}
+}
+
+// Guards against a job that does not reach its end through the loop, a repeated
+// submission that makes a second job, and a wave of cancellations that holds up
+// a start.
+func TestJobThroughLoop(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	b.journal.verdict = verdict.Ran
+	ask := func(m func(chan<- JobReply) Message) JobReply {
+		reply := make(chan JobReply, 1)
+		b.apply(m(reply))
+		b.step(5)
+		return <-reply
+	}
+	submit := func(s job.Spec) JobReply {
+		return ask(func(c chan<- JobReply) Message { return Submit{"kelso", s, c} })
+	}
+	spec := job.Spec{ID: "a", Team: "marts", Kind: "report", Tasks: 2}
+	is.NoErr(submit(spec).Err)
+	is.NoErr(submit(spec).Err) // the same job
+	other := spec
+	other.Tasks = 3
+	is.Equal(verdict.Of(submit(other).Err), verdict.DidNotRun)
+	is.NoErr(submit(job.Spec{ID: "b", Team: "marts", Kind: "audit", Tasks: 1}).Err)
+	for range 5000 {
+		b.apply(Cancel{"kelso", "none", make(chan JobReply, 1)})
+	}
+	b.step(20 * 10)
+	status := func(id unit.Job) work.Status {
+		return ask(func(c chan<- JobReply) Message { return AskJob{"kelso", id, c} }).Status
+	}
+	is.Equal(status("a").State, job.StateFinished)
+	is.Equal(status("b").WaitsOn, "weighbook") // it has no upstream
+	is.Equal(b.loop.View().Work["kelso"].Blocked[0].WaitsOn, "weighbook")
+	cancelled := ask(func(c chan<- JobReply) Message { return Cancel{"kelso", "a", c} })
+	is.Equal(cancelled.Status.State, job.StateFinished) // the end came first
+	cancelled = ask(func(c chan<- JobReply) Message { return Cancel{"kelso", "b", c} })
+	is.Equal(cancelled.Status.State, job.StateCancelled)
+	is.NoErr(context.Cause(b.group.Context()))
+}
--- /dev/null
+++ b/standin/worker/server.go
@@ -0,0 +1,116 @@
+package worker
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+	"mimosadock/schedule/worker"
+)
+
+// maxBody bounds the body of a command.
+const maxBody = 4 << 20
+
+// Server puts a worker behind HTTP. Commands are JSON bodies that are posted to
+// /worker/v1/{command}; refusals are answered with their verdict and reason.
+// Set the fields before use.
+type Server struct {
+	Worker *Worker
+	// Net decides the fate of each call; nil carries out and answers all. A
+	// lost request or answer ends the connection without an answer.
+	Net func(unit.Worker) Fate
+
+	mu     sync.Mutex
+	paused chan struct{}
+}
+
+// throttle is the body of the throttle command.
+type throttle struct {
+	worker.Command
+	Share float64 `json:"share"`
+}
+
+// refusal is the body of an answer to a command that was refused.
+type refusal struct {
+	Verdict verdict.Verdict `json:"verdict"`
+	Reason  string          `json:"reason"`
+	Fenced  bool            `json:"fenced,omitempty"`
+}
+
+// Pause holds all answers back until the returned function is called.
+func (s *Server) Pause() (resume func()) {
+	gate := make(chan struct{})
+	s.mu.Lock()
+	s.paused = gate
+	s.mu.Unlock()
+	return sync.OnceFunc(func() { close(gate) })
+}
+
+// Handler returns the mux of the worker's port.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	w := s.Worker
+	handle(s, mux, "start", func(c worker.Start) (any, error) { return nil, w.Start(c) })
+	handle(s, mux, "renew", func(c worker.Renewal) (any, error) { return w.Renew(c) })
+	handle(s, mux, "checkpoint", func(c worker.Command) (any, error) { return nil, w.Checkpoint(c) })
+	handle(s, mux, "throttle", func(c throttle) (any, error) { return nil, w.Throttle(c.Command, c.Share) })
+	handle(s, mux, "stop", func(c worker.Command) (any, error) { return nil, w.Stop(c) })
+	handle(s, mux, "release", func(c worker.Command) (any, error) { return nil, w.Release(c) })
+	return mux
+}
+
+func handle[Body any](s *Server, mux *http.ServeMux, name string, do func(Body) (any, error)) {
+	mux.HandleFunc("POST /worker/v1/"+name, func(w http.ResponseWriter, r *http.Request) {
+		fate := s.wait(r)
+		if fate == RequestLost {
+			panic(http.ErrAbortHandler)
+		}
+		var body Body
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&body); err != nil {
+			refuse(w, http.StatusBadRequest, verdict.Refuse("body: %v", err))
+			return
+		}
+		answer, err := do(body)
+		switch {
+		case fate == AnswerLost:
+			panic(http.ErrAbortHandler)
+		case err != nil:
+			refuse(w, http.StatusConflict, err)
+		default:
+			w.Header().Set("Content-Type", "application/json")
+			_ = json.NewEncoder(w).Encode(answer)
+		}
+	})
+}
+
+// wait waits for the end of a pause and returns the fate of the call.
+func (s *Server) wait(r *http.Request) Fate {
+	s.mu.Lock()
+	gate := s.paused
+	s.mu.Unlock()
+	if gate != nil {
+		select {
+		case <-gate:
+		case <-r.Context().Done():
+			return RequestLost
+		}
+	}
+	if s.Net == nil {
+		return Delivered
+	}
+	return s.Net(s.Worker.ID)
+}
+
+func refuse(w http.ResponseWriter, status int, err error) {
+	body := refusal{Verdict: verdict.Of(err), Reason: err.Error(), Fenced: errors.Is(err, worker.ErrFenced)}
+	var ve *verdict.Error
+	if errors.As(err, &ve) {
+		body.Reason = ve.Reason
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
