--- a/entry/control/hosts.go
+++ b/entry/control/hosts.go
@@ -30,6 +30,7 @@
 		return
 	}
 	s.hosts.Update(m.Rows, now)
+	SetWorkers{m.Rows}.Apply(s, now)
 	s.routeHosts(now)
 }
 
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -12,6 +12,7 @@
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
 	"mimosadock/schedule/unit"
+	"mimosadock/schedule/work"
 )
 
 // Tick is the time between two runs of the systems.
@@ -36,6 +37,7 @@
 	Revision unit.Revision
 	Text     *service.Text
 	Routes   *route.View
+	Work     map[unit.DataCentre]*work.View // summaries, by data centre
 }
 
 var (
--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -31,6 +31,7 @@
 	auditState
 	slotState
 	memberState
+	workState
 }
 
 // Urge makes the systems run right after the current message.
@@ -43,5 +44,6 @@
 		Revision: s.Revision,
 		Text:     s.Text,
 		Routes:   s.routes,
+		Work:     s.workViews,
 	}
 }
--- a/entry/control/tenurerecords.go
+++ b/entry/control/tenurerecords.go
@@ -30,7 +30,7 @@
 func (l *Loop) JoinJournal() Records {
 	l.OnRecord(record.Join, noteMember(func(c *member.Card) tenure.Entry { return tenure.Entry{Join: c} }))
 	l.OnRecord(record.Goodbye, noteMember(func(g *member.Goodbye) tenure.Entry { return tenure.Entry{Goodbye: g} }))
-	l.OnRecord(record.Claim, noteMember(func(c *tenure.Claim) tenure.Entry { return tenure.Entry{Claim: c} }))
+	l.OnRecord(record.Claim, noteClaim)
 	l.AddSection(Section{Name: membersSection, Common: true, Save: saveMembers, Restore: restoreMembers})
 	return journalRecords{&l.state}
 }
@@ -50,6 +50,15 @@
 	}
 }
 
+// noteClaim collects a claim and fences the jobs of its data centre, which must
+// happen between the records before and after it.
+func noteClaim(s *State, it record.Item, now clock.Millis) {
+	noteMember(func(c *tenure.Claim) tenure.Entry {
+		s.fenceJobs(c)
+		return tenure.Entry{Claim: c}
+	})(s, it, now)
+}
+
 // readMembers applies what the batch had about members and tenures. The batch
 // confirms the own tenures if it reached the end.
 func (s *State) readMembers(b *stream.Batch, now clock.Millis) {
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -52,6 +52,7 @@
 	peers    net.Listener   // nil without peers
 	keys     *peer.Keys     // nil for plain text
 	self     control.Self
+	work     *control.Work // nil without a journal
 	group    *group.Group
 	front    *front.Front
 	pool     *pool.Pool
@@ -84,6 +85,10 @@
 	}
 	systems := []control.System{control.ReceiptSystem, control.ConfigSystem}
 	systems = append(systems, control.Systems()...)
+	if s.Journal != "" {
+		p.work = &control.Work{Agent: new(platform.Workers), Clock: clock.System{}}
+		systems = append(systems, control.WorkRightSystem, p.work.System)
+	}
 	systems = append(systems, control.OwnerSystem, control.SnapshotSystem)
 	p.Loop = control.New(clock.System{}, p.self, systems...)
 	p.pool = new(pool.Pool)
@@ -145,6 +150,9 @@
 func (p *Process) Run(ctx, kill context.Context) error {
 	p.group = group.New(context.WithoutCancel(ctx))
 	p.connect()
+	if p.work != nil {
+		p.work.Group, p.work.Records, p.work.Send = p.group, p.Loop.JobJournal(), p.Loop.Send
+	}
 	p.group.Go("control", p.Loop.Run)
 	p.journal.run(p.group)
 	if p.settings.HostList != "" {
