--- a/schedule/work/report.go
+++ b/schedule/work/report.go
@@ -215,6 +215,10 @@
 	case worker.StartAnswered:
 		b.stopped(now, h, "worker does not know the attempt")
 	case worker.StartInDoubt:
+		if now >= h.Until {
+			b.stopped(now, h, "start is too late by now")
+			return
+		}
 		h.Stop, h.StopAt = worker.ForDoubt, 0
 		r.Dirty = true
 	case worker.StartPending:
