Compare placement with its baselines and probe unknown kinds

Change: eight tasks of an unmeasured kind run at most, an attempt that uses more than its size is counted with what it uses, and tests compare scores, shares, estimates and tables with slow references. A job that ends cancels those tasks that can't end in the same state; the table of transitions had been passed over there.

--- /dev/null
+++ b/schedule/estimate/estimate_test.go
@@ -0,0 +1,89 @@
+package estimate
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+)
+
+// Guards against a size below what is declared, above the capacity, or learned
+// from too few samples, and against wrong bounds of stragglers.
+func TestKind(t *testing.T) {
+	tests := map[string]struct {
+		samples []unit.MiB
+		want    unit.MiB
+	}{
+		"no samples":      {nil, 1000},
+		"too few":         {[]unit.MiB{5000, 5000, 5000, 5000}, 1000},
+		"learned":         {[]unit.MiB{2000, 2000, 2000, 2000, 2000}, 2000},
+		"mean and spread": {[]unit.MiB{1900, 2100, 1900, 2100, 2000}, 2200},
+		"declared more":   {[]unit.MiB{10, 10, 10, 10, 10}, 1000},
+		"over capacity":   {[]unit.MiB{9000, 9000, 9000, 9000, 9000}, 8000},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var k Kind
+			for _, m := range tc.samples {
+				k.AddUsage(unit.Resources{Memory: m})
+				k.AddRunTime(clock.Span(m))
+			}
+			size := k.Size(unit.Resources{Memory: 1000, Accelerators: 1}, unit.Resources{Memory: 8000})
+			is.Equal(size, unit.Resources{Memory: tc.want, Accelerators: 1})
+			p := k.P90()
+			is.Equal(p > 0, len(tc.samples) >= minSamples)
+			is.Equal(k.Straggles(3*p+1), p > 0)
+			is.Equal(k.Straggles(3*p), false)
+		})
+	}
+}
+
+// Guards against learned interference that is credited to the wrong pair: it is
+// compared with the true slowdowns behind noisy measurements.
+func TestInterferenceFindsTruth(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	truth := map[unit.Kind]float64{"quiet": 0, "loud": 0.5, "louder": 0.9}
+	kinds := []unit.Kind{"quiet", "loud", "louder"}
+	var x Interference
+	for range 4000 {
+		var beside []unit.Kind
+		sum := 0.0
+		for range 1 + rng.IntN(3) {
+			k := kinds[rng.IntN(3)]
+			beside = append(beside, k)
+			sum += truth[k]
+		}
+		x.Learn("victim", beside, 1, max(0, sum+0.1*rng.NormFloat64()))
+	}
+	for k, want := range truth {
+		is.True(math.Abs(x.Slowdown("victim", k, 1)-want) < 0.15)
+		is.Equal(x.Slowdown("victim", k, 0), 0.0) // another level of load
+	}
+}
+
+// Guards against a lagging measurement that is credited to what was placed
+// after it was taken, and a reserve that outlives its memory.
+func TestHistoryAndDemand(t *testing.T) {
+	is := is.New(t)
+	var h History
+	h.Note(1000, []unit.Kind{"a"})
+	h.Note(5000, []unit.Kind{"a", "b"})
+	is.Equal(h.At(500), nil)
+	is.Equal(h.At(4999), []unit.Kind{"a"})
+	is.Equal(h.At(5000), []unit.Kind{"a", "b"})
+
+	var d Demand
+	room := unit.Resources{CPU: 100}
+	d.Add(0, unit.Resources{CPU: 40})
+	is.Equal(d.Reserve(unit.Resources{CPU: 10}, room), unit.Resources{CPU: 30})
+	is.Equal(d.Reserve(unit.Resources{CPU: 50}, room), unit.Resources{})
+	is.Equal(d.Reserve(unit.Resources{CPU: 10}, unit.Resources{CPU: 20}), unit.Resources{CPU: 10}) // half of the room
+	d.Add(clock.Millis(peakWindows*peakWindow), unit.Resources{CPU: 5})
+	is.Equal(d.Reserve(unit.Resources{}, room), unit.Resources{CPU: 5})
+}
--- a/schedule/estimate/kind.go
+++ b/schedule/estimate/kind.go
@@ -32,6 +32,9 @@
 	k.Memory.Add(float64(peak.Memory))
 }
 
+// Known reports whether enough samples of the usage are known to use it.
+func (k *Kind) Known() bool { return k.CPU.N >= minSamples }
+
 // AddRunTime adds the run time of a whole task.
 func (k *Kind) AddRunTime(s clock.Span) {
 	k.RunTime.Add(float64(s))
@@ -44,7 +47,7 @@
 // known, and never over the given capacity. Accelerators are as declared.
 func (k *Kind) Size(declared, capacity unit.Resources) unit.Resources {
 	size := declared
-	if k != nil && k.CPU.N >= minSamples {
+	if k != nil && k.Known() {
 		size.CPU = min(max(size.CPU, unit.MilliCPU(k.CPU.High())), max(capacity.CPU, declared.CPU))
 		size.Memory = min(max(size.Memory, unit.MiB(k.Memory.High())), max(capacity.Memory, declared.Memory))
 	}
--- /dev/null
+++ b/schedule/job/job_test.go
@@ -0,0 +1,149 @@
+package job
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+)
+
+const testText = `
+version: 1
+capacity: {cpu: 100000, memory: 100000}
+teams:
+- {name: marts, quota: {cpu: 50000, memory: 50000}}
+- {name: farms, quota: {cpu: 50000, memory: 50000}}
+kinds:
+- {name: report, team: marts, class: batch, resources: {cpu: 1000, memory: 1000}}
+`
+
+// Guards against a submission that can never run, or that names something
+// unknown, being accepted or refused without saying that it did not run.
+func TestCheck(t *testing.T) {
+	text, err := service.Parse([]byte(testText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	workers := []unit.Resources{{CPU: 4000, Memory: 2000}, {CPU: 2000, Memory: 8000, Accelerators: 2}}
+	good := Spec{ID: "a", Team: "marts", Kind: "report", Tasks: 1}
+	tests := map[string]struct {
+		change  func(*Spec)
+		workers []unit.Resources
+		ok      bool
+		retry   bool
+	}{
+		"good":                   {change: func(*Spec) {}, ok: true},
+		"own size":               {change: func(s *Spec) { s.Size = unit.Resources{CPU: 2000, Memory: 8000, Accelerators: 2} }, ok: true},
+		"no id":                  {change: func(s *Spec) { s.ID = "" }},
+		"no tasks":               {change: func(s *Spec) { s.Tasks = 0 }},
+		"too many tasks":         {change: func(s *Spec) { s.Tasks = MaxTasks + 1 }},
+		"negative tasks":         {change: func(s *Spec) { s.Tasks = -1 }},
+		"negative size":          {change: func(s *Spec) { s.Size = unit.Resources{CPU: -1, Memory: 5} }},
+		"zero processor":         {change: func(s *Spec) { s.Size = unit.Resources{Memory: 5} }},
+		"negative time":          {change: func(s *Spec) { s.Expected = -1 }},
+		"fits no one worker":     {change: func(s *Spec) { s.Size = unit.Resources{CPU: 4000, Memory: 8000} }},
+		"accelerators not there": {change: func(s *Spec) { s.Size = unit.Resources{CPU: 1, Memory: 1, Accelerators: 3} }},
+		"unknown team":           {change: func(s *Spec) { s.Team = "x" }},
+		"team of another kind":   {change: func(s *Spec) { s.Team = "farms" }},
+		"unknown kind":           {change: func(s *Spec) { s.Kind = "x" }},
+		"no worker known":        {change: func(*Spec) {}, workers: []unit.Resources{}, retry: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, ws := good, workers
+			tc.change(&s)
+			if tc.workers != nil {
+				ws = tc.workers
+			}
+			_, err := Check(s, text, ws)
+			is.Equal(err == nil, tc.ok)
+			if tc.ok {
+				return
+			}
+			is.Equal(verdict.Of(err), verdict.DidNotRun)
+			is.Equal(err.(*verdict.Error).RetryAfter > 0, tc.retry)
+		})
+	}
+}
+
+// Guards against two outcomes of one job or task: whatever the order of cancel,
+// start, finish, fail and evict, the first end stays, every change is in the
+// table of transitions, and a record applied again changes nothing.
+func TestApplyIsIdempotentAndFinal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tab Tables
+		tab.Apply(Submitted{Head: Head{Epoch: 1, Job: "a"}, Spec: Spec{ID: "a", Tasks: 2}})
+		var seen []Record
+		for range rapid.IntRange(1, 25).Draw(t, "records") {
+			h := Head{
+				Epoch: unit.Epoch(rapid.IntRange(1, 2).Draw(t, "epoch")), Job: "a",
+				Task: TaskID("a", rapid.IntRange(0, 1).Draw(t, "task")), Attempt: unit.Attempt(rapid.IntRange(1, 4).Draw(t, "attempt")),
+			}
+			r := []Record{
+				Started{Head: h, Worker: "w"},
+				Started{Head: h, Worker: "v", Spare: true},
+				Evicted{Head: h, Counted: true},
+				Finished{Head: h},
+				Failed{Head: h, Worker: "w"},
+				Failed{Head: h, Worker: "v", Final: true},
+				Cancelled{Head: h},
+				Impossible{Head: h},
+				Checkpointed{Head: h, Checkpoint: "c", Progress: 0.5},
+			}[rapid.IntRange(0, 8).Draw(t, "kind")]
+			if rapid.IntRange(0, 9).Draw(t, "fence") == 0 {
+				tab.Fence(2)
+			}
+			job, before := *tab.Jobs.Get("a"), *tab.Tasks.Get(h.Task)
+			changed := tab.Apply(r)
+			after := *tab.Tasks.Get(h.Task)
+			if changed && (h.Epoch < tab.Epoch || job.State.Ended()) {
+				t.Fatalf("%T of epoch %d changed a job that is %s", r, h.Epoch, job.State)
+			}
+			if before.State != after.State && !CanFollow(before.State, after.State) {
+				t.Fatalf("%T: %s became %s", r, before.State, after.State)
+			}
+			if again := tab.Apply(r); again {
+				t.Fatalf("%T changed something again", r)
+			}
+			seen = append(seen, r)
+		}
+		if end := tab.Jobs.Get("a").State; end.Ended() {
+			for _, r := range seen {
+				tab.Apply(r)
+			}
+			if got := tab.Jobs.Get("a").State; got != end {
+				t.Fatalf("job was %s and is %s", end, got)
+			}
+		}
+	})
+}
+
+// Guards against a move that takes effect twice, or for a writer that was no
+// longer the owner.
+func TestMove(t *testing.T) {
+	tests := map[string]struct {
+		fence, epoch unit.Epoch
+		want         bool
+	}{
+		"owner":        {fence: 2, epoch: 2, want: true},
+		"former owner": {fence: 3, epoch: 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var from, to Tables
+			from.Apply(Submitted{Head: Head{Epoch: 2, Job: "a"}, Spec: Spec{ID: "a", Tasks: 2}})
+			from.Fence(tc.fence)
+			m := Moved{Head: Head{Epoch: tc.epoch, Job: "a"}, To: "selkirk"}
+			is.Equal(Move(&from, &to, m), tc.want)
+			is.Equal(Move(&from, &to, m), false)
+			is.Equal(to.Tasks.Len() == 2, tc.want)
+			is.Equal(from.Jobs.Len() == 0, tc.want)
+		})
+	}
+}
--- a/schedule/job/tables.go
+++ b/schedule/job/tables.go
@@ -81,9 +81,9 @@
 	}
 	switch m := r.(type) {
 	case Cancelled:
-		return t.end(j, StateCancelled, "")
+		return t.end(j, StateCancelled, "", "")
 	case Impossible:
-		return t.end(j, StateImpossible, m.Reason)
+		return t.end(j, StateImpossible, m.Task, m.Reason)
 	}
 	k := t.Tasks.Get(h.Task)
 	if k == nil {
@@ -115,13 +115,19 @@
 	return true
 }
 
-// end ends a job and those of its tasks that have not ended.
-func (t *Tables) end(j *Job, to State, reason string) bool {
+// end ends a job. The task that the record names ends in the same state, and
+// the others that have not ended are cancelled.
+func (t *Tables) end(j *Job, to State, subject unit.Task, reason string) bool {
 	j.State, j.Reason = to, reason
 	for i := range j.Spec.Tasks {
-		k := t.Tasks.Get(TaskID(j.Spec.ID, i))
-		if k != nil && !k.State.Ended() {
+		id := TaskID(j.Spec.ID, i)
+		k := t.Tasks.Get(id)
+		switch {
+		case k == nil || k.State.Ended():
+		case id == subject && CanFollow(k.State, to):
 			k.State = to
+		default:
+			k.State = StateCancelled
 		}
 	}
 	return true
@@ -197,7 +203,8 @@
 		k.FailedOn = append(k.FailedOn, m.Worker)
 	}
 	if m.Final && k.State == StateEvicted {
-		return t.end(j, StateFailed, m.Reason)
+		k.State = StateFailed
+		return t.end(j, StateFailed, m.Task, m.Reason)
 	}
 	return true
 }
--- /dev/null
+++ b/schedule/placement/placement_test.go
@@ -0,0 +1,121 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+)
+
+var whole = unit.Resources{CPU: 16000, Memory: 16000}
+
+// Guards against a score that ranks a clearly worse worker first.
+func TestPlacementScores(t *testing.T) {
+	base := Option{Size: unit.Resources{CPU: 1000, Memory: 1000}, Free: whole, Capacity: whole}
+	with := func(change func(*Option)) Option { o := base; change(&o); return o }
+	full := unit.Resources{CPU: 2000, Memory: 2000}
+	tests := map[string]struct {
+		policy        Policy[Option]
+		better, worse Option
+	}{
+		"no interference":   {Interfering{}, base, with(func(o *Option) { o.Slowdown = 0.3 })},
+		"another rack":      {Interfering{}, base, with(func(o *Option) { o.InRack = 2 })},
+		"in proportion":     {Interfering{}, base, with(func(o *Option) { o.Free.Memory = 2000 })},
+		"accelerators kept": {Interfering{}, base, with(func(o *Option) { o.Free.Accelerators = 1 })},
+		"urgent has room":   {Interfering{}, base, with(func(o *Option) { o.Free = full })},
+		"batch fills up":    {Interfering{}, with(func(o *Option) { o.Free, o.Class = full, service.Batch }), with(func(o *Option) { o.Class = service.Batch })},
+		"least loaded":      {LeastLoaded{}, base, with(func(o *Option) { o.Free = full })},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(tc.policy.Score(tc.better) > tc.policy.Score(tc.worse))
+			is.Equal(Best(tc.policy, []Option{tc.worse, tc.better}), 1)
+		})
+	}
+}
+
+// Guards against a victim that loses more than another one would.
+func TestVictimScores(t *testing.T) {
+	base := Victim{Class: service.Batch, LostWork: clock.Minute, Budget: true, Slack: clock.Hour}
+	with := func(change func(*Victim)) Victim { v := base; change(&v); return v }
+	tests := map[string]struct {
+		policy     Policy[Victim]
+		first, not Victim
+	}{
+		"less work lost":   {LeastLoss{}, with(func(v *Victim) { v.LostWork = 1 }), base},
+		"fewer evictions":  {LeastLoss{}, base, with(func(v *Victim) { v.Evictions = 1 })},
+		"deadline is met":  {LeastLoss{}, base, with(func(v *Victim) { v.Slack = 1 })},
+		"team borrows":     {LeastLoss{}, with(func(v *Victim) { v.Borrowed = true }), base},
+		"budget is left":   {LeastLoss{}, with(func(v *Victim) { v.LostWork = clock.Hour }), with(func(v *Victim) { v.Budget = false })},
+		"plain: placed":    {Preemption{}, with(func(v *Victim) { v.Placed = 9 }), base},
+		"plain: low class": {Preemption{}, base, with(func(v *Victim) { v.Class, v.Placed = service.Standing, 9 })},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).True(tc.policy.Score(tc.first) > tc.policy.Score(tc.not))
+		})
+	}
+}
+
+// Guards against a queue that loses, repeats or reorders tasks.
+func TestLineMatchesSortedList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l Line
+		var ref []unit.Task // in order of score, then of arrival
+		scores := map[unit.Task]int{}
+		for n := range rapid.IntRange(0, 40).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "add") {
+				task, score := unit.Task(rune('A'+n)), rapid.IntRange(0, 4).Draw(t, "score")
+				scores[task] = score
+				i := 0
+				for i < len(ref) && scores[ref[i]] >= score {
+					i++
+				}
+				ref = append(ref[:i:i], append([]unit.Task{task}, ref[i:]...)...)
+				l.Add(task, float64(score))
+				continue
+			}
+			stop, mod := rapid.IntRange(1, 5).Draw(t, "stop"), rapid.IntRange(1, 3).Draw(t, "mod")
+			var left []unit.Task
+			served := 0
+			l.Serve(func(task unit.Task) (bool, bool) {
+				if task != ref[served] {
+					t.Fatalf("served %s, want %s", task, ref[served])
+				}
+				served++
+				if served%mod != 0 {
+					left = append(left, task)
+				}
+				return served%mod == 0, served < stop
+			})
+			if served != min(stop, len(ref)) {
+				t.Fatalf("served %d of %d, want %d", served, len(ref), stop)
+			}
+			ref = append(left, ref[served:]...)
+		}
+		if l.Len() != len(ref) {
+			t.Fatalf("%d are left, want %d", l.Len(), len(ref))
+		}
+	})
+}
+
+// Guards against a shortlist that drops one of the best options.
+func TestShortlistKeepsBest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l Shortlist
+		best := -1
+		for _, s := range rapid.SliceOfN(rapid.IntRange(0, 50), 1, 40).Draw(t, "scores") {
+			l.Add(unit.Worker(rune('A'+s)), Option{Free: unit.Resources{CPU: unit.MilliCPU(s)}, Capacity: whole}, float64(s))
+			best = max(best, s)
+		}
+		got := l.Best(LeastLoaded{}, func(unit.Worker) float64 { return 0 })
+		if l.scores[0] != float64(best) || l.workers[0] != unit.Worker(rune('A'+best)) || got == "" {
+			t.Fatalf("best is %v, want %d", l.scores[0], best)
+		}
+	})
+}
--- a/schedule/placement/policy.go
+++ b/schedule/placement/policy.go
@@ -51,6 +51,9 @@
 	Throttle bool
 	// Reserve keeps room for the learned peak of latency-critical work.
 	Reserve bool
+	// Probe is how many tasks of a kind of batch work run while its true size
+	// is not known. 0 is no bound.
+	Probe int
 	// Budget is the number of evictions that a job takes. 0 is no bound.
 	Budget int
 }
@@ -59,9 +62,12 @@
 // no longer chosen as victims.
 const EvictionBudget = 3
 
+// probe is enough tasks of a kind to learn its size from.
+const probe = 8
+
 // Default returns the policies in use.
 func Default() Policies {
-	return Policies{Interfering{}, LeastLoss{}, Urgency{}, true, true, EvictionBudget}
+	return Policies{Interfering{}, LeastLoss{}, Urgency{}, true, true, probe, EvictionBudget}
 }
 
 // Plain returns the baseline: first fit, priority pre-emption and first come
--- a/schedule/work/assign.go
+++ b/schedule/work/assign.go
@@ -199,6 +199,9 @@
 		return b.redeem(p.now, id, pr)
 	}
 	batch := j.Terms.Class == service.Batch
+	if batch && b.probing(j.Spec.Kind) {
+		return ""
+	}
 	if p.isFull(size) || batch && !b.afterReserve(size) {
 		p.misses += b2i(!batch)
 		return ""
@@ -216,6 +219,15 @@
 	return ""
 }
 
+// probing reports whether as many tasks of the kind run as are needed to learn
+// its size. More of them could overfill workers that nobody has measured yet.
+func (b *Board) probing(k unit.Kind) bool {
+	if b.Policies.Probe == 0 || b.Kinds.Ensure(k).Known() {
+		return false
+	}
+	return *b.holds.Ensure(k) >= b.Policies.Probe
+}
+
 func b2i(v bool) int {
 	if v {
 		return 1
--- /dev/null
+++ b/schedule/work/bench_test.go
@@ -0,0 +1,116 @@
+package work
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/job"
+	"mimosadock/schedule/placement"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+	"mimosadock/schedule/worker"
+)
+
+const tasksPerWorker = 11 // 13,800 tasks on 1,200 workers, less the last ones
+
+// filled returns a board whose workers run as many tasks as at the target, of
+// 16 kinds that interfere, for 210 teams.
+func filled(tb testing.TB, workers int) *Board {
+	tb.Helper()
+	b := &Board{Home: "kelso", Policies: placement.Default()}
+	text := "version: 1\ncapacity: {cpu: 900000000, memory: 900000000, accelerators: 9000}\nteams:\n"
+	for i := range 210 {
+		text += fmt.Sprintf("- {name: team%d, quota: {cpu: 100000, memory: 100000}}\n", i)
+	}
+	text += "kinds:\n"
+	for i := range 210 {
+		class := []string{"batch", "batch", "batch", "latencyCritical"}[i%4]
+		text += fmt.Sprintf("- {name: kind%d, team: team%d, class: %s, resources: {cpu: 1000, memory: 4000}, expectedMs: 60000, checkpointMs: 30000}\n", i, i, class)
+	}
+	parsed, err := service.Parse([]byte(text))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	b.SetText(parsed)
+	for i := range workers {
+		w := unit.Worker(fmt.Sprintf("10.1.%d.%d:7000", i/250, i%250))
+		b.Workers.Put(w, "", unit.Rack(fmt.Sprint(i/10)), unit.Resources{CPU: 16000, Memory: 60000})
+	}
+	b.SetRight(1000, Right{Owner: true, Epoch: 1, Quick: clock.Never, Slow: clock.Never, Sole: -clock.Millis(clock.Hour)})
+	for _, r := range b.Workers.Workers.All() {
+		r.Epoch, r.Reported = 1, 1000
+	}
+	for i := range 16 {
+		for o := range 16 {
+			b.Interference.Learn(unit.Kind(fmt.Sprintf("kind%d", i)), []unit.Kind{unit.Kind(fmt.Sprintf("kind%d", o))}, 2, 0.2)
+		}
+	}
+	left := workers * tasksPerWorker
+	for n := 0; left > 0; n++ {
+		tasks := min(left, maxStarts)
+		submitOne(tb, b, n, tasks)
+		left -= tasks
+		for range 3 {
+			b.Tick(1000)
+		}
+	}
+	if got := b.Workers.Held.Len(); got != workers*tasksPerWorker {
+		tb.Fatalf("%d tasks are placed, want %d", got, workers*tasksPerWorker)
+	}
+	return b
+}
+
+func submitOne(tb testing.TB, b *Board, n, tasks int) {
+	s := job.Spec{
+		ID: unit.Job(fmt.Sprintf("job%d", n)), Team: unit.Team(fmt.Sprintf("team%d", n%210)),
+		Kind: unit.Kind(fmt.Sprintf("kind%d", n%210)), Tasks: tasks,
+	}
+	if _, err := b.Submit(1000, s); err != nil {
+		tb.Fatal(err)
+	}
+	for _, r := range b.Records(nil) {
+		b.Written(1000, r, verdict.Ran)
+	}
+}
+
+// BenchmarkPlacement gives the time of one start, from a queued task to a
+// placed one, among the running tasks of the target. The share of a core is
+// that of 230 starts a second.
+func BenchmarkPlacement(bb *testing.B) {
+	for _, workers := range []int{65, 300, 1200} {
+		bb.Run(fmt.Sprintf("workers=%d", workers), func(bb *testing.B) {
+			b := filled(bb, workers)
+			took := make([]time.Duration, 0, bb.N)
+			bb.ResetTimer()
+			for i := range bb.N {
+				bb.StopTimer()
+				id := unit.Job(fmt.Sprintf("job%d", 1_000_000+i))
+				submitOne(bb, b, 1_000_000+i, 1)
+				bb.StartTimer()
+				begin := time.Now()
+				b.assign(1000)
+				took = append(took, time.Since(begin))
+				bb.StopTimer()
+				k := b.Jobs.Tasks.Get(job.TaskID(id, 0))
+				if k.Attempt == 0 {
+					bb.Fatal("task was not placed")
+				}
+				b.drop(1000, b.Workers.Held.Get(worker.Ref{Task: job.TaskID(id, 0), Attempt: k.Attempt}))
+				b.Jobs.Jobs.Get(id).State = job.StateFinished
+				b.Jobs.Forget(id)
+				bb.StartTimer()
+			}
+			slices.Sort(took)
+			var sum time.Duration
+			for _, d := range took {
+				sum += d
+			}
+			bb.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+			bb.ReportMetric(230*sum.Seconds()/float64(len(took))*100, "%core@230/s")
+		})
+	}
+}
--- a/schedule/work/progress.go
+++ b/schedule/work/progress.go
@@ -14,7 +14,7 @@
 // Terms of the handling of running attempts.
 const (
 	moveWithin  = 2 * clock.Minute  // for the checkpoint of a move
-	sampleAfter = 30 * clock.Second // usage of long attempts is learned before they end
+	sampleAfter = 15 * clock.Second // usage of long attempts is learned before they end
 	maxMoves    = 1                 // per task, as a straggler
 )
 
@@ -116,6 +116,13 @@
 		CPU:    max(h.Peak.CPU, st.Usage.CPU),
 		Memory: max(h.Peak.Memory, st.Usage.Memory),
 	}
+	if was := h.Size; b.Workers.Grow(h, h.Peak) {
+		more := h.Size.Sub(was)
+		b.used[h.Class] = b.used[h.Class].Add(more)
+		if h.Team != "" {
+			b.Teams.Take(h.Team, more)
+		}
+	}
 	if !h.Sampled && st.Ran >= sampleAfter {
 		b.learnUsage(h)
 	}
@@ -156,6 +163,7 @@
 	}
 	h.Sampled = true
 	b.Kinds.Ensure(h.Kind).AddUsage(h.Peak)
+	b.dirty = true
 }
 
 func (b *Board) learnRunTime(h *worker.Held, st *worker.Status) {
--- a/schedule/worker/row.go
+++ b/schedule/worker/row.go
@@ -202,6 +202,23 @@
 	return t.Held.Delete(ref)
 }
 
+// Grow raises the size of h to what it was seen to use, so that the room that it
+// takes is not given away again.
+func (t *Tables) Grow(h *Held, seen unit.Resources) bool {
+	if seen.CPU <= h.Size.CPU && seen.Memory <= h.Size.Memory {
+		return false
+	}
+	r := t.Workers.Get(h.Worker)
+	if r != nil {
+		t.count(h, r, -1)
+	}
+	h.Size.CPU, h.Size.Memory = max(h.Size.CPU, seen.CPU), max(h.Size.Memory, seen.Memory)
+	if r != nil {
+		t.count(h, r, 1)
+	}
+	return true
+}
+
 // SetShare notes that the worker throttles h to the given share.
 func (t *Tables) SetShare(h *Held, share float64) {
 	r := t.Workers.Get(h.Worker)
--- /dev/null
+++ b/schedule/worker/worker_test.go
@@ -0,0 +1,93 @@
+package worker
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+)
+
+// Guards against room that is counted twice or forgotten as attempts come, are
+// throttled, grow and go.
+func TestTablesMatchSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tab Tables
+		for w := range 3 {
+			tab.Put(unit.Worker(fmt.Sprint(w)), "", unit.Rack(fmt.Sprint(w%2)), unit.Resources{CPU: 8000, Memory: 8000})
+		}
+		for n := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			ref := Ref{unit.Task(fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "task"))), 1}
+			h := tab.Held.Get(ref)
+			switch op := rapid.IntRange(0, 3).Draw(t, "op"); {
+			case op == 0 && h == nil:
+				tab.Hold(Held{
+					Ref: ref, Job: "j", Worker: unit.Worker(fmt.Sprint(n % 3)), Class: service.WorkClass(n % 3),
+					Size: unit.Resources{CPU: unit.MilliCPU(n * 10), Memory: 5},
+				})
+			case op == 1 && h != nil:
+				tab.Drop(ref)
+			case op == 2 && h != nil:
+				tab.SetShare(h, 0.5)
+			case op == 3 && h != nil:
+				tab.Grow(h, unit.Resources{CPU: 77, Memory: 9})
+			}
+		}
+		for id, r := range tab.Workers.All() {
+			var used, batch unit.Resources
+			racks, n := 0, 0
+			for _, h := range tab.Held.All() {
+				at := tab.Workers.Get(h.Worker)
+				if h.Class != service.Batch && at.Rack == r.Rack {
+					racks++
+				}
+				if h.Worker == id {
+					n++
+					used = used.Add(h.Limit())
+					if h.Class == service.Batch {
+						batch = batch.Add(h.Limit())
+					}
+				}
+			}
+			spread := append(tab.Spread("j"), 0, 0)
+			if r.Used != used || r.Batch != batch || r.Attempts != n || len(r.Refs) != n || spread[r.RackIndex()] != racks {
+				t.Fatalf("%s: %+v, want %+v, batch %+v, %d attempts, %d in the rack", id, *r, used, batch, n, racks)
+			}
+		}
+	})
+}
+
+// Guards against a worker in quarantine for the fault of one kind, and a broken
+// one that goes on taking work.
+func TestQuarantine(t *testing.T) {
+	tests := map[string]struct {
+		events string // f and g fail a kind each, s succeeds
+		want   bool
+		blame  int
+	}{
+		"one kind fails":        {"ffffff", false, 1},
+		"few failures":          {"fgf", false, 0},
+		"all kinds fail":        {"fgfg", true, 0},
+		"a success between":     {"fgsfg", false, 0},
+		"recovered":             {"fgfgs", false, 2},
+		"one failure, but good": {"sf", false, 2},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var h Health
+			for _, e := range tc.events {
+				if e == 's' {
+					h.Finished()
+				} else {
+					h.Failed(unit.Kind(e))
+				}
+			}
+			is.Equal(h.Quarantined, tc.want)
+			is.Equal(h.Blame(), tc.blame)
+		})
+	}
+}
--- a/standin/worker/advance.go
+++ b/standin/worker/advance.go
@@ -14,14 +14,14 @@
 	for w.at < now && !w.dead && !w.frozen {
 		w.setSpeeds()
 		next := now
-		for _, a := range w.attempts {
+		for _, a := range w.order {
 			if a.phase.Live() {
 				next = min(next, w.nextEvent(a))
 			}
 		}
 		span := float64(max(next, w.at).Sub(w.at))
 		w.at = max(next, w.at)
-		for _, a := range w.attempts {
+		for _, a := range w.order {
 			if a.phase.Live() {
 				a.progress = min(1, a.progress+a.speed*span)
 				w.settle(a)
@@ -79,13 +79,13 @@
 // setSpeeds sets how fast each attempt progresses, per millisecond.
 func (w *Worker) setSpeeds() {
 	var used unit.MilliCPU
-	for _, a := range w.attempts {
+	for _, a := range w.order {
 		if a.phase.Live() {
 			used += min(a.truth.Usage.CPU, unit.MilliCPU(float64(a.limit.CPU)*a.share))
 		}
 	}
 	load := float64(used) / float64(max(w.Capacity.CPU, 1))
-	for _, a := range w.attempts {
+	for _, a := range w.order {
 		a.speed = 0
 		if !a.phase.Live() || a.truth.Time == 0 {
 			continue
@@ -96,7 +96,7 @@
 		}
 		slow := 1 + max(0, load-1)
 		if w.world.Slowdown != nil {
-			for _, o := range w.attempts {
+			for _, o := range w.order {
 				if o != a && o.phase.Live() {
 					slow += w.world.Slowdown(a.kind, o.kind, load)
 				}
@@ -124,7 +124,7 @@
 	if w.dead || w.frozen {
 		return dst
 	}
-	for _, a := range w.attempts {
+	for _, a := range w.order {
 		if a.phase.Live() {
 			l := Live{Ref: a.Ref, Worker: w.ID, Limit: a.limit, Usage: a.truth.Usage, From: a.checkpoint}
 			l.Limit.CPU = unit.MilliCPU(float64(l.Limit.CPU) * a.share)
@@ -141,6 +141,7 @@
 	w.advance(w.world.Clock.Now())
 	w.dead = true
 	clear(w.attempts)
+	w.order = nil
 }
 
 // Restart brings a dead worker back. Its clock starts anew.
@@ -167,7 +168,7 @@
 	defer w.mu.Unlock()
 	w.at = max(w.at, w.world.Clock.Now())
 	w.frozen = false
-	for _, a := range w.attempts {
+	for _, a := range w.order {
 		if a.phase.Live() && w.at >= a.lease && !w.Faults.KeepLapsed {
 			w.end(a, worker.Stopped, "lease ended")
 		}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
-	"strings"
 	"sync"
 
 	"mimosadock/schedule/clock"
@@ -84,6 +82,7 @@
 	mu       sync.Mutex
 	epoch    unit.Epoch
 	attempts map[worker.Ref]*attempt
+	order    []*attempt   // as they arrived
 	at       clock.Millis // attempts are advanced to this instant
 	skew     clock.Span   // of the own clock, grows with restarts
 	lives    int
@@ -179,7 +178,7 @@
 		}
 		a.progress, a.saved, a.checkpoint = c.Progress, c.Progress, s.Checkpoint
 	}
-	w.attempts[ref] = a
+	w.add(a)
 	return nil
 }
 
@@ -199,11 +198,8 @@
 		}
 	}
 	rep := worker.Report{Epoch: w.epoch, Instance: w.instance(), Stamp: w.at.Add(w.skew), Capacity: w.Capacity}
-	refs := slices.SortedFunc(maps.Keys(w.attempts), func(a, b worker.Ref) int {
-		return strings.Compare(string(a.Task), string(b.Task))*2 + int(a.Attempt-b.Attempt)%2
-	})
-	for _, ref := range refs {
-		rep.Statuses = append(rep.Statuses, w.statusOf(w.attempts[ref]))
+	for _, a := range w.order {
+		rep.Statuses = append(rep.Statuses, w.statusOf(a))
 	}
 	return rep, nil
 }
@@ -269,7 +265,7 @@
 	switch {
 	case err == errUnknown:
 		ref := worker.Ref{Task: c.Task, Attempt: c.Attempt}
-		w.attempts[ref] = &attempt{Ref: ref, phase: worker.Stopped, reason: "stopped before it started", began: w.at, ended: w.at}
+		w.add(&attempt{Ref: ref, phase: worker.Stopped, reason: "stopped before it started", began: w.at, ended: w.at})
 		return nil
 	case err != nil:
 		return err
@@ -290,10 +286,16 @@
 	ref := worker.Ref{Task: c.Task, Attempt: c.Attempt}
 	if a := w.attempts[ref]; a != nil && !a.phase.Live() {
 		delete(w.attempts, ref)
+		w.order = slices.DeleteFunc(w.order, func(o *attempt) bool { return o == a })
 	}
 	return nil
 }
 
+func (w *Worker) add(a *attempt) {
+	w.attempts[a.Ref] = a
+	w.order = append(w.order, a)
+}
+
 func (w *Worker) find(c worker.Command) (*attempt, error) {
 	if err := w.admit(c.Epoch); err != nil {
 		return nil, err
