Wire the platform's host list and notices of leaving hosts

Cause: routes only knew the upstreams of the services text. Change: listed executors join their set, a missing host is checked and not dropped, an empty list changes nothing, and a notice that a host is leaving is obeyed at once and told to the other members in heartbeats; the owner grants nothing on it any more. Members that ended before the isolation bound are forgotten, and heartbeats no longer name ended ones.

--- a/entry/control/membership.go
+++ b/entry/control/membership.go
@@ -34,16 +34,21 @@
 
 // memberState holds the tables of membership.
 type memberState struct {
-	node       tenure.Node
-	hosts      member.Hosts
-	peers      Peers
-	records    Records
-	seeds      []string // addresses of peers from the settings
-	beats      table.Table[unit.Instance, clock.Millis]
-	seeded     clock.Millis // last heartbeats to the seeds
-	joining    clock.Millis // last append of the join record; zero before
-	left       chan struct{}
-	farewelled bool
+	node         tenure.Node
+	hosts        member.Hosts
+	notices      table.Table[string, clock.Millis] // hosts that told that they are leaving
+	hostsChanged bool                              // the routes have to follow
+	checker      Checker
+	checks       []string
+	peers        Peers
+	records      Records
+	seeds        []string // addresses of peers from the settings
+	beats        table.Table[unit.Instance, clock.Millis]
+	pruned       clock.Millis // last removal of members that ended long ago
+	seeded       clock.Millis // last heartbeats to the seeds
+	joining      clock.Millis // last append of the join record; zero before
+	left         chan struct{}
+	farewelled   bool
 }
 
 // Connect makes the process a member: it sends to peers and appends to the
@@ -161,6 +166,10 @@
 	}
 	s.declareLost(now)
 	s.join(now)
+	if now.Sub(s.pruned) >= clock.Minute {
+		s.pruned = now
+		s.node.Prune(now)
+	}
 	s.farewell(now)
 	if s.node.Full() {
 		member.Acknowledge(&s.node.Members, now, tenure.Allow(s.node.Limits.Confirm))
@@ -173,19 +182,39 @@
 		*last = max(now, 1)
 		s.beat(m, m.Address, now)
 	}
-	if s.node.Members.Len() == 0 && (s.seeded == 0 || now.Sub(s.seeded) >= beatEvery) {
+	if !s.hasLive() && (s.seeded == 0 || now.Sub(s.seeded) >= beatEvery) {
 		s.seeded = max(now, 1)
 		for _, address := range s.seeds {
-			if address != s.Self.Address {
-				s.beat(nil, address, now)
+			s.seed(address, now)
+		}
+		for address, h := range s.hosts.All() {
+			if h.Role == member.Entry {
+				s.seed(address, now)
 			}
 		}
 	}
 }
 
+// hasLive reports whether a member is known that may live.
+func (s *State) hasLive() bool {
+	for _, m := range s.node.Members.All() {
+		if !m.Ended() {
+			return true
+		}
+	}
+	return false
+}
+
+// seed introduces the process at an address where a member may be.
+func (s *State) seed(address string, now clock.Millis) {
+	if address != s.Self.Address {
+		s.beat(nil, address, now)
+	}
+}
+
 func (s *State) beat(m *member.Row, address string, now clock.Millis) {
 	b := s.node.Beat(m, now)
-	b.Revision = s.Revision
+	b.Revision, b.LeavingHosts = s.Revision, s.toldNotices(nil, now)
 	out := Outgoing{Address: address, Body: &b}
 	if m != nil {
 		out.To = m.Instance
--- a/entry/control/routes.go
+++ b/entry/control/routes.go
@@ -12,7 +12,8 @@
 // upstreamRow is one upstream of an upstream set.
 type upstreamRow struct {
 	set      string
-	slots    unit.Slots
+	slots    unit.Slots // zero while it may get nothing new
+	leaving  bool       // it said so itself; the text can't know
 	upstream *route.Upstream
 }
 
@@ -38,20 +39,24 @@
 	s.Urge()
 }
 
-// RouteSystem rebuilds the routes after a change of the text.
+// RouteSystem rebuilds the routes after a change of the text or of the hosts.
 func RouteSystem(s *State, _ clock.Millis) {
-	if s.Text == nil || s.routeRevision == s.Revision {
+	if s.Text == nil || s.routeRevision == s.Revision && !s.hostsChanged {
 		return
 	}
-	s.routeRevision = s.Revision
+	s.routeRevision, s.hostsChanged = s.Revision, false
+	for _, row := range s.upstreams.All() {
+		row.slots = 0
+	}
 	members := make(map[string][]*route.Upstream)
-	for _, set := range s.Text.UpstreamSets {
-		for _, m := range set.Members {
-			row := s.upstreams.Ensure(m.Address)
+	for i := range s.Text.UpstreamSets {
+		set := &s.Text.UpstreamSets[i]
+		for _, e := range s.executors(nil, set) {
+			row := s.upstreams.Ensure(e.address)
 			if row.upstream == nil {
-				row.upstream = &route.Upstream{Address: m.Address, DataCentre: m.DataCentre, Slots: new(slot.Counter), Pinned: new(slot.Counter)}
+				row.upstream = &route.Upstream{Address: e.address, DataCentre: e.dc, Slots: new(slot.Counter), Pinned: new(slot.Counter)}
 			}
-			row.set, row.slots = set.Name, set.Slots
+			row.set, row.slots = set.Name, e.slots
 			s.trackSlots(row)
 			members[set.Name] = append(members[set.Name], row.upstream)
 		}
--- a/entry/control/slots.go
+++ b/entry/control/slots.go
@@ -40,10 +40,10 @@
 	centres  []unit.DataCentre
 }
 
-// Systems returns the systems of membership, tenure, routes and slots in the
+// Systems returns the systems of hosts, membership, tenure, routes and slots in the
 // order in which they run.
 func Systems() []System {
-	return []System{MembershipSystem, TenureSystem, RouteSystem, GrantSystem, HoldSystem}
+	return []System{HostSystem, MembershipSystem, TenureSystem, RouteSystem, GrantSystem, HoldSystem}
 }
 
 // SetQueued sets the function that tells how many requests of a set wait for a
@@ -246,6 +246,9 @@
 	switch b := m.Body.(type) {
 	case *tenure.Heartbeat:
 		s.node.Receive(m.From, b, now)
+		for _, address := range b.LeavingHosts {
+			HostLeaving{Address: address}.Apply(s, now)
+		}
 	case *slot.Demand:
 		s.demand(m.From, b, now)
 	case *slot.Grants:
--- a/schedule/member/host.go
+++ b/schedule/member/host.go
@@ -47,11 +47,13 @@
 }
 
 // Leave marks a host as leaving, as told by a source other than the list. A
-// list that lags behind does not undo it.
-func (t *Hosts) Leave(address string) {
-	if r := t.Get(address); r != nil {
+// list that lags behind does not undo it. It reports whether the host is known.
+func (t *Hosts) Leave(address string) bool {
+	r := t.Get(address)
+	if r != nil {
 		r.Leaving = true
 	}
+	return r != nil
 }
 
 // Due appends the missing hosts that are to be checked to dst, at most one
--- a/schedule/member/instance.go
+++ b/schedule/member/instance.go
@@ -121,6 +121,14 @@
 	}
 }
 
+// Prune removes the instances that ended more than age ago, but for those that
+// keep selects. Version numbers are not used again.
+func (t *Table) Prune(now clock.Millis, age clock.Span, keep func(unit.Instance) bool) {
+	t.DeleteFunc(func(id unit.Instance, r *Row) bool {
+		return (r.Gone || r.DeadRead) && r.Silent(now) > age && !keep(id)
+	})
+}
+
 // Hear notes the arrival of a heartbeat and reports whether it is newer than
 // all before.
 func (r *Row) Hear(sent, now clock.Millis) bool {
--- a/schedule/tenure/heartbeat.go
+++ b/schedule/tenure/heartbeat.go
@@ -30,6 +30,7 @@
 	Card         *member.Card      `json:"card,omitempty" cbor:"14,keyasint,omitempty"` // of the sender, until the receiver has merged something
 	Revision     unit.Revision     `json:"revision,omitempty" cbor:"15,keyasint,omitempty"`
 	TextHash     uint64            `json:"textHash,omitempty" cbor:"16,keyasint,omitempty"`
+	LeavingHosts []string          `json:"leavingHosts,omitempty" cbor:"18,keyasint,omitempty"` // addresses that lately told a process that they are going away
 	JournalEnd   unit.Offset       `json:"journalEnd,omitempty" cbor:"17,keyasint,omitempty"`
 }
 
@@ -83,7 +84,7 @@
 	}
 	var facts []fact
 	for _, m := range n.Members.All() {
-		if m.Version > b.Base {
+		if m.Version > b.Base && !m.Ended() { // one that has ended claims nothing
 			facts = append(facts, fact{version: m.Version, card: &m.Card})
 		}
 	}
@@ -240,3 +241,21 @@
 	}
 	return dst
 }
+
+// Prune forgets the members that ended before the isolation bound and whose
+// rights nothing waits for any more.
+func (n *Node) Prune(now clock.Millis) {
+	n.Members.Prune(now, n.Limits.Outstanding(n.Limits.Isolated), func(id unit.Instance) bool {
+		for _, r := range n.Tenures.All() {
+			if r.Instance == id {
+				return true
+			}
+			for _, f := range r.Formers {
+				if f.Instance == id {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
--- /dev/null
+++ b/schedule/tenure/tenure_test.go
@@ -0,0 +1,197 @@
+package tenure
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/unit"
+)
+
+func claim(epoch unit.Epoch, by unit.Instance, cleared unit.Epoch) Claim {
+	return Claim{DataCentre: "kelso", Epoch: epoch, Instance: by, Cleared: cleared}
+}
+
+// Guards against readers of the journal that come to different owners, and
+// against former owners that are forgotten while their rights may last.
+func TestLearn(t *testing.T) {
+	tests := map[string]struct {
+		claims  []Claim
+		owner   unit.Instance
+		formers int
+	}{
+		"first claim wins":         {claims: []Claim{claim(1, "a", 0), claim(1, "b", 0)}, owner: "a"},
+		"higher epoch wins":        {claims: []Claim{claim(1, "a", 0), claim(2, "b", 0)}, owner: "b", formers: 1},
+		"repeated":                 {claims: []Claim{claim(1, "a", 0), claim(1, "a", 0)}, owner: "a"},
+		"told by a peer first":     {claims: []Claim{claim(3, "c", 0), claim(1, "a", 0), claim(2, "b", 0), claim(2, "x", 0)}, owner: "c", formers: 2},
+		"cleared by the owner":     {claims: []Claim{claim(1, "a", 0), claim(2, "b", 0), claim(2, "b", 2)}, owner: "b"},
+		"cleared by another":       {claims: []Claim{claim(1, "a", 0), claim(2, "b", 0), claim(2, "a", 2)}, owner: "b", formers: 1},
+		"cleared, then superseded": {claims: []Claim{claim(1, "a", 0), claim(2, "b", 2), claim(3, "c", 2)}, owner: "c", formers: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var tab Table
+			var members member.Table
+			for _, c := range tc.claims {
+				tab.Learn(c, 1, &members)
+			}
+			is.Equal(tab.Get("kelso").Instance, tc.owner)
+			is.Equal(len(tab.Get("kelso").Formers), tc.formers)
+		})
+	}
+}
+
+// reports are the holders that have reported.
+type reports map[unit.Instance]bool
+
+func (r reports) Reported(id unit.Instance) bool { return r[id] }
+
+// Guards against a new owner that uses slots which a former owner or its
+// holders may still use, or that waits longer than it has to. The claim was
+// learned at 10 s; the former owner is "a", a holder is "b".
+func TestTakeover(t *testing.T) {
+	const learned = 10_000
+	l := DefaultLimits()
+	byTime := clock.Millis(learned).Add(l.Outstanding(l.Confirm + l.Quick))
+	byBound := clock.Millis(learned).Add(l.Outstanding(l.Isolated))
+	tests := map[string]struct {
+		a        member.Row
+		reported reports
+		lastRead clock.Millis
+		handed   bool
+		want     Start
+	}{
+		"silent":                  {lastRead: learned, want: Start{byTime, byBound}},
+		"silent, holder reported": {reported: reports{"b": true}, lastRead: learned, want: Start{byTime, byBound}},
+		"dead": {
+			a: member.Row{Dead: true, DeadAt: 9_000}, reported: reports{"b": true}, lastRead: learned,
+			want: Start{15_610, 15_610},
+		},
+		"dead, journal not read since": {
+			a: member.Row{Dead: true, DeadAt: 9_000}, reported: reports{"b": true}, lastRead: 8_999,
+			want: Start{15_610, byBound},
+		},
+		"dead, holder has not reported": {
+			a: member.Row{Dead: true, DeadAt: 9_000}, lastRead: learned,
+			want: Start{15_610, byBound},
+		},
+		"gave way, all reported": {
+			a: member.Row{Settled: 9}, reported: reports{"a": true, "b": true}, lastRead: learned,
+			want: Start{learned, learned},
+		},
+		"gave way, holder has not reported": {
+			a: member.Row{Settled: 9}, reported: reports{"a": true}, lastRead: learned,
+			want: Start{16_610, byBound},
+		},
+		"said goodbye": {
+			a: member.Row{Gone: true}, reported: reports{"b": true}, lastRead: learned,
+			want: Start{16_610, 16_610},
+		},
+		"handed over": {handed: true, want: Start{learned, learned}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var members member.Table
+			tc.a.Joined = true
+			members.Put("a", tc.a)
+			members.Put("b", member.Row{Joined: true})
+			r := Row{Claim: claim(2, "c", 0), Version: 9, Learned: learned, Formers: []Former{{Instance: "a", Epoch: 1, Since: learned, Handed: tc.handed}}}
+			is.New(t).Equal(Takeover(&r, &members, tc.reported, l, tc.lastRead), tc.want)
+		})
+	}
+}
+
+// Guards against rights that outlast their confirmation, as those of an owner
+// that was paused.
+func TestRightsEnd(t *testing.T) {
+	l := DefaultLimits()
+	tests := map[string]struct {
+		now         clock.Millis
+		quick, slow bool
+	}{
+		"confirmed":        {now: 2_999, quick: true, slow: true},
+		"paused beyond T":  {now: 3_000, slow: true},
+		"isolated for H":   {now: 7_201_000},
+		"nearly for H":     {now: 7_200_999, slow: true},
+		"at the confirm":   {now: 1_000, quick: true, slow: true},
+		"before the start": {now: 999},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			right := RightOf(&Row{Confirmed: 1_000}, Start{Quick: 1_000, Slow: 1_000}, l)
+			is.Equal(right.Quick(tc.now), tc.quick)
+			is.Equal(right.Slow(tc.now), tc.slow)
+		})
+	}
+}
+
+// Guards against a confirmation by promises that lacks one, counts one too
+// long, or counts one that leaves the data centre out.
+func TestConfirmPromises(t *testing.T) {
+	tests := map[string]struct {
+		promises map[unit.Instance]member.Promise
+		want     clock.Millis
+	}{
+		"no other member": {want: 5_000},
+		"all promise":     {promises: map[unit.Instance]member.Promise{"b": {From: 4_000}, "c": {From: 4_500}}, want: 4_000},
+		"one is silent":   {promises: map[unit.Instance]member.Promise{"b": {From: 4_000}, "c": {}}},
+		"one claims":      {promises: map[unit.Instance]member.Promise{"b": {From: 4_000, Claiming: []unit.DataCentre{"kelso"}}}},
+		"one claims else": {promises: map[unit.Instance]member.Promise{"b": {From: 4_000, Claiming: []unit.DataCentre{"hawick"}}}, want: 4_000},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			var tab Table
+			var members member.Table
+			tab.Learn(claim(1, "a", 0), 1, &members)
+			for id, p := range tc.promises {
+				members.Put(id, member.Row{Promise: p})
+			}
+			ConfirmPromises(&tab, &members, "a", DefaultLimits(), 5_000)
+			is.New(t).Equal(tab.Get("kelso").Confirmed, tc.want)
+		})
+	}
+}
+
+// Guards against claims by members that are not acknowledged, and against a
+// claim while an owner may still count on the last promise.
+func TestClaims(t *testing.T) {
+	tests := map[string]struct {
+		acknowledged clock.Millis
+		founder      bool
+		lastRead     clock.Millis
+		ownerDead    bool
+		now          clock.Millis
+		want         int
+	}{
+		"not a member":               {lastRead: 90_000, ownerDead: true, now: 90_000},
+		"acknowledged just now":      {acknowledged: 89_000, lastRead: 90_000, ownerDead: true, now: 90_000},
+		"owner dead":                 {acknowledged: 1, lastRead: 90_000, ownerDead: true, now: 90_000, want: 1},
+		"first member":               {founder: true, lastRead: 90_000, ownerDead: true, now: 90_000, want: 1},
+		"journal not read":           {acknowledged: 1, lastRead: 79_999, ownerDead: true, now: 90_000},
+		"owner silent":               {acknowledged: 1, lastRead: 90_000, now: 82_070, want: 1},
+		"owner silent, promise held": {acknowledged: 1, lastRead: 90_000, now: 82_069},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := Node{Limits: DefaultLimits()}
+			n.Self = Standing{
+				Card:         member.Card{Instance: "b", DataCentre: "kelso"},
+				Acknowledged: tc.acknowledged, Founder: tc.founder, LastRead: tc.lastRead,
+			}
+			n.Members.Put("a", member.Row{Card: member.Card{Instance: "a", DataCentre: "kelso"}, Dead: tc.ownerDead})
+			n.Tenures.Learn(claim(1, "a", 0), 1, &n.Members)
+			n.Bid(nil, []unit.DataCentre{"kelso"}, 80_000, clock.Second) // withholds the promise
+			beat := n.Beat(n.Members.Get("a"), 80_000)
+			is.Equal(len(beat.Claiming), 1)
+			n.Bids.Get("kelso").Appended = 0
+			got := n.Bid(nil, []unit.DataCentre{"kelso"}, tc.now, clock.Second)
+			is.Equal(len(got), tc.want)
+			is.True(tc.want == 0 || got[0] == claim(2, "b", 0))
+		})
+	}
+}
