Let holders without a slot show their demand

Cause: demand was measured by requests in flight, so a holder without slots could never ask for one, and a full one asked for little more than it had. Change: takes that find no free slot are counted; a holder that had any asks for twice what it holds, at once when it holds none. An idle holder gets one slot of what would lie idle.

--- a/entry/control/model_test.go
+++ b/entry/control/model_test.go
@@ -503,7 +503,8 @@
 	}
 }
 
-// grantedOn returns the slots of a data centre that some processes hold now.
+// grantedOn returns the slots of a data centre that some processes hold or still
+// use now.
 func (m *model) grantedOn(dc int, by func(*proc) bool) (n unit.Slots) {
 	for _, p := range m.procs {
 		if p.dead || !by(p) {
@@ -515,6 +516,9 @@
 				continue
 			}
 			n += up.Pinned.Used() + up.Slots.Room(p.Now())
+			if p.paused <= m.now { // else the requests may have ended without it
+				n += max(0, up.Slots.Used()-up.Slots.Room(p.Now()))
+			}
 		}
 	}
 	return n
--- a/schedule/slot/counter.go
+++ b/schedule/slot/counter.go
@@ -33,6 +33,7 @@
 	used       atomic.Int64
 	quickUntil atomic.Int64
 	slowUntil  atomic.Int64
+	missed     atomic.Int64
 }
 
 // quickShift is the position of the quick part in the word of held slots.
@@ -71,6 +72,7 @@
 	used := c.used.Add(1) // before the load, so that a reduction of the held slots sees this request
 	if unit.Slots(used) > c.Room(deadline) {
 		c.used.Add(-1)
+		c.missed.Add(1)
 		return false
 	}
 	return true
@@ -99,5 +101,8 @@
 // it one too high for a moment.
 func (c *Counter) Used() unit.Slots { return unit.Slots(c.used.Load()) }
 
+// Missed returns how many takes have found no free slot so far.
+func (c *Counter) Missed() int64 { return c.missed.Load() }
+
 // Free returns the slots that are held and not in use, at least zero.
 func (c *Counter) Free() unit.Slots { return max(0, c.Held().Total()-c.Used()) }
--- a/schedule/slot/holder.go
+++ b/schedule/slot/holder.go
@@ -31,6 +31,7 @@
 	set     Set
 	counter *Counter
 	pinned  *Counter
+	missed  int64 // takes without a free slot up to the last tick
 }
 
 // pinState is the state of a pinned grant at its holder.
@@ -61,7 +62,7 @@
 
 	leases table.Table[unit.DataCentre, lease]
 	rows   table.Table[unit.Upstream, heldRow]
-	peaks  table.Table[peakKey, unit.Slots]
+	peaks  table.Table[peakKey, peak]
 	pins   table.Table[PinID, heldPin]
 	seq    PinID
 }
@@ -72,6 +73,14 @@
 	set Set
 }
 
+// peak is the demand for one set since the last demand.
+type peak struct {
+	used   unit.Slots // most requests in flight
+	missed bool       // a request found no free slot
+	now    unit.Slots // requests in flight at this tick
+	held   unit.Slots
+}
+
 // Track adds an upstream with the counters that the request path uses.
 func (h *Holder) Track(name unit.Upstream, dc unit.DataCentre, set Set, counter, pinned *Counter) {
 	if h.rows.Get(name) == nil {
@@ -136,14 +145,23 @@
 // Observe samples the requests in flight and drops the pinned grants whose
 // requests have ended. It runs on each tick.
 func (h *Holder) Observe(now clock.Millis) {
-	sums := make(map[peakKey]unit.Slots, h.peaks.Len())
+	for _, p := range h.peaks.All() {
+		p.now, p.held = 0, 0
+	}
 	for name, r := range h.rows.All() {
-		sums[peakKey{r.dc, r.set}] += r.counter.Used()
+		p := h.peaks.Ensure(peakKey{r.dc, r.set})
+		p.now += r.counter.Used()
+		p.held += r.counter.Held().Total()
+		if missed := r.counter.Missed(); missed > r.missed {
+			r.missed, p.missed = missed, true
+		}
 		h.dropEnded(name, r)
 	}
-	for k, n := range sums {
-		peak := h.peaks.Ensure(k)
-		*peak = max(*peak, n)
+	for k, p := range h.peaks.All() {
+		p.used = max(p.used, p.now)
+		if l := h.leases.Get(k.dc); l != nil && p.missed && p.held == 0 {
+			l.urgent = true
+		}
 	}
 	h.pins.DeleteFunc(func(_ PinID, p *heldPin) bool { return p.state == pinAsked && now >= p.deadline })
 }
@@ -185,6 +203,10 @@
 // at once would move slots between holders with every gap between two requests.
 const decayPart = 4
 
+// missedFactor is the multiple of the held slots that is asked for when a
+// request found none free, so that demand can grow tenfold within four demands.
+const missedFactor = 2
+
 // Demand returns the next demand for the data centre, or reports false if none
 // is due. Queued tells how many requests of a set wait for a slot.
 func (h *Holder) Demand(dc unit.DataCentre, now clock.Millis, queued func(Set) unit.Slots) (Demand, bool) {
@@ -198,8 +220,11 @@
 		if k.dc != dc {
 			continue
 		}
-		want := *peak + queued(k.set)
-		if want > 0 {
+		want := peak.used + queued(k.set)
+		if peak.missed { // with all slots in use the requests in flight tell too little
+			want = max(want, missedFactor*peak.held)
+		}
+		if want > 0 || peak.missed {
 			want += 1 + want/headroomPart
 			d.Wants = append(d.Wants, Want{Set: k.set, Slots: want})
 		}
@@ -213,7 +238,7 @@
 	h.addPins(&d, now)
 	for k, peak := range h.peaks.All() {
 		if k.dc == dc {
-			*peak = max(0, *peak-1-*peak/decayPart)
+			peak.used, peak.missed = max(0, peak.used-1-peak.used/decayPart), false
 		}
 	}
 	l.asked, l.urgent, l.sum = now, false, sum
--- a/schedule/slot/tick.go
+++ b/schedule/slot/tick.go
@@ -188,6 +188,9 @@
 		}
 	}
 	divide(s.need, s.target, s.demand, capacity)
+	for i, t := range s.target { // an idle holder can take its first requests at once
+		s.need[i] = max(s.need[i], min(t, 1))
+	}
 }
 
 // shrink takes slots back from holders that have more than they need, as many
