--- a/entry/control/model_test.go
+++ b/entry/control/model_test.go
@@ -264,7 +264,7 @@
 
 func (m *model) deliver(from *proc, out Outgoing) {
 	for place, to := range m.procs {
-		if address(place) != out.Address || !m.linked(from.place, place) {
+		if to.loop.state.Self.Address != out.Address || !m.linked(from.place, place) {
 			continue
 		}
 		id := to.loop.state.Self.Instance
--- a/entry/control/slots_test.go
+++ b/entry/control/slots_test.go
@@ -13,16 +13,20 @@
 	"mimosadock/schedule/tenure"
 )
 
-// seeds returns how many seeds a random test runs.
-func seeds(t *testing.T, usual int) int {
+// seeds returns how many seeds a random test runs, and first the first of them.
+func seeds(t *testing.T, usual int) int { return fromEnv(t, "MIMOSA_SEEDS", usual) }
+
+func first(t *testing.T) int { return fromEnv(t, "MIMOSA_FIRST_SEED", 0) }
+
+func fromEnv(t *testing.T, name string, usual int) int {
 	t.Helper()
-	text := os.Getenv("MIMOSA_SEEDS")
+	text := os.Getenv(name)
 	if text == "" {
 		return usual
 	}
 	n, err := strconv.Atoi(text)
 	if err != nil {
-		t.Fatalf("MIMOSA_SEEDS: %v", err)
+		t.Fatalf("%s: %v", name, err)
 	}
 	return n
 }
@@ -72,9 +76,10 @@
 		mu      sync.Mutex
 		samples float64
 	)
+	start := first(t)
 	for worker := range modelWorkers {
 		g.Go("model", func(context.Context) error {
-			for seed := worker; seed < n; seed += modelWorkers {
+			for seed := start + worker; seed < start+n; seed += modelWorkers {
 				m := newModel(uint64(seed), f)
 				m.run()
 				mu.Lock()
