Test pinned requests and fuzz the decoding of peer messages

Cause: two paths had no test of their own: a request that gives up while its pinned grant is on the way, and bytes from the network. Change: a table of the orders in which an answer and a give-up can come, and a fuzz test of every message up to the tables.

--- /dev/null
+++ b/entry/control/pins_test.go
@@ -0,0 +1,92 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/route"
+	"mimosadock/schedule/slot"
+	"mimosadock/schedule/tenure"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+)
+
+// nowhere drops messages and records.
+type nowhere struct{}
+
+func (nowhere) Post(Outgoing) {}
+func (nowhere) Append(any)    {}
+
+// drain applies the messages that wait and runs the systems once.
+func drain(l *Loop) {
+	for len(l.inbox) > 0 {
+		(<-l.inbox).Apply(&l.state, l.clock.Now())
+	}
+	l.Step()
+}
+
+// Guards against a pinned slot that stays taken after its request gave up, and
+// against a request that waits for an answer which can't come.
+func TestPinner(t *testing.T) {
+	answer := func(up unit.Upstream) Message {
+		return Delivered{From: "owner", To: "self", Body: &slot.Pinned{DataCentre: "dc0", Epoch: 1, ID: 1, Upstream: up}}
+	}
+	granted, refused := answer("10.0.0.0:80"), answer("")
+	nextOwner := JournalRead{Entries: []tenure.Entry{{Claim: &tenure.Claim{DataCentre: "dc0", Epoch: 2, Instance: "next"}}}}
+	tests := map[string]struct {
+		giveUp bool
+		then   []Message
+		ok     bool
+		used   unit.Slots
+	}{
+		"granted":            {then: []Message{granted}, ok: true, used: 1},
+		"granted twice":      {then: []Message{granted, granted}, ok: true, used: 1},
+		"refused":            {then: []Message{refused}},
+		"gave up":            {giveUp: true},
+		"granted after that": {giveUp: true, then: []Message{granted}},
+		"another owner":      {then: []Message{nextOwner, granted}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				l := New(new(clock.Manual), Self{Instance: "self", DataCentre: "dc0"}, Systems()...)
+				l.Connect(nowhere{}, nowhere{}, tenure.DefaultLimits(), nil)
+				s := &l.state
+				SetText{Revision: 1, Text: modelText(1, 1)}.Apply(s, 0)
+				s.node.Tenures.Learn(tenure.Claim{DataCentre: "dc0", Epoch: 1, Instance: "owner"}, 0, &s.node.Members)
+				l.Step()
+				up := s.upstreams.Get("10.0.0.0:80").upstream
+				target := &route.Target{Service: &s.Text.Services[0], Upstreams: []*route.Upstream{up}}
+				ctx, giveUp := context.WithCancel(t.Context())
+				defer giveUp()
+				var g group.Group
+				g.Go("request", func(context.Context) error {
+					got, err := Pinner{l}.Pin(ctx, target, 10_000)
+					is.Equal(got != nil, tc.ok)
+					is.True(tc.ok || verdict.Of(err) == verdict.DidNotRun)
+					return nil
+				})
+				synctest.Wait()
+				drain(l)
+				if tc.giveUp {
+					giveUp()
+					synctest.Wait()
+				}
+				for _, m := range tc.then {
+					l.Offer(m)
+					drain(l)
+				}
+				is.NoErr(g.Wait())
+				drain(l)
+				is.Equal(up.Pinned.Used(), tc.used)
+				is.Equal(s.pinWaits.Len(), 0)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/entry/peer/codec_test.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"testing"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/slot"
+	"mimosadock/schedule/tenure"
+)
+
+// Guards against bytes from the network that stop the process, and against a
+// decoded message that changes when it is passed on.
+func FuzzDecode(f *testing.F) {
+	c := newCodec()
+	for _, body := range []any{
+		&tenure.Heartbeat{Sent: 1, Claims: []tenure.Claim{{DataCentre: "kelso", Epoch: 1}}},
+		&slot.Demand{DataCentre: "kelso", Wants: []slot.Want{{Set: "weighbook", Slots: 3}}},
+		&slot.Grants{Cells: []slot.Cell{{Upstream: "10.0.0.1:80"}}},
+	} {
+		data, err := c.Marshal(body)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		for i := range methods {
+			body, err := methods[i].decode(func(v any) error { return c.Unmarshal(data, v) })
+			if err != nil {
+				continue
+			}
+			again, err := c.Marshal(body)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := methods[i].decode(func(v any) error { return c.Unmarshal(again, v) }); err != nil {
+				t.Fatalf("%s: %v", methods[i].name, err)
+			}
+			useMessage(body)
+		}
+	})
+}
+
+// useMessage applies a message to the tables that take it.
+func useMessage(body any) {
+	n := tenure.Node{Limits: tenure.DefaultLimits()}
+	g := slot.Granter{Limits: tenure.DefaultLimits()}
+	g.Begin("kelso", 0)
+	g.Upstream("10.0.0.1:80", "weighbook", 8)
+	always := tenure.Right{QuickUntil: clock.Never, SlowUntil: clock.Never}
+	h := slot.Holder{Self: "h"}
+	h.Track("10.0.0.1:80", "kelso", "weighbook", new(slot.Counter), new(slot.Counter))
+	h.Adopt("kelso", 1, "owner")
+	switch b := body.(type) {
+	case *tenure.Heartbeat:
+		n.Receive("peer", b, 1)
+	case *slot.Demand:
+		g.Demand(b, 1)
+		g.Tick(1, always)
+		g.Answer(b.Holder, 1, always)
+	case *slot.Grants:
+		h.Apply(b)
+	case *slot.Pin:
+		g.Pin(b, 1, always)
+	case *slot.Pinned:
+		h.Answered(b)
+	}
+}
