Merge the leaving of hosts and the pruning of members

Cause: hosts were wired twice, in the request path's and in the slots' way. The slots that the platform lists for a host count before those of the set. go test ./entry/control ./schedule/... passes.

--- a/entry/control/audit.go
+++ b/entry/control/audit.go
@@ -46,7 +46,7 @@
 		}
 		s.audits = append(s.audits[max(0, len(s.audits)+1-maxAudits):], e)
 		if e.Action == audit.Drain {
-			DrainHost{Address: e.Target}.Apply(s, now)
+			HostLeaving{Address: e.Target}.Apply(s, now)
 		}
 	})
 }
--- a/entry/control/routes.go
+++ b/entry/control/routes.go
@@ -184,6 +184,9 @@
 		row.health.Begin(phase, now)
 	}
 	row.set, row.slots, row.stale = set.Name, set.Slots, false
+	if h := s.hosts.Get(string(m.Address)); h != nil && h.Slots > 0 {
+		row.slots = h.Slots
+	}
 	row.leaving = s.leaving.Get(m.Address) != nil
 	s.trackSlots(row)
 	g := s.groups.Ensure(groupKey{set.Name, m.DataCentre})
--- a/entry/process/hosts.go
+++ b/entry/process/hosts.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"net"
 	"syscall"
 	"time"
 
 	"mimosadock/entry/control"
-	"mimosadock/schedule/clock"
 	"mimosadock/schedule/member"
 )
 
@@ -19,33 +19,43 @@
 	checkTimeout = time.Second
 )
 
-// watchHosts reads the platform's list of hosts and checks the hosts that it
-// lacks, until ctx ends.
+var listFailures = expvar.NewInt("process.hostListFailures")
+
+// watchHosts reads the platform's list of hosts until ctx ends. A list that
+// fails is counted and leaves the last known set in place.
 func (p *Process) watchHosts(ctx context.Context, lister member.Lister) error {
 	ticker := time.NewTicker(listEvery)
 	defer ticker.Stop()
-	for ctx.Err() == nil {
+	for {
 		rows, err := lister.List(ctx)
-		if p.Loop.Send(ctx, control.HostsListed{Rows: rows, Err: err}) != nil {
-			return nil
-		}
-		due, err := control.Ask(ctx, p.Loop, func(s *control.State, now clock.Millis) []string { return s.DueChecks(now) })
 		if err != nil {
+			listFailures.Add(1)
+		} else if p.Loop.Send(ctx, control.HostList{Listings: rows}) != nil {
 			return nil
 		}
-		for _, address := range due {
-			p.group.Go("hostCheck", func(ctx context.Context) error { return p.checkHost(ctx, address) })
-		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
+			return nil
 		}
 	}
-	return nil
 }
 
-// checkHost reports whether a host refuses connections. Silence proves nothing.
-func (p *Process) checkHost(ctx context.Context, address string) error {
+// hostChecker dials the hosts that the list lacks.
+type hostChecker struct{ process *Process }
+
+var _ control.Checker = hostChecker{}
+
+// Check starts the check of one host.
+func (c hostChecker) Check(address string) {
+	c.process.group.Go("hostCheck", func(ctx context.Context) error {
+		c.process.Loop.Offer(control.HostChecked{Address: address, Refused: refuses(ctx, address)})
+		return nil
+	})
+}
+
+// refuses reports whether a host refuses connections. Silence proves nothing.
+func refuses(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	var d net.Dialer
@@ -53,6 +63,5 @@
 	if err == nil {
 		conn.Close()
 	}
-	p.Loop.Offer(control.HostChecked{Address: address, Refused: errors.Is(err, syscall.ECONNREFUSED)})
-	return nil
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
