--- /dev/null
+++ b/entry/control/jobview.go
@@ -0,0 +1,113 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+
+	"mimosadock/schedule/job"
+	"mimosadock/schedule/quota"
+	"mimosadock/schedule/unit"
+)
+
+// JobRow is a job with its home and its tasks, as the journal has them.
+type JobRow struct {
+	job.Job
+	Home  unit.DataCentre
+	Tasks []TaskRow
+}
+
+// TaskRow is a task with its id.
+type TaskRow struct {
+	job.Task
+	ID unit.Task
+}
+
+// TeamUse is what the tasks of a team hold.
+type TeamUse struct {
+	Used  unit.Resources
+	Tasks int
+}
+
+// JobHome returns the home of a job, and false if the job is not known.
+func (s *State) JobHome(id unit.Job) (unit.DataCentre, bool) {
+	for dc, b := range s.boards.All() {
+		if (*b).Jobs.Jobs.Get(id) != nil {
+			return dc, true
+		}
+	}
+	return "", false
+}
+
+// NewHome returns the data centre for a new job: the own one if it has
+// workers, else the first that has.
+func (s *State) NewHome() unit.DataCentre {
+	var homes []unit.DataCentre
+	for dc, b := range s.boards.All() {
+		if (*b).Workers.Workers.Len() > 0 {
+			homes = append(homes, dc)
+		}
+	}
+	if len(homes) == 0 || slices.Contains(homes, s.Self.DataCentre) {
+		return s.Self.DataCentre
+	}
+	return slices.Min(homes)
+}
+
+// Jobs returns the jobs of a team, or of all teams if it is empty, by id.
+// Tasks are left out.
+func (s *State) Jobs(team unit.Team) []JobRow {
+	var rows []JobRow
+	for dc, b := range s.boards.All() {
+		for _, j := range (*b).Jobs.Jobs.All() {
+			if team == "" || j.Spec.Team == team {
+				rows = append(rows, JobRow{Job: *j, Home: dc})
+			}
+		}
+	}
+	slices.SortFunc(rows, func(a, b JobRow) int { return cmp.Compare(a.Spec.ID, b.Spec.ID) })
+	return rows
+}
+
+// Job returns a job with its tasks, or nil.
+func (s *State) Job(id unit.Job) *JobRow {
+	dc, ok := s.JobHome(id)
+	if !ok {
+		return nil
+	}
+	t := &s.Board(dc).Jobs
+	row := &JobRow{Job: *t.Jobs.Get(id), Home: dc}
+	for i := range row.Spec.Tasks {
+		task := job.TaskID(id, i)
+		if k := t.Tasks.Get(task); k != nil {
+			row.Tasks = append(row.Tasks, TaskRow{Task: *k, ID: task})
+		}
+	}
+	return row
+}
+
+// TeamUses returns what the placed tasks of each team hold, by their declared
+// sizes.
+func (s *State) TeamUses() map[unit.Team]TeamUse {
+	uses := make(map[unit.Team]TeamUse)
+	for _, b := range s.boards.All() {
+		t := &(*b).Jobs
+		for _, k := range t.Tasks.All() {
+			j := t.Jobs.Get(k.Job)
+			if j == nil || !k.State.Active() {
+				continue
+			}
+			u := uses[j.Spec.Team]
+			u.Used, u.Tasks = u.Used.Add(j.Terms.Size), u.Tasks+1
+			uses[j.Spec.Team] = u
+		}
+	}
+	return uses
+}
+
+// ShareOf returns the dominant share of a use in the capacity of the text.
+func (s *State) ShareOf(u TeamUse) float64 {
+	if s.Text == nil {
+		return 0
+	}
+	return quota.ShareOf(u.Used, s.Text.Capacity)
+}
--- a/entry/control/slots.go
+++ b/entry/control/slots.go
@@ -255,6 +255,7 @@
 	switch b := m.Body.(type) {
 	case *tenure.Heartbeat:
 		s.node.Receive(m.From, b, now)
+		s.heardRevision(m.From, b.Revision, now)
 		for _, address := range b.LeavingHosts {
 			HostLeaving{Address: address}.Apply(s, now)
 		}
--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -29,6 +29,7 @@
 	configState
 	snapshotState
 	auditState
+	fetchState
 	slotState
 	memberState
 	workState
--- a/entry/control/work.go
+++ b/entry/control/work.go
@@ -55,6 +55,9 @@
 	workViewed   clock.Millis
 	jobRecords   []job.Record
 	batches      []work.Batch
+	askID        uint64
+	asked        table.Table[uint64, asked]
+	relayed      []relayed
 }
 
 // JobReply is the answer to a submission, a cancellation or a question.
--- a/entry/peer/service.go
+++ b/entry/peer/service.go
@@ -54,6 +54,10 @@
 	of[slot.Pin]("pin"),
 	of[slot.Pinned]("pinned"),
 	of[control.Handover]("handover"),
+	of[control.JobAsk]("jobAsk"),
+	of[control.JobAnswer]("jobAnswer"),
+	of[control.FetchText]("fetchText"),
+	of[control.SendText]("sendText"),
 }
 
 // methodOf returns the full method name for a body, or false if no method
--- a/entry/process/backend.go
+++ b/entry/process/backend.go
@@ -159,25 +159,3 @@
 
 // Dump returns the state of the process.
 func (b *backend) Dump(ctx context.Context) (any, error) { return b.process.State(ctx) }
-
-// errNoWorkers is the answer to everything about jobs.
-var errNoWorkers = verdict.Refuse("this process is not connected to workers")
-
-// Usage returns what the teams use.
-func (b *backend) Usage(context.Context) ([]admin.Usage, error) { return nil, errNoWorkers }
-
-// Submit submits a job.
-func (b *backend) Submit(context.Context, unit.Team, admin.Submission) (admin.Job, error) {
-	return admin.Job{}, errNoWorkers
-}
-
-// Jobs returns the jobs of a team.
-func (b *backend) Jobs(context.Context, unit.Team) ([]admin.Job, error) { return nil, errNoWorkers }
-
-// Job returns a job.
-func (b *backend) Job(context.Context, unit.Job) (admin.Job, error) { return admin.Job{}, errNoWorkers }
-
-// Cancel cancels a job.
-func (b *backend) Cancel(context.Context, string, unit.Job) (admin.Job, error) {
-	return admin.Job{}, errNoWorkers
-}
--- a/entry/process/journal.go
+++ b/entry/process/journal.go
@@ -7,6 +7,7 @@
 	"mimosadock/entry/platform"
 	"mimosadock/entry/stream"
 	"mimosadock/schedule/clock"
+	"mimosadock/schedule/config"
 	"mimosadock/schedule/group"
 	"mimosadock/schedule/snapshot"
 )
@@ -47,3 +48,19 @@
 		return j.writer.Run(ctx)
 	})
 }
+
+// parseText checks a text that a peer has sent.
+func (p *Process) parseText(m *control.SendText) {
+	p.group.Go("text", func(ctx context.Context) error {
+		source, err := config.Unpack(m.Packed)
+		if err != nil {
+			return nil
+		}
+		v, err := config.CheckVersion(m.Revision, m.Hash, source)
+		if err != nil {
+			return nil
+		}
+		_ = p.Loop.Send(ctx, control.AdoptVersion{Version: v})
+		return nil
+	})
+}
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -87,7 +87,7 @@
 	systems = append(systems, control.Systems()...)
 	if s.Journal != "" {
 		p.work = &control.Work{Agent: new(platform.Workers), Clock: clock.System{}}
-		systems = append(systems, control.WorkRightSystem, p.work.System)
+		systems = append(systems, control.WorkRightSystem, p.work.System, control.AskSystem)
 	}
 	systems = append(systems, control.OwnerSystem, control.SnapshotSystem)
 	p.Loop = control.New(clock.System{}, p.self, systems...)
@@ -95,6 +95,7 @@
 	p.front = &front.Front{View: p.Loop.View, Clock: clock.System{}, Sender: p.pool, Report: p.Loop.Offer, Pinner: control.Pinner{Loop: p.Loop}}
 	p.Loop.SetQueued(func(set slot.Set) unit.Slots { return p.front.Waiting(string(set)) })
 	p.Loop.SetChecker(hostChecker{p})
+	p.Loop.ParseWith(p.parseText)
 	p.Loop.FollowAudits()
 	p.openJournal()
 	return p, nil
