--- a/schedule/job/tables.go
+++ b/schedule/job/tables.go
@@ -21,6 +21,7 @@
 
 	Accepted clock.Millis `json:"-" cbor:"-"`
 	Deadline clock.Millis `json:"-" cbor:"-"` // Never if there is none
+	Ended    clock.Millis `json:"-" cbor:"-"`
 	Held     int          `json:"-" cbor:"-"` // attempts that may be at a worker
 	Doubtful bool         `json:"-" cbor:"-"` // its record may be in the journal
 	Moving   bool         `json:"-" cbor:"-"` // a record of a move is being written
@@ -255,8 +256,8 @@
 	return true
 }
 
-// Forget drops a job that has ended, together with its tasks.
-func (t *Tables) Forget(id unit.Job) {
+// ForgetTasks drops the tasks of a job that has ended.
+func (t *Tables) ForgetTasks(id unit.Job) {
 	j := t.Jobs.Get(id)
 	if j == nil || !j.State.Ended() {
 		return
@@ -264,5 +265,12 @@
 	for i := range j.Spec.Tasks {
 		t.Tasks.Delete(TaskID(id, i))
 	}
-	t.Jobs.Delete(id)
+}
+
+// Forget drops a job that has ended, together with its tasks.
+func (t *Tables) Forget(id unit.Job) {
+	t.ForgetTasks(id)
+	if j := t.Jobs.Get(id); j != nil && j.State.Ended() {
+		t.Jobs.Delete(id)
+	}
 }
--- a/schedule/work/assign.go
+++ b/schedule/work/assign.go
@@ -69,13 +69,13 @@
 }
 
 // unparkAll lets tasks that waited for something else try again.
-func (b *Board) unparkAll(now clock.Millis) {
+func (b *Board) unparkAll() {
 	parked := b.parked
 	b.parked = b.parked[len(b.parked):]
 	for _, id := range parked {
 		if k := b.Jobs.Tasks.Get(id); k != nil {
 			k.InQueue = false
-			if j := b.Jobs.Jobs.Get(k.Job); j != nil && !b.giveUp(now, id, k, j) {
+			if j := b.Jobs.Jobs.Get(k.Job); j != nil {
 				b.enqueue(id, k, j)
 			}
 		}
@@ -210,6 +210,9 @@
 		return w
 	}
 	p.misses++
+	if b.giveUp(p.now, id, k, j) {
+		return ""
+	}
 	if len(k.FailedOn) == 0 && k.Moves == 0 {
 		p.full = append(p.full, size)
 	}
@@ -248,6 +251,9 @@
 // avoids reports whether the task shall not run at the worker: it failed there,
 // or straggled there. After some time any worker will do.
 func avoids(now clock.Millis, k *job.Task, w unit.Worker) bool {
+	if k.State.Active() {
+		return w == k.Worker // a spare attempt runs elsewhere
+	}
 	if len(k.FailedOn) == 0 && k.Moves == 0 || now.Sub(k.Since) > anywhere {
 		return false
 	}
@@ -311,6 +317,7 @@
 
 // assignSpares starts second attempts of stragglers that are safe to run twice.
 func (b *Board) assignSpares(now clock.Millis) {
+	later := b.spares[:0]
 	for _, id := range b.spares {
 		k := b.Jobs.Tasks.Get(id)
 		if k == nil || k.Spare != 0 || k.State != job.StateRunning {
@@ -318,12 +325,15 @@
 		}
 		j := b.Jobs.Jobs.Get(k.Job)
 		size := b.sizeOf(j)
-		if w := b.search(now, k, j, size); w != "" && w != k.Worker && b.afterReserve(size) {
-			b.Count.Spares++
-			b.place(now, id, k, j, w, size, true)
+		w := b.search(now, k, j, size)
+		if w == "" || !b.afterReserve(size) {
+			later = append(later, id)
+			continue
 		}
+		b.Count.Spares++
+		b.place(now, id, k, j, w, size, true)
 	}
-	b.spares = b.spares[:0]
+	b.spares = later
 }
 
 // total adds up what is free and the largest worker.
--- a/schedule/work/board.go
+++ b/schedule/work/board.go
@@ -13,9 +13,12 @@
 	"mimosadock/schedule/worker"
 )
 
-// keepEnded is how long a job that has ended is kept, so that a repeated
-// submission finds it.
-const keepEnded = 24 * clock.Hour
+// Times for which work that has ended is kept: jobs, so that a repeated
+// submission finds them, and their tasks with the results.
+const (
+	keepJobs  = 24 * clock.Hour
+	keepTasks = 1 * clock.Hour
+)
 
 // retryAccepting is when to ask again about a job that is being accepted.
 const retryAccepting = 200 * clock.Millisecond
@@ -295,12 +298,13 @@
 		return 0, verdict.Refuse("data centre %q has no owner here", b.Home)
 	}
 	b.emit(job.Cancelled{Head: b.head(id, "", 0)})
-	b.afterEnd(j)
+	b.afterEnd(now, j)
 	return j.State, nil
 }
 
 // afterEnd stops what is left of a job that has ended.
-func (b *Board) afterEnd(j *job.Job) {
+func (b *Board) afterEnd(now clock.Millis, j *job.Job) {
+	j.Ended = now
 	if j.Held == 0 {
 		return
 	}
@@ -341,15 +345,18 @@
 	}
 }
 
-// Forget drops jobs that ended long ago.
+// forget drops what ended long ago.
 func (b *Board) forget(now clock.Millis) {
 	for id, j := range b.Jobs.Jobs.All() {
-		if j.State.Ended() && j.Held == 0 && now.Sub(j.Accepted) > keepEnded && b.ending.Get(id) == nil {
+		if j.State.Ended() && j.Held == 0 && now.Sub(j.Ended) > keepTasks && b.ending.Get(id) == nil {
 			b.scratch.jobs = append(b.scratch.jobs, id)
 		}
 	}
 	for _, id := range b.scratch.jobs {
-		b.Jobs.Forget(id)
+		b.Jobs.ForgetTasks(id)
+		if now.Sub(b.Jobs.Jobs.Get(id).Ended) > keepJobs {
+			b.Jobs.Forget(id)
+		}
 	}
 	b.scratch.jobs = b.scratch.jobs[:0]
 }
--- a/schedule/work/report.go
+++ b/schedule/work/report.go
@@ -337,7 +337,7 @@
 	b.unsaved.Put(ref, 1)
 	b.stopAttempts(st.Task, k, 0)
 	if j := b.Jobs.Jobs.Get(k.Job); j.State.Ended() {
-		b.afterEnd(j)
+		b.afterEnd(now, j)
 	}
 }
 
@@ -363,7 +363,7 @@
 	b.unsaved.Put(ref, 1)
 	if j.State.Ended() {
 		b.Count.Failed++
-		b.afterEnd(j)
+		b.afterEnd(now, j)
 		return
 	}
 	k.NotUntil = now.Add(min(firstBackoff<<min(k.Failures-1, 6), maxBackoff))
--- a/schedule/work/room.go
+++ b/schedule/work/room.go
@@ -276,7 +276,7 @@
 		}
 	}
 	if b.emit(job.Impossible{Head: b.head(k.Job, id, 0), Reason: "no worker is large enough any more"}) {
-		b.afterEnd(j)
+		b.afterEnd(now, j)
 	}
 	return true
 }
--- a/schedule/work/tick.go
+++ b/schedule/work/tick.go
@@ -10,7 +10,7 @@
 // Ticks between two runs of the slower systems.
 const (
 	secondTicks = 20
-	hourTicks   = 3600 * secondTicks
+	minuteTicks = 60 * secondTicks
 )
 
 // SetWorkers takes the platform's list of hosts. Workers that are missing from
@@ -41,7 +41,7 @@
 	b.lapse(now)
 	b.settle(now)
 	if b.ticks%parkTicks == 0 {
-		b.unparkAll(now)
+		b.unparkAll()
 	}
 	b.assign(now)
 	b.Demand.Add(now, b.used[service.LatencyCritical])
@@ -51,7 +51,7 @@
 		b.expirePromises(now)
 		b.dirty = true
 	}
-	if b.ticks%hourTicks == 0 {
+	if b.ticks%minuteTicks == 0 {
 		b.forget(now)
 	}
 }
--- /dev/null
+++ b/standin/worker/scenario_test.go
@@ -0,0 +1,209 @@
+package worker_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/job"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/placement"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/work"
+	standin "mimosadock/standin/worker"
+)
+
+// stage is a board with workers of 4 cores that answer at once.
+type stage struct {
+	*is.I
+	clock clock.Manual
+	world standin.World
+	fleet standin.Fleet
+	board *work.Board
+	truth map[unit.Task]standin.Truth
+	list  []member.Listing
+}
+
+func newStage(t *testing.T, workers int) *stage {
+	s := &stage{I: is.New(t), truth: map[unit.Task]standin.Truth{}}
+	s.clock.Set(1000)
+	s.world = standin.World{Clock: &s.clock, SaveTime: clock.Second, Truth: func(t unit.Task, _ unit.Kind) standin.Truth {
+		if tr, ok := s.truth[t]; ok {
+			return tr
+		}
+		return standin.Truth{Usage: unit.Resources{CPU: 1000, Memory: 1000}, Time: 20 * clock.Second}
+	}}
+	for i := range workers {
+		w := standin.New(&s.world, unit.Worker(fmt.Sprintf("10.0.2.%d:7000", i+1)), unit.Resources{CPU: 4000, Memory: 8000})
+		s.fleet.Add(w)
+		s.list = append(s.list, member.Listing{
+			Address: string(w.ID), DataCentre: home, Role: member.Worker, Rack: unit.Rack(fmt.Sprint(i % 2)), Capacity: w.Capacity,
+		})
+	}
+	s.own(1, nil, -clock.Millis(clock.Hour))
+	return s
+}
+
+// own gives the tenure to a new board that has read the journal so far.
+func (s *stage) own(e unit.Epoch, read *work.Board, sole clock.Millis) {
+	s.board = &work.Board{Home: home, Policies: placement.Default()}
+	s.board.SetText(textOf([]service.Kind{
+		kindOf("lookup", service.LatencyCritical, 2000, 0, false),
+		kindOf("feed", service.Standing, 1000, 0, false),
+		kindOf("plan", service.Batch, 1000, 3*clock.Second, false),
+		kindOf("scan", service.Batch, 1000, 0, true),
+	}))
+	if read != nil {
+		for id, j := range read.Jobs.Jobs.All() {
+			s.board.Jobs.Apply(job.Submitted{Head: job.Head{Epoch: 1, Job: id}, Spec: j.Spec, Terms: j.Terms})
+		}
+	}
+	s.board.SetWorkers(s.list)
+	s.board.SetRight(s.clock.Now(), work.Right{Owner: true, Epoch: e, Quick: clock.Never, Slow: clock.Never, Sole: sole})
+}
+
+func (s *stage) submit(id unit.Job, k unit.Kind, tasks int) {
+	_, err := s.board.Submit(s.clock.Now(), job.Spec{ID: id, Team: "marts", Kind: k, Tasks: tasks})
+	s.NoErr(err)
+}
+
+func (s *stage) run(span clock.Span) {
+	for end := s.clock.Now().Add(span); s.clock.Now() < end; s.clock.Advance(step) {
+		drive(s.board, &s.fleet, s.clock.Now())
+	}
+}
+
+func (s *stage) task(j unit.Job, i int) *job.Task { return s.board.Jobs.Tasks.Get(job.TaskID(j, i)) }
+func (s *stage) state(j unit.Job) job.State       { return s.board.Jobs.Jobs.Get(j).State }
+
+// Each scenario guards against the rule in its name being lost.
+func TestScenarios(t *testing.T) {
+	tests := map[string]struct {
+		workers int
+		play    func(s *stage)
+	}{
+		"throttle goes before eviction": {1, func(s *stage) {
+			s.submit("p", "plan", 4)
+			s.run(5 * clock.Second)
+			s.submit("l", "lookup", 1)
+			s.run(3 * clock.Second)
+			s.Equal(s.task("l", 0).State, job.StateRunning)
+			s.Equal(s.board.Count.Evictions, int64(0))
+			s.True(s.board.Count.Throttles > 0)
+		}},
+		"eviction resumes from the checkpoint": {1, func(s *stage) {
+			s.board.Policies.Throttle = false
+			s.submit("p", "plan", 4)
+			s.run(8 * clock.Second)
+			s.submit("l", "lookup", 1)
+			s.run(3 * clock.Second)
+			s.Equal(s.board.Count.Evictions, int64(2))
+			s.run(60 * clock.Second)
+			s.Equal(s.state("p"), job.StateFinished)
+			for i := range 4 {
+				k := s.task("p", i)
+				s.True(k.Attempt == 1 || k.Saved > 0)
+			}
+		}},
+		"eviction budget is kept": {1, func(s *stage) {
+			s.board.Policies.Throttle = false
+			s.submit("p", "plan", 4)
+			s.truth["p/0"] = standin.Truth{Time: clock.Hour}
+			for i := range 6 {
+				s.run(20 * clock.Second)
+				s.submit(unit.Job(fmt.Sprint("l", i)), "lookup", 2)
+			}
+			s.True(s.board.Jobs.Jobs.Get("p").Evictions <= placement.EvictionBudget+1) // one plan of two victims
+		}},
+		"standing work restarts and counts its gap": {2, func(s *stage) {
+			s.truth["f/0"] = standin.Truth{}
+			s.submit("f", "feed", 1)
+			s.run(5 * clock.Second)
+			s.fleet.Workers[s.task("f", 0).Worker].Kill()
+			s.run(45 * clock.Second)
+			s.Equal(s.task("f", 0).State, job.StateRunning)
+			v := s.board.View(s.clock.Now())
+			s.Equal(v.Standing[0].Gaps, 1)
+			s.True(v.Standing[0].GapTime >= 0)
+		}},
+		"a broken worker is put into quarantine and blames nobody": {3, func(s *stage) {
+			for w := range s.fleet.Workers {
+				s.fleet.Workers[w].Faults.FailAll = w == "10.0.2.1:7000"
+			}
+			s.submit("p", "plan", 12)
+			s.submit("s", "scan", 12)
+			s.run(4 * clock.Minute)
+			s.Equal(s.state("p"), job.StateFinished)
+			s.Equal(s.state("s"), job.StateFinished)
+			s.True(s.board.Count.Quarantines > 0)
+		}},
+		"a failure is blamed on the task after another worker": {3, func(s *stage) {
+			s.submit("s", "scan", 4)
+			s.truth["p/0"] = standin.Truth{Usage: unit.Resources{CPU: 1000}, Time: 4 * clock.Second, Fails: true}
+			s.run(30 * clock.Second)
+			s.submit("p", "plan", 1)
+			s.run(clock.Minute)
+			s.Equal(s.state("p"), job.StateFailed)
+			s.True(len(s.task("p", 0).FailedOn) >= 2)
+		}},
+		"a straggler is moved through a checkpoint": {2, func(s *stage) {
+			s.truth["p/5"] = standin.Truth{Usage: unit.Resources{CPU: 1000}, Time: 5 * clock.Minute}
+			s.submit("p", "plan", 6)
+			s.run(2 * clock.Minute)
+			s.Equal(s.board.Count.Moves, int64(1))
+			s.True(s.task("p", 5).Saved > 0)
+			s.Equal(s.board.Count.Spares, int64(0))
+		}},
+		"a straggler that is safe twice gets a spare": {2, func(s *stage) {
+			s.truth["s/5"] = standin.Truth{Usage: unit.Resources{CPU: 1000}, Time: 5 * clock.Minute}
+			s.submit("s", "scan", 6)
+			s.run(7 * clock.Minute)
+			s.Equal(s.board.Count.Spares, int64(1))
+			s.Equal(s.state("s"), job.StateFinished)
+			s.Equal(s.board.Workers.Held.Len(), 0) // the other attempt was stopped
+		}},
+		"latency-critical work is spread over racks": {4, func(s *stage) {
+			s.submit("l", "lookup", 4)
+			s.run(2 * clock.Second)
+			racks := map[unit.Rack]int{}
+			for _, h := range s.board.Workers.Held.All() {
+				racks[s.board.Workers.Workers.Get(h.Worker).Rack]++
+			}
+			s.Equal(racks, map[unit.Rack]int{"0": 2, "1": 2})
+		}},
+		"a new owner adopts what runs and waits before it starts the rest": {2, func(s *stage) {
+			s.submit("f", "feed", 1)
+			s.truth["f/0"] = standin.Truth{}
+			s.run(3 * clock.Second)
+			old := s.board
+			s.submit("p", "plan", 1) // accepted, not started
+			_ = old.Records(nil)
+			s.own(2, old, s.clock.Now())
+			s.run(5 * clock.Second)
+			s.Equal(s.task("f", 0).State, job.StateRunning)
+			s.Equal(s.task("f", 0).Attempt, unit.Attempt(1))
+			s.Equal(s.task("p", 0).State, job.StateWaiting)
+			s.submit("n", "plan", 1) // a new job need not wait
+			s.run(2 * clock.Second)
+			s.Equal(s.task("n", 0).State.Active(), true)
+			s.run(30 * clock.Second)
+			s.True(s.task("p", 0).Attempt > 1<<16)
+		}},
+		"work without a large enough worker is impossible": {1, func(s *stage) {
+			s.submit("f", "feed", 5)
+			s.truth["f/0"] = standin.Truth{}
+			s.run(2 * clock.Second)
+			s.submit("l", "lookup", 1)
+			s.board.Workers.Workers.Get("10.0.2.1:7000").Capacity.CPU = 1000
+			s.fleet.Workers["10.0.2.1:7000"].Capacity.CPU = 1000
+			s.run(90 * clock.Second)
+			s.Equal(s.state("l"), job.StateImpossible)
+		}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) { tc.play(newStage(t, tc.workers)) })
+	}
+}
