Wait for the short grants of an isolated owner that gives way or dies

The wait for them counted from the claim instead of from when the former owner was known to grant nothing more. Change: that instant is noted for each former owner, and the slow slots wait for the short grants from then on unless all members have reported.

--- a/entry/control/slots.go
+++ b/entry/control/slots.go
@@ -82,6 +82,7 @@
 			s.holder.Adopt(dc, r.Epoch, r.Instance)
 		}
 		if r.Epoch > 0 && r.Instance == s.Self.Instance {
+			r.NoteEnds(&s.node.Members, now)
 			s.begin(dc, r, now)
 		}
 	}
--- a/schedule/tenure/claim.go
+++ b/schedule/tenure/claim.go
@@ -23,6 +23,8 @@
 	Epoch    unit.Epoch
 	Since    clock.Millis // when this process learned of the claim that followed
 	Handed   bool         // it has told this process all that it granted
+	Gave     bool         // it lives and knows that its tenure is over
+	Ended    clock.Millis // when it was known to grant nothing more; zero before
 }
 
 // Row is the tenure of one data centre as this process knows it.
--- a/schedule/tenure/takeover.go
+++ b/schedule/tenure/takeover.go
@@ -19,60 +19,71 @@
 	Reported(id unit.Instance) bool
 }
 
+// NoteEnds notes which former owners are known to grant nothing more.
+func (r *Row) NoteEnds(members *member.Table, now clock.Millis) {
+	for i := range r.Formers {
+		f := &r.Formers[i]
+		m := members.Get(f.Instance)
+		switch {
+		case f.Ended > 0:
+		case f.Handed:
+			f.Ended = r.Learned
+		case m == nil:
+		case m.Settled >= r.Version:
+			f.Ended, f.Gave = now, true
+		case m.Dead:
+			f.Ended = m.DeadAt
+		case m.Gone:
+			f.Ended = now
+		}
+	}
+}
+
 // Takeover returns when the owner of r may begin. Rights of former owners and
 // what they granted bound it:
 //
 //   - Quick slots are free once the quick right and the quick grants of the
-//     former owner have ended by time, or its death is proven and its grants
-//     have ended, or it has given way and every member has reported.
-//   - Slow slots are free once every former owner has given way or is proven
-//     dead, its short grants have ended, and every joined member has reported
-//     its pinned grants or is proven dead; otherwise when the isolation bound
-//     has passed.
+//     former owner have ended by time, or it is known to grant nothing more and
+//     its grants have ended, or it has given way and every member has reported.
+//   - Slow slots are free once every former owner is known to grant nothing
+//     more, its short grants have ended or are reported, and every joined member
+//     has reported its pinned grants or is proven dead; otherwise when the
+//     isolation bound has passed.
 func Takeover(r *Row, members *member.Table, reports Reports, l Limits, lastRead clock.Millis) Start {
 	if len(r.Formers) == 0 {
 		return Start{}
 	}
-	quick := r.Learned.Add(l.Outstanding(l.Confirm + l.Quick))
-	f := formersOf(r, members)
+	f := formersOf(r)
 	if f.handed {
 		return Start{Quick: r.Learned, Slow: r.Learned}
 	}
-	if f.ended < clock.Never {
-		quick = min(quick, max(r.Learned, f.ended.Add(l.Outstanding(l.Quick))))
-	}
+	lapsed := f.ended.Add(l.Outstanding(l.Quick)) // of short grants, which an isolated owner gives until it ends
 	if f.given && allReported(members, reports) {
-		quick = r.Learned
+		lapsed = r.Learned
+	}
+	lapsed = max(lapsed, r.Learned)
+	return Start{
+		Quick: min(r.Learned.Add(l.Outstanding(l.Confirm+l.Quick)), lapsed),
+		Slow:  min(slowByTime(r, l), slowByReport(members, reports, l, f.ended, lapsed, lastRead)),
 	}
-	return Start{Quick: quick, Slow: min(slowByTime(r, l), slowByReport(members, reports, l, quick, f.ended, lastRead))}
 }
 
 // formers is what is known of the former owners of a tenure.
 type formers struct {
-	ended  clock.Millis // when the last of them had ended; Never if one may live on
-	given  bool         // all of them live and know that their tenure is over
+	ended  clock.Millis // when the last of them had ended; Never if one may go on
+	given  bool         // all of them have given way
 	handed bool         // all of them have told what they granted
 }
 
-func formersOf(r *Row, members *member.Table) formers {
+func formersOf(r *Row) formers {
 	all := formers{given: true, handed: true}
 	for _, f := range r.Formers {
-		m := members.Get(f.Instance)
 		all.handed = all.handed && f.Handed
-		switch {
-		case f.Handed:
-			all.ended = max(all.ended, r.Learned)
-		case m == nil:
-			all.ended, all.given = clock.Never, false
-		case m.Settled >= r.Version: // it knows that its tenure is over
-			all.ended = max(all.ended, r.Learned)
-		case m.Gone:
-			all.ended, all.given = max(all.ended, r.Learned), false
-		case m.Dead:
-			all.ended, all.given = max(all.ended, m.DeadAt), false
-		default:
-			all.ended, all.given = clock.Never, false
+		all.given = all.given && (f.Gave || f.Handed)
+		if f.Ended == 0 {
+			all.ended = clock.Never
 		}
+		all.ended = max(all.ended, f.Ended)
 	}
 	return all
 }
@@ -96,14 +107,14 @@
 	return at
 }
 
-func slowByReport(members *member.Table, reports Reports, l Limits, quick, ended, lastRead clock.Millis) clock.Millis {
+func slowByReport(members *member.Table, reports Reports, l Limits, ended, lapsed, lastRead clock.Millis) clock.Millis {
 	if ended == clock.Never || lastRead < ended {
 		return clock.Never
 	}
-	at := quick
+	at := lapsed
 	for id, m := range members.All() {
 		switch {
-		case !m.Joined || m.Gone || reports.Reported(id):
+		case !m.Joined || m.Gone || reports.Reported(id): // only joined members get pinned grants
 		case m.Dead:
 			at = max(at, m.DeadAt.Add(l.Outstanding(l.Quick)))
 		default:
--- a/schedule/tenure/tenure_test.go
+++ b/schedule/tenure/tenure_test.go
@@ -53,7 +53,7 @@
 // holders may still use, or that waits longer than it has to. The claim was
 // learned at 10 s; the former owner is "a", a holder is "b".
 func TestTakeover(t *testing.T) {
-	const learned = 10_000
+	const learned, ended = 10_000, 30_000 // the second is when a former owner is known to have ended
 	l := DefaultLimits()
 	byTime := clock.Millis(learned).Add(l.Outstanding(l.Confirm + l.Quick))
 	byBound := clock.Millis(learned).Add(l.Outstanding(l.Isolated))
@@ -62,6 +62,7 @@
 		reported reports
 		lastRead clock.Millis
 		handed   bool
+		unjoined bool // the holder
 		want     Start
 	}{
 		"silent":                  {lastRead: learned, want: Start{byTime, byBound}},
@@ -79,16 +80,24 @@
 			want: Start{15_610, byBound},
 		},
 		"gave way, all reported": {
-			a: member.Row{Settled: 9}, reported: reports{"a": true, "b": true}, lastRead: learned,
+			a: member.Row{Settled: 9}, reported: reports{"a": true, "b": true}, lastRead: ended,
 			want: Start{learned, learned},
 		},
 		"gave way, holder has not reported": {
-			a: member.Row{Settled: 9}, reported: reports{"a": true}, lastRead: learned,
-			want: Start{16_610, byBound},
+			a: member.Row{Settled: 9}, reported: reports{"a": true}, lastRead: ended,
+			want: Start{byTime, byBound},
+		},
+		"gave way, a holder without a journal has not reported": {
+			a: member.Row{Settled: 9}, reported: reports{"a": true}, lastRead: ended, unjoined: true,
+			want: Start{byTime, 36_610},
+		},
+		"dead while isolated, a holder without a journal has not reported": {
+			a: member.Row{Dead: true, DeadAt: ended}, lastRead: ended, unjoined: true,
+			want: Start{byTime, 36_610},
 		},
 		"said goodbye": {
-			a: member.Row{Gone: true}, reported: reports{"b": true}, lastRead: learned,
-			want: Start{16_610, 16_610},
+			a: member.Row{Gone: true}, reported: reports{"b": true}, lastRead: ended,
+			want: Start{byTime, 36_610},
 		},
 		"handed over": {handed: true, want: Start{learned, learned}},
 	}
@@ -97,8 +106,9 @@
 			var members member.Table
 			tc.a.Joined = true
 			members.Put("a", tc.a)
-			members.Put("b", member.Row{Joined: true})
+			members.Put("b", member.Row{Joined: !tc.unjoined})
 			r := Row{Claim: claim(2, "c", 0), Version: 9, Learned: learned, Formers: []Former{{Instance: "a", Epoch: 1, Since: learned, Handed: tc.handed}}}
+			r.NoteEnds(&members, ended)
 			is.New(t).Equal(Takeover(&r, &members, tc.reported, l, tc.lastRead), tc.want)
 		})
 	}
