--- a/entry/control/membership.go
+++ b/entry/control/membership.go
@@ -67,7 +67,9 @@
 func (s *State) connected() bool { return s.peers != nil }
 
 // JournalRead tells what a read of the journal found, in journal order. Asked
-// is an instant before the read began; a complete read reached the end.
+// is an instant before the read began; a complete read reached the end. A tenure
+// needs a complete read in each confirm time, so they should come several times
+// as often.
 type JournalRead struct {
 	Asked    clock.Millis
 	Entries  []tenure.Entry
