Follow an upstream that moves to another set

Cause: granter and holder kept the set under which an upstream was first seen, so demand and slots could be counted under different names. Change: both take the set of the text in force. Measured: go test ./schedule/slot ./entry/control passes.

--- a/schedule/slot/granter.go
+++ b/schedule/slot/granter.go
@@ -97,16 +97,14 @@
 // Epoch returns the epoch for which the granter was begun.
 func (g *Granter) Epoch() unit.Epoch { return g.epoch }
 
-// Upstream adds an upstream or changes its number of slots. Zero slots take
+// Upstream adds an upstream or changes its set and its number of slots. Zero slots take
 // back what is granted on it.
 func (g *Granter) Upstream(name unit.Upstream, set Set, slots unit.Slots) {
 	u := g.upstreams.Get(name)
 	if u == nil {
-		u = g.upstreams.Put(name, upstreamRow{set: set})
-		s := g.sets.Ensure(set)
-		s.members = append(s.members, name)
+		u = g.upstreams.Put(name, upstreamRow{})
 	}
-	u.slots = Split(slots)
+	u.set, u.slots = set, Split(slots)
 }
 
 // Reported reports whether id has sent a demand in this epoch.
--- a/schedule/slot/holder.go
+++ b/schedule/slot/holder.go
@@ -83,11 +83,14 @@
 	held   unit.Slots
 }
 
-// Track adds an upstream with the counters that the request path uses.
+// Track adds an upstream with the counters that the request path uses, or
+// changes its set.
 func (h *Holder) Track(name unit.Upstream, dc unit.DataCentre, set Set, counter, pinned *Counter) {
-	if h.rows.Get(name) == nil {
-		h.rows.Put(name, heldRow{dc: dc, set: set, counter: counter, pinned: pinned})
+	if r := h.rows.Get(name); r != nil {
+		r.set = set
+		return
 	}
+	h.rows.Put(name, heldRow{dc: dc, set: set, counter: counter, pinned: pinned})
 }
 
 // Adopt makes owner the one that grants the slots of the data centre. Grants of
--- a/schedule/slot/pins.go
+++ b/schedule/slot/pins.go
@@ -63,13 +63,11 @@
 // pinnable returns the upstream of the set with the most free slow slots, or
 // none and whether short requests hold slow slots that they can give back.
 func (g *Granter) pinnable(set Set) (best unit.Upstream, shared bool) {
-	s := g.sets.Get(set)
-	if s == nil {
-		return "", false
-	}
 	most := unit.Slots(0)
-	for _, name := range s.members {
-		u := g.upstreams.Get(name)
+	for name, u := range g.upstreams.All() {
+		if u.set != set {
+			continue
+		}
 		if f := u.free().Slow; f > most {
 			best, most = name, f
 		}
--- a/schedule/slot/tick.go
+++ b/schedule/slot/tick.go
@@ -9,8 +9,7 @@
 // setRow is one set of upstreams with the storage of its division. The slices
 // are indexed by the ordinal of the holder.
 type setRow struct {
-	members []unit.Upstream
-	rows    []*upstreamRow // of the members, valid during a tick
+	rows    []*upstreamRow // valid during a tick
 	have    []unit.Slots
 	demand  []unit.Slots
 	need    []unit.Slots
@@ -72,7 +71,7 @@
 	var row *setRow
 	for _, u := range g.upstreams.All() {
 		if row == nil || u.set != set {
-			set, row = u.set, g.sets.Get(u.set)
+			set, row = u.set, g.sets.Ensure(u.set)
 		}
 		row.rows = append(row.rows, u)
 	}
