--- a/entry/control/membership.go
+++ b/entry/control/membership.go
@@ -69,7 +69,8 @@
 
 // MembersRead tells what a read of the journal found about members and tenures,
 // in journal order. Asked is an instant before the read began; a complete read
-// reached the end.
+// reached the end. A tenure needs a complete read in each confirm time, so they
+// should come several times as often.
 type MembersRead struct {
 	Asked    clock.Millis
 	Entries  []tenure.Entry
