--- /dev/null
+++ b/entry/main_test.go
@@ -0,0 +1,27 @@
+package main
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/group"
+)
+
+// Guards against a second signal that does not end the drain, and against a
+// first one that does.
+func TestSignals(t *testing.T) {
+	is := is.New(t)
+	g := group.New(context.Background())
+	stop, kill := watchSignals(g, nil)
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-stop.Done()
+	is.NoErr(kill.Err())
+	is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	<-kill.Done()
+	g.Stop()
+	is.NoErr(g.Wait())
+}
--- /dev/null
+++ b/entry/process/drain_test.go
@@ -0,0 +1,140 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func (s *started) get(path string) (status int, verdict, body string, err error) {
+	resp, err := http.Get("http://" + s.CallerAddress() + path)
+	if err != nil {
+		return 0, "", "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, resp.Header.Get("Mimosa-Verdict"), string(b), err
+}
+
+// watch starts a long request that runs until the returned function is called,
+// and gives its status, 0 if it was cut.
+func (s *started) watch() (release func(), ended <-chan int) {
+	release = s.upstreams[0].Hold()
+	statuses := make(chan int, 1)
+	s.group.Go("watch", func(context.Context) error {
+		status, _, _, _ := s.get("/s/watch/")
+		statuses <- status
+		return nil
+	})
+	for s.upstreams[0].InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return release, statuses
+}
+
+// waitFor polls until path has the status.
+func (s *started) waitFor(t *testing.T, path string, status int) (verdict string) {
+	for {
+		got, verdict, _, err := s.get(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got == status {
+			return verdict
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a stop that refuses requests before the load balancer has seen
+// that the process is not ready.
+func TestStopKeepsServingForTheBalancer(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 1, time.Hour)
+	s.waitFor(t, "/ready", http.StatusOK)
+	s.stop()
+	s.waitFor(t, "/ready", http.StatusServiceUnavailable)
+	status, _, _, err := s.get("/s/lookup/")
+	is.NoErr(err)
+	is.Equal(status, http.StatusOK)
+	s.kill()
+	is.NoErr(s.group.Wait())
+}
+
+// Guards against a stop that cuts a long request, takes new ones meanwhile, or
+// never ends.
+func TestStopEndsRequestsInFlight(t *testing.T) {
+	tests := map[string]struct {
+		end    func(s *started, release func())
+		status int // of the long request
+	}{
+		"request ends":       {func(_ *started, release func()) { release() }, http.StatusOK},
+		"second stop signal": {func(s *started, _ func()) { s.kill() }, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := start(t, 1, 0)
+			release, ended := s.watch()
+			s.stop()
+			is.Equal(s.waitFor(t, "/s/lookup/", http.StatusServiceUnavailable), "didNotRun")
+			is.Equal(len(ended), 0)
+			tc.end(s, release)
+			is.Equal(<-ended, tc.status)
+			is.NoErr(s.group.Wait())
+			_, _, _, err := s.get("/ready")
+			is.True(err != nil)
+		})
+	}
+}
+
+// Guards against a drain that outlasts its setting.
+func TestDrainTimeEnds(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 1, 0)
+	s.settings.DrainFor = 50 * time.Millisecond
+	_, ended := s.watch()
+	s.stop()
+	is.Equal(<-ended, 0)
+	is.NoErr(s.group.Wait())
+}
+
+// Guards against a state dump that lacks a part or has names in another style.
+func TestState(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 2, 0)
+	_, _, _, err := s.get("/s/lookup/")
+	is.NoErr(err)
+	resp, err := http.Get("http://" + s.OperatorAddress() + "/state")
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var state map[string]any
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&state))
+	is.Equal(len(state["control"].(map[string]any)["upstreams"].([]any)), 2)
+	is.Equal(len(state["connections"].([]any)), 1)
+	is.True(state["counters"].(map[string]any)["front.decisions"] != nil)
+	is.Equal(len(state["front"].(map[string]any)["queues"].([]any)), 1)
+	checkNames(t, state)
+}
+
+func checkNames(t *testing.T, v any) {
+	switch v := v.(type) {
+	case map[string]any:
+		for name, inner := range v {
+			if name == "" || strings.ToLower(name[:1]) != name[:1] || strings.ContainsAny(name, "_-") {
+				t.Errorf("name %q is not camelCase", name)
+			}
+			checkNames(t, inner)
+		}
+	case []any:
+		for _, inner := range v {
+			checkNames(t, inner)
+		}
+	}
+}
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -43,11 +43,43 @@
 	peak     atomic.Int64
 	mu       sync.Mutex
 	ran      map[string]int
+	held     chan struct{} // closed when held requests may go on; nil if none are held
 }
 
 // SetMode makes the upstream fail from the next request on.
 func (u *Upstream) SetMode(m Mode) { u.mode.Store(int32(m)) }
 
+// Hold makes requests that start from now on run until the returned function is
+// called.
+func (u *Upstream) Hold() (release func()) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	held := make(chan struct{})
+	u.held = held
+	return func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.held = nil
+		close(held)
+	}
+}
+
+// wait waits for the end of a hold and reports false if the caller goes away.
+func (u *Upstream) wait(r *http.Request) bool {
+	u.mu.Lock()
+	held := u.held
+	u.mu.Unlock()
+	if held == nil {
+		return true
+	}
+	select {
+	case <-held:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
 // ServeHTTP runs one request.
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n := u.inFlight.Add(1)
@@ -77,7 +109,9 @@
 	case <-r.Context().Done():
 		return
 	}
-	u.answer(w, r, mode, n, body)
+	if u.wait(r) {
+		u.answer(w, r, mode, n, body)
+	}
 }
 
 func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, mode Mode, load int64, body []byte) {
