--- a/entry/control/routes.go
+++ b/entry/control/routes.go
@@ -115,6 +115,7 @@
 	Failed   bool          // speaks against the upstream
 	Reported bool          // the answer had a load
 	InFlight unit.Slots    // of this process at the upstream, with this request
+	Busyness int64         // of all processes, as far as it is known
 }
 
 // Apply adds the sample to the rows of the upstream and of the service.
@@ -140,7 +141,7 @@
 	if m.Class != service.Long { // the time of a long request says nothing
 		slow = route.SlownessOf(m.Latency, samples.Stats.P50())
 	}
-	row.health.Success(slow)
+	row.health.Success(slow, m.Busyness)
 	if slow > 0 {
 		row.window.answers++
 		row.window.slowness += slow
@@ -212,7 +213,7 @@
 			s.routesStale = true
 		}
 		if row.health.LoadExpired(now) {
-			row.upstream.Report(0)
+			row.upstream.ForgetReport()
 		}
 	}
 }
@@ -246,7 +247,7 @@
 		if h := row.health.Limit(row.slots, now); h > 0 && (bound == 0 || h < bound) {
 			bound = h
 		}
-		u.SetSlowness(row.health.Slowness)
+		u.SetCost(row.health.Cost())
 		u.SetTrial(row.health.Phase == route.Trial && s.hasIdempotent(row.set))
 		u.SetLimit(bound)
 	}
--- a/entry/front/attempt.go
+++ b/entry/front/attempt.go
@@ -304,6 +304,7 @@
 		u.Report(load)
 		o.Reported = true
 	}
+	o.Busyness = u.Busyness()
 	f.report(o)
 }
 
--- a/entry/front/pin.go
+++ b/entry/front/pin.go
@@ -23,25 +23,39 @@
 // LocalPinner takes slots that this process already holds for long requests.
 type LocalPinner struct{}
 
-// Pin takes a slot on the least busy upstream that has one, or refuses.
+// Pin takes a slot on the least busy upstream that has one, in the own data
+// centre if it has any, or refuses.
 func (LocalPinner) Pin(_ context.Context, t *route.Target, deadline clock.Millis) (*route.Upstream, error) {
-	for {
-		var best *route.Upstream
-		for _, u := range t.Upstreams {
-			if u.Pinned.Free() > 0 && (best == nil || u.Busyness() < best.Busyness()) {
-				best = u
+	short := false
+	for _, g := range t.Groups {
+		for {
+			u := leastBusy(t, g)
+			if u == nil {
+				break
+			}
+			if u.Pinned.Take(deadline) {
+				return u, nil
+			}
+			if u.Pinned.Free() > 0 {
+				short = true
+				break
 			}
 		}
-		if best == nil {
-			e := verdict.Refuse("all slots for long requests are in use")
-			e.RetryAfter = pinRetry
-			return nil, e
-		}
-		if best.Pinned.Take(deadline) {
-			return best, nil
-		}
-		if best.Pinned.Free() > 0 {
-			return nil, verdict.Refuse("no slot is granted for long enough")
+	}
+	if short {
+		return nil, verdict.Refuse("no slot is granted for long enough")
+	}
+	e := verdict.Refuse("all slots for long requests are in use")
+	e.RetryAfter = pinRetry
+	return nil, e
+}
+
+func leastBusy(t *route.Target, g *route.Group) *route.Upstream {
+	var best *route.Upstream
+	for _, u := range g.Upstreams() {
+		if u.Pinned.Free() > 0 && u.Admits(t.Service.Idempotent) && (best == nil || u.Busyness() < best.Busyness()) {
+			best = u
 		}
 	}
+	return best
 }
--- a/entry/process/bench_test.go
+++ b/entry/process/bench_test.go
@@ -48,6 +48,8 @@
 upstreamSets: [{name: weighbook, slots: 8, members: [` + strings.Join(members, ", ") + `]}]
 services:
   - {name: lookup, team: marts, class: urgent, upstreamSet: weighbook, deadlineMs: 5000, idempotent: true}
+  - {name: order, team: marts, class: standard, upstreamSet: weighbook, deadlineMs: 5000}
+  - {name: report, team: marts, class: bulk, upstreamSet: weighbook, deadlineMs: 5000, idempotent: true}
   - {name: watch, team: marts, class: long, upstreamSet: weighbook, deadlineMs: 60000}
 `))
 	if err != nil {
--- a/schedule/route/bitmap.go
+++ b/schedule/route/bitmap.go
@@ -28,6 +28,8 @@
 	}
 }
 
+func (b bitmap) has(i int) bool { return b[i/wordBits].Load()&(1<<(i%wordBits)) != 0 }
+
 func (b bitmap) count() int {
 	n := 0
 	for i := range b {
--- a/schedule/route/choose.go
+++ b/schedule/route/choose.go
@@ -27,20 +27,23 @@
 	_ Policy[*Upstream] = RoundRobin{}
 )
 
-// Cost scores by expected time: observed slowness times the requests that would
-// be in flight.
+// Cost scores by the expected time of one more request: the observed slowness
+// per request in flight, times the requests that would be in flight. The
+// observed slowness already contains the usual load of the upstream; without
+// the division an upstream that others load would count twice and get nothing,
+// until the rest is overloaded.
 type Cost struct{}
 
-// unknownSlowness stands in until an upstream was observed.
-const unknownSlowness = 1000
+// unknownCost stands in until an upstream was observed.
+const unknownCost = 1000
 
 // Score returns the expected time in thousandths of the median.
 func (Cost) Score(u *Upstream) float64 {
-	s := u.slow.Load()
-	if s == 0 {
-		s = unknownSlowness
+	c := u.cost.Load()
+	if c == 0 {
+		c = unknownCost
 	}
-	return float64(s) * float64(u.Busyness()+1)
+	return float64(c) * float64(u.Busyness()+1)
 }
 
 // LeastConnections is the baseline that looks at the process's own requests in
@@ -60,6 +63,9 @@
 const (
 	// defaultSample is how many candidates a choice compares.
 	defaultSample = 4
+	// guesses is how often a random upstream is tried before the free ones are
+	// counted.
+	guesses = 3
 	// maxRounds bounds the samples of a choice that loses races for a slot.
 	maxRounds = 8
 )
@@ -114,39 +120,66 @@
 // best returns the index of the candidate with the lowest score among a sample
 // of the free ones, or -1.
 func (c Chooser[P]) best(t *Target, g *Group, q *Query) int {
-	n := g.free.count()
-	k := c.Sample
+	k, n := c.Sample, len(g.upstreams)
 	if k == 0 {
 		k = defaultSample
 	}
 	best, low := -1, 0.0
-	for j := range min(k, n) {
-		rank := j // a sample as large as the group looks at each once
+	free := unknown // how many are free, once the guesses have failed
+	for j := 0; j < k && j < n; j++ {
+		i := j // a sample as large as the group looks at each once
 		if k < n {
-			rank = c.intN(n)
+			i, free = c.pick(g, j, k, free)
+		}
+		if free == 0 || free <= j && free != unknown {
+			break
 		}
-		i := g.free.find(rank)
-		if i < 0 || !t.allows(g.upstreams[i], q) {
+		if i < 0 || !g.free.has(i) || !t.allows(g.upstreams[i], q) {
 			continue
 		}
 		if s := c.Policy.Score(g.upstreams[i]); best < 0 || s < low {
 			best, low = i, s
 		}
 	}
-	if best < 0 && k < n {
-		return t.firstAllowed(g, q, c.intN(n), n)
+	if best < 0 && k < n && free != 0 {
+		return c.anyAllowed(t, g, q)
 	}
 	return best
 }
 
-// allows reports whether q may go to u at all.
-func (t *Target) allows(u *Upstream, q *Query) bool {
-	return !q.excludes(u) && (t.Service.Idempotent || !u.trial.Load())
+const unknown = -1
+
+// pick returns a random free upstream, or -1. All free ones are equally likely:
+// a guess is rejected if it is not free, and when the guesses fail the free ones
+// are counted. If there are no more of them than the k of the sample, pick j is
+// the one with rank j.
+func (c Chooser[P]) pick(g *Group, j, k, free int) (index, counted int) {
+	if free == unknown {
+		for range guesses {
+			if i := c.intN(len(g.upstreams)); g.free.has(i) {
+				return i, unknown
+			}
+		}
+		free = g.free.count()
+	}
+	switch {
+	case free == 0:
+		return -1, 0
+	case free <= k:
+		return g.free.find(j), free
+	default:
+		return g.free.find(c.intN(free)), free
+	}
 }
 
-// firstAllowed returns the index of the first free upstream from a rank on that
-// q may go to, or -1. It serves a sample that hit excluded upstreams only.
-func (t *Target) firstAllowed(g *Group, q *Query, from, n int) int {
+// anyAllowed returns the first free upstream from a random rank on that q may
+// go to, or -1. It serves a sample that hit excluded upstreams only.
+func (c Chooser[P]) anyAllowed(t *Target, g *Group, q *Query) int {
+	n := g.free.count()
+	if n == 0 {
+		return -1
+	}
+	from := c.intN(n)
 	for j := range n {
 		if i := g.free.find((from + j) % n); i >= 0 && t.allows(g.upstreams[i], q) {
 			return i
@@ -155,6 +188,11 @@
 	return -1
 }
 
+// allows reports whether q may go to u at all.
+func (t *Target) allows(u *Upstream, q *Query) bool {
+	return !q.excludes(u) && (t.Service.Idempotent || !u.trial.Load())
+}
+
 func (c Chooser[P]) intN(n int) int {
 	if c.Rand == nil {
 		return rand.IntN(n)
--- a/schedule/route/health.go
+++ b/schedule/route/health.go
@@ -45,6 +45,7 @@
 type Health struct {
 	Phase     Phase
 	Slowness  Slowness // moving average, zero if unknown
+	Busyness  float64  // moving average of the requests in flight with the samples
 	Failures  int      // in a row
 	Successes int      // since the phase began
 	Ejections int      // in a row
@@ -53,19 +54,29 @@
 	begun     bool
 }
 
-// Success records an answer and its slowness, zero if that is unknown.
-func (h *Health) Success(s Slowness) {
+// Success records an answer with its slowness, zero if that is unknown, and the
+// requests that were in flight with it.
+func (h *Health) Success(s Slowness, busy int64) {
 	h.Failures = 0
 	h.Successes++
 	switch {
 	case s == 0:
 	case h.Slowness == 0:
-		h.Slowness = s
+		h.Slowness, h.Busyness = s, float64(busy)
 	default:
 		h.Slowness = max(1, h.Slowness+(s-h.Slowness)/slownessShare)
+		h.Busyness += (float64(busy) - h.Busyness) / slownessShare
 	}
 }
 
+// Cost returns the slowness per request in flight, zero if it is unknown.
+func (h *Health) Cost() Slowness {
+	if h.Slowness == 0 {
+		return 0
+	}
+	return max(1, Slowness(float64(h.Slowness)/max(1, h.Busyness)))
+}
+
 // Failure records a failure that speaks against the upstream.
 func (h *Health) Failure() {
 	h.Failures++
--- a/schedule/route/upstream.go
+++ b/schedule/route/upstream.go
@@ -40,19 +40,26 @@
 	Slots      *slot.Counter // held for short requests
 	Pinned     *slot.Counter // held for long requests; may be nil
 
-	load  atomic.Int64 // last reported requests in flight
-	slow  atomic.Int64 // [Slowness], zero if unknown
-	limit atomic.Int64 // most requests in flight, zero for the slots held
-	trial atomic.Bool  // gets idempotent requests only
-	sent  atomic.Int64
-	seat  atomic.Pointer[seat]
+	foreign atomic.Int64 // requests of other processes by the last report
+	cost    atomic.Int64 // slowness per request in flight, zero if unknown
+	limit   atomic.Int64 // most requests in flight, zero for the slots held
+	trial   atomic.Bool  // gets idempotent requests only
+	sent    atomic.Int64
+	seat    atomic.Pointer[seat]
 }
 
-// Report stores the load that the upstream reported with an answer.
-func (u *Upstream) Report(inFlight int64) { u.load.Store(inFlight) }
+// Report stores the load that the upstream reported with an answer. It must
+// come before the slot of the answered request is released.
+func (u *Upstream) Report(inFlight int64) {
+	u.foreign.Store(max(0, inFlight-int64(u.InFlight())))
+}
+
+// ForgetReport drops the last report.
+func (u *Upstream) ForgetReport() { u.foreign.Store(0) }
 
-// SetSlowness stores the observed slowness. Zero means unknown.
-func (u *Upstream) SetSlowness(s Slowness) { u.slow.Store(int64(s)) }
+// SetCost stores the observed slowness per request in flight. Zero means
+// unknown.
+func (u *Upstream) SetCost(s Slowness) { u.cost.Store(int64(s)) }
 
 // SetLimit bounds the requests in flight to n; zero leaves them to the slots
 // held. A limit above the slots held has no effect.
@@ -67,6 +74,13 @@
 // SetTrial restricts the upstream to idempotent requests.
 func (u *Upstream) SetTrial(on bool) { u.trial.Store(on) }
 
+// Admits reports whether the limit and the trial of the upstream allow another
+// request. Slots are not looked at.
+func (u *Upstream) Admits(idempotent bool) bool {
+	l := u.limit.Load()
+	return (l == 0 || int64(u.InFlight()) < l) && (idempotent || !u.trial.Load())
+}
+
 // InFlight returns the slots of both kinds in use by this process.
 func (u *Upstream) InFlight() unit.Slots {
 	n := u.Slots.Used()
@@ -76,9 +90,11 @@
 	return n
 }
 
-// Busyness returns the requests in flight: the higher of this process's own
-// and the last report, which also covers other entry processes.
-func (u *Upstream) Busyness() int64 { return max(int64(u.InFlight()), u.load.Load()) }
+// Busyness returns the requests in flight: the higher of this process's own and
+// the last report, which also covers other entry processes. The report moves
+// along with the own requests that began and ended since; one that stood still
+// would let an upstream look the same however much is sent to it.
+func (u *Upstream) Busyness() int64 { return int64(u.InFlight()) + u.foreign.Load() }
 
 // Release gives a slot taken by Choose back.
 func (u *Upstream) Release() {
@@ -109,6 +125,5 @@
 // open reports whether the upstream has a slot for another request, whatever
 // its deadline.
 func (u *Upstream) open() bool {
-	l := u.limit.Load()
-	return u.Slots.Free() > 0 && (l == 0 || int64(u.InFlight()) < l)
+	return u.Slots.Free() > 0 && u.Admits(true)
 }
