Count dials without an answer against the upstream

Cause: the timeout of a dial passed for the deadline of the request, so a host that answers no dial was not blamed, and a dial of 2 s used up a whole deadline. Change: a dial takes 1 s at most and has its own error; a deadline that ends a dial after 100 ms counts against the upstream. Ejections, trials and spills are counted. Result: go test -race ./entry/front ./entry/control ./entry/pool passes. Conclusion: what is blamed on an upstream has a table of tests.

--- a/entry/control/routes.go
+++ b/entry/control/routes.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"expvar"
+
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/limit"
 	"mimosadock/schedule/route"
@@ -10,6 +12,11 @@
 	"mimosadock/schedule/unit"
 )
 
+var (
+	ejections = expvar.NewInt("control.ejections") // ticks in which upstreams were ejected
+	trials    = expvar.NewInt("control.trials")    // trials of ejected upstreams that began or failed
+)
+
 // upstreamRow is one upstream of an upstream set.
 type upstreamRow struct {
 	set      string
@@ -211,6 +218,7 @@
 	for _, row := range s.upstreams.All() {
 		if route.Judge(&row.health, now) {
 			s.routesStale = true
+			trials.Add(1)
 		}
 		if row.health.LoadExpired(now) {
 			row.upstream.ForgetReport()
@@ -228,6 +236,7 @@
 		}
 		if route.Eject(rows, now) {
 			s.routesStale = true
+			ejections.Add(1)
 		}
 	}
 }
--- a/entry/front/attempt.go
+++ b/entry/front/attempt.go
@@ -142,6 +142,9 @@
 			d.release(u, j.service.Class)
 			return nil, &verdict.Error{Verdict: verdict.DidNotRun, Reason: "request ended while it waited", Err: ctx.Err()}
 		case u != nil:
+			if u.DataCentre != j.target().Groups[0].DataCentre {
+				count("spilled")
+			}
 			return &hold{front: f, upstream: u, class: j.service.Class, pool: d}, nil
 		case out != route.BeyondGrant:
 			count("refusedNoUpstream")
@@ -310,6 +313,10 @@
 	f.report(o)
 }
 
+// dialPatience is how long an upstream may take to accept a connection before
+// the end of a request in that time counts against it.
+const dialPatience = route.Latency(100_000)
+
 // failed reports a failure unless the caller or a single connection caused it.
 // A request whose deadline passed speaks against the upstream only if it had
 // much more than the usual time.
@@ -323,6 +330,11 @@
 	case errors.Is(err, pool.ErrSilent):
 		count("silent")
 		return
+	case errors.Is(err, context.DeadlineExceeded) && verdict.Of(err) == verdict.DidNotRun:
+		count("deadlinePassed")
+		if took < dialPatience {
+			return
+		}
 	case errors.Is(err, context.DeadlineExceeded):
 		count("deadlinePassed")
 		if j.service.Class == service.Long || j.target().Stats == nil || j.target().Stats.P99() == 0 || took < silenceFactor*j.target().Stats.P99() {
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -336,6 +337,49 @@
 	}
 }
 
+// Guards against a host that is blamed for the caller, for one connection or
+// for a short deadline, and against one that is not blamed for its own failure.
+func TestWhatCountsAgainstAnUpstream(t *testing.T) {
+	tests := map[string]struct {
+		err    error // nil for a 503
+		after  clock.Span
+		failed bool
+	}{
+		"refused":                 {failure(verdict.DidNotRun, syscall.ECONNREFUSED), 0, true},
+		"reset":                   {failure(verdict.MayHaveRun, syscall.ECONNRESET), 0, true},
+		"busy":                    {nil, 0, true},
+		"one silent connection":   {failure(verdict.MayHaveRun, pool.ErrSilent), 0, false},
+		"caller went away":        {failure(verdict.MayHaveRun, context.Canceled), 0, false},
+		"body of the caller":      {failure(verdict.MayHaveRun, &pool.BodyError{Err: io.ErrUnexpectedEOF}), 0, false},
+		"short deadline":          {failure(verdict.MayHaveRun, context.DeadlineExceeded), 390, false},
+		"four times the p99":      {failure(verdict.MayHaveRun, context.DeadlineExceeded), 400, true},
+		"short deadline to dial":  {failure(verdict.DidNotRun, context.DeadlineExceeded), 90, false},
+		"dial without any answer": {failure(verdict.DidNotRun, context.DeadlineExceeded), 100, true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				g := newRig(1, func(context.Context, int, pool.Call) (*http.Response, error) {
+					time.Sleep(tc.after.Duration())
+					if tc.err == nil {
+						return answerOf(503, ""), nil
+					}
+					return nil, tc.err
+				})
+				publish(g.target("order").Stats, 100_000)
+				blamed := false
+				g.Report = func(m control.Message) bool {
+					blamed = blamed || m.(control.Outcome).Failed
+					return true
+				}
+				g.get(t.Context(), "/s/order/")
+				is.Equal(blamed, tc.failed)
+			})
+		})
+	}
+}
+
 // Guards against a storm of failures that multiplies the load.
 func TestRetryBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -20,7 +21,7 @@
 	MaxConnections = 60
 	maxIdle        = 16
 	idleFor        = 30 * clock.Second
-	dialTimeout    = 2 * time.Second
+	dialTimeout    = time.Second
 	watchTick      = 100 * clock.Millisecond
 	maxInformation = 8       // 1xx answers before the answer
 	maxHead        = 1 << 20 // bytes of an answer's head
@@ -145,6 +146,10 @@
 	if err != nil {
 		refused.Add(1)
 		h.unreserve()
+		if ctx.Err() == nil {
+			// The timeout of a dial must not pass for the deadline of the request.
+			err = fmt.Errorf("dial: %v", err)
+		}
 		return nil, &verdict.Error{Verdict: verdict.DidNotRun, Reason: "upstream refused the connection", Err: err}
 	}
 	return h.adopt(c, p.clock()), nil
