Move the scripted upstream to the stand-ins

Cause: the upstream that answers with given bytes lived in a test, and its listener could still accept after the last answer; in one of 10 runs a dial that should be refused met a connection that was closed but not yet known to be. Change: upstream.Play, which closes the listener before the last connection is answered; the test of a refused dial ends the first connection by agreement.

--- a/entry/pool/pool_test.go
+++ b/entry/pool/pool_test.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
@@ -18,54 +17,20 @@
 	"mimosadock/schedule/group"
 	"mimosadock/schedule/unit"
 	"mimosadock/schedule/verdict"
+	"mimosadock/standin/upstream"
 )
 
 const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-// script serves the connections of one upstream: the n-th connection gets the
-// n-th list of answers, one a request. An answer of "" closes the connection
-// without an answer, one of "hang" waits for the peer to close it, and a
-// trailing "|" closes the connection after the answer.
+const end = upstream.Then
+
 func script(t *testing.T, connections ...[]string) unit.Upstream {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := upstream.Play(connections...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var g group.Group
-	t.Cleanup(func() { l.Close(); g.Stop(); _ = g.Wait() })
-	g.Go("accept", func(context.Context) error {
-		for _, answers := range connections {
-			c, err := l.Accept()
-			if err != nil {
-				return nil
-			}
-			g.Go("serve", func(context.Context) error { play(c, answers); return nil })
-		}
-		l.Close()
-		return nil
-	})
-	return unit.Upstream(l.Addr().String())
-}
-
-func play(c net.Conn, answers []string) {
-	defer c.Close()
-	in := bufio.NewReader(c)
-	for _, a := range answers {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		if a == "hang" {
-			_, _ = in.ReadByte()
-		}
-		text, closes := strings.CutSuffix(a, "|")
-		_, _ = io.WriteString(c, text)
-		if closes || a == "" || a == "hang" {
-			return
-		}
-	}
-	_, _ = in.ReadByte()
+	t.Cleanup(func() { _ = s.Close() })
+	return unit.Upstream(s.Address())
 }
 
 func request(method, body string) *http.Request {
@@ -96,20 +61,20 @@
 		want        []string // bodies of the answers; "!" begins a part of an error
 	}{
 		"reuse":                     {connections: [][]string{{whole, whole, whole}}, want: []string{"ok", "ok", "ok"}},
-		"refused dial":              {connections: [][]string{{whole + "|"}}, want: []string{"ok", "!didNotRun"}},
+		"refused dial":              {connections: [][]string{{head + "Connection: close\r\nContent-Length: 2\r\n\r\nok" + end}}, want: []string{"ok", "!didNotRun"}},
 		"connection: close":         {connections: [][]string{{head + "Connection: close\r\nContent-Length: 2\r\n\r\nok"}, {whole}}, want: []string{"ok", "ok"}},
-		"reset before the answer":   {connections: [][]string{{""}, {whole}}, want: []string{"!mayHaveRun", "ok"}},
-		"length short":              {connections: [][]string{{head + "Content-Length: 9\r\n\r\npart|"}, {whole}}, want: []string{"!unexpected EOF", "ok"}},
-		"chunks cut":                {connections: [][]string{{head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n|"}, {whole}}, want: []string{"!unexpected EOF", "ok"}},
-		"chunk damaged":             {connections: [][]string{{head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n|"}}, want: []string{"!invalid byte"}},
-		"end only by close":         {connections: [][]string{{head + "\r\npart|"}}, want: []string{"!neither a length"}},
-		"not HTTP":                  {connections: [][]string{{"nonsense\r\n\r\n|"}}, want: []string{"!mayHaveRun"}},
+		"reset before the answer":   {connections: [][]string{{upstream.Close}, {whole}}, want: []string{"!mayHaveRun", "ok"}},
+		"length short":              {connections: [][]string{{head + "Content-Length: 9\r\n\r\npart" + end}, {whole}}, want: []string{"!unexpected EOF", "ok"}},
+		"chunks cut":                {connections: [][]string{{head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n" + end}, {whole}}, want: []string{"!unexpected EOF", "ok"}},
+		"chunk damaged":             {connections: [][]string{{head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + end}}, want: []string{"!invalid byte"}},
+		"end only by close":         {connections: [][]string{{head + "\r\npart" + end}}, want: []string{"!neither a length"}},
+		"not HTTP":                  {connections: [][]string{{"nonsense\r\n\r\n" + end}}, want: []string{"!mayHaveRun"}},
 		"information first":         {connections: [][]string{{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + whole, whole}}, want: []string{"ok", "ok"}},
 		"endless information":       {connections: [][]string{{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 99)}}, want: []string{"!informational"}},
 		"switch not asked for":      {connections: [][]string{{"HTTP/1.1 101 Switching Protocols\r\n\r\n"}}, want: []string{"!switched"}},
 		"no content":                {connections: [][]string{{"HTTP/1.1 204 No Content\r\n\r\n", whole}}, want: []string{"", "ok"}},
 		"head":                      {method: http.MethodHead, connections: [][]string{{head + "Content-Length: 2\r\n\r\n", head + "\r\n"}}, want: []string{"", ""}},
-		"head too large":            {connections: [][]string{{head + "X: " + strings.Repeat("x", maxHead) + "\r\n\r\n|"}}, want: []string{"!too large"}},
+		"head too large":            {connections: [][]string{{head + "X: " + strings.Repeat("x", maxHead) + "\r\n\r\n" + end}}, want: []string{"!too large"}},
 		"surplus answer is dropped": {connections: [][]string{{whole + strings.Replace(whole, "ok", "no", 1)}, {whole}}, want: []string{"ok", "ok"}},
 	}
 	for name, tc := range tests {
@@ -161,7 +126,7 @@
 			is := is.New(t)
 			p := new(Pool)
 			defer p.sweep(clock.Never)
-			to := script(t, []string{whole + "|"}, []string{whole})
+			to := script(t, []string{whole + end}, []string{whole})
 			spoil(idleConnection(t, p, to))
 			got, err := send(p, to, request(http.MethodPost, "second"))
 			is.NoErr(err)
@@ -230,7 +195,7 @@
 			is := is.New(t)
 			now := new(clock.Manual)
 			p := &Pool{Clock: now}
-			to := script(t, []string{"hang"}, []string{whole})
+			to := script(t, []string{upstream.Hang}, []string{whole})
 			ctx, cancel := context.WithCancel(context.Background())
 			failed := make(chan error, 1)
 			var g group.Group
