--- /dev/null
+++ b/bench/journal/journal_test.go
@@ -0,0 +1,120 @@
+package journal
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosadock/entry/stream"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/record"
+	"mimosadock/schedule/snapshot"
+	"mimosadock/schedule/unit"
+	standin "mimosadock/standin/journal"
+)
+
+// since is a clock of virtual time.
+type since struct{ start time.Time }
+
+func (s since) Now() clock.Millis { return clock.Millis(time.Since(s.start).Milliseconds()) }
+
+// Guards against more than 100 appends a second at the target scale: 8 owners
+// with 230 starts and 230 ends a second and the changes of a day.
+func TestAppendRate(t *testing.T) {
+	is := is.New(t)
+	const seconds = 15
+	m := new(standin.Memory)
+	accepted := 0
+	synctest.Test(t, func(*testing.T) {
+		c := since{time.Now()}
+		m.Clock = c
+		var g group.Group
+		replies := make(chan stream.Receipt, seconds*2*Target.Starts)
+		var writers []*stream.Writer
+		for range Target.DataCentres {
+			w := stream.NewWriter(m, c)
+			writers = append(writers, w)
+			g.Go("writer", w.Run)
+		}
+		origins := make([]record.Origin, Target.DataCentres)
+		for n := range seconds * 2 * Target.Starts {
+			i := n / 2 % Target.DataCentres
+			origins[i].Writer = unit.Instance(fmt.Sprintf("0191a1c2-7d10-7000-8000-00000000000%d", i))
+			r, err := Target.record(&origins[i], n/2, n%2 == 1)
+			is.NoErr(err)
+			is.NoErr(writers[i].Offer(stream.Submission{Records: []record.Record{r}, Deadline: clock.Never, Reply: replies}))
+			time.Sleep(time.Second / time.Duration(2*Target.Starts))
+		}
+		time.Sleep(time.Second)
+		g.Stop()
+		is.NoErr(g.Wait())
+		accepted = len(replies)
+	})
+	counts := m.Counts()
+	t.Logf("appends %.1f a second, %.0f bytes a second in all, %.0f for each writer",
+		float64(counts.Appends)/seconds, float64(counts.Bytes)/seconds, float64(counts.Bytes)/seconds/float64(Target.DataCentres))
+	is.Equal(accepted, seconds*2*Target.Starts)
+	is.True(counts.Appends < 100*seconds)
+}
+
+// BenchmarkRecord measures one record of an attempt, alone and in a group.
+func BenchmarkRecord(b *testing.B) {
+	o := &record.Origin{Writer: "0191a1c2-7d10-7000-8000-000000000001"}
+	b.Run("encode", func(b *testing.B) {
+		var g record.Group
+		b.ReportAllocs()
+		for n := range b.N {
+			r, err := Target.record(o, n%1000, false)
+			if err != nil {
+				b.Fatal(err)
+			}
+			if ok, _ := g.Add(r); !ok {
+				g.Reset()
+			}
+		}
+	})
+	b.Run("decode", func(b *testing.B) {
+		m, _, err := Target.Scale(100).Fill(snapshot.Limits{Tail: 64 << 20, Changes: 1})
+		if err != nil {
+			b.Fatal(err)
+		}
+		entries, err := m.Read(b.Context(), 0, 1<<20)
+		if err != nil {
+			b.Fatal(err)
+		}
+		var items []record.Item
+		b.ReportAllocs()
+		b.ResetTimer()
+		for n := 0; n < b.N; {
+			for _, e := range entries {
+				items = record.DecodeEntry(items[:0], e)
+				for _, it := range items {
+					if it.Record.Kind == record.Started {
+						if _, err := record.Decode[Attempt](it.Record); err != nil {
+							b.Fatal(err)
+						}
+					}
+				}
+				n += len(items)
+			}
+		}
+	})
+}
+
+// BenchmarkRecovery measures recoveries from snapshot and tail at three sizes.
+func BenchmarkRecovery(b *testing.B) {
+	for range b.N {
+		sizes, err := Measure()
+		if err != nil {
+			b.Fatal(err)
+		}
+		for _, r := range sizes {
+			b.Logf("%d tasks: tail %d KB, %d records: %d ms of processor time, %d MB of heap",
+				r.Workload.Tasks, r.Tail>>10, r.Records, r.CPU.Milliseconds(), r.Heap>>20)
+		}
+	}
+}
--- a/entry/control/config.go
+++ b/entry/control/config.go
@@ -31,6 +31,15 @@
 	register  config.Register
 	readiness config.Readiness
 	proposals table.Table[record.ID, proposal]
+	heard     table.Table[unit.Instance, heardRevision]
+	behind    clock.Millis // since when the register is behind
+	isBehind  bool
+}
+
+// heardRevision is what a member last said it has in force.
+type heardRevision struct {
+	revision unit.Revision
+	at       clock.Millis
 }
 
 // proposal is a change that was handed to the journal.
@@ -154,11 +163,12 @@
 // [config.CheckVersion].
 type AdoptVersion struct {
 	Version config.Version
+	History []config.Past
 }
 
 // Apply puts the version into force if its revision is higher.
 func (m AdoptVersion) Apply(s *State, _ clock.Millis) {
-	s.register.Adopt(m.Version)
+	s.register.Adopt(m.Version, m.History)
 	if s.putInForce() {
 		s.Urge()
 	}
@@ -166,17 +176,57 @@
 
 // HeardRevision takes in the revision that a member has in force.
 type HeardRevision struct {
+	Instance   unit.Instance
 	DataCentre unit.DataCentre
 	Revision   unit.Revision
 }
 
 // Apply notes the revision for the readiness of the process.
-func (m HeardRevision) Apply(s *State, _ clock.Millis) {
+func (m HeardRevision) Apply(s *State, now clock.Millis) {
 	s.readiness.Heard(m.Revision, m.DataCentre == s.Self.DataCentre)
+	s.heard.Put(m.Instance, heardRevision{m.Revision, now})
+}
+
+// Bringing the configuration back.
+const (
+	behindWait  = 5 * clock.Second // ten heartbeats
+	heardWithin = 2 * clock.Second // of a live owner
+)
+
+// mayBringBack reports whether this process may write a fresh snapshot of the
+// version in force, because the journal has lost the configuration: it has
+// seen no other for a while, and every live owner has told that it has no
+// higher revision.
+func (s *State) mayBringBack(now clock.Millis) bool {
+	if !s.isBehind || now.Sub(s.behind) < behindWait {
+		return false
+	}
+	for _, o := range s.Owners {
+		if o.Instance == s.Self.Instance {
+			continue
+		}
+		h := s.heard.Get(o.Instance)
+		if h == nil || now.Sub(h.at) > heardWithin || h.revision > s.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+// noteBehind keeps since when the register is behind at the journal's end.
+func (s *State) noteBehind(now clock.Millis) {
+	behind := s.readToEnd && now.Sub(s.confirmed) <= heardWithin && s.register.Behind()
+	if behind && !s.isBehind {
+		s.behind = now
+	}
+	s.isBehind = behind
 }
 
-// ConfigSystem answers the proposals whose deadline has passed.
+// ConfigSystem answers the proposals whose deadline has passed and forgets
+// members that are no longer heard.
 func ConfigSystem(s *State, now clock.Millis) {
+	s.noteBehind(now)
+	s.heard.DeleteFunc(func(_ unit.Instance, h *heardRevision) bool { return now.Sub(h.at) > heardWithin })
 	s.proposals.DeleteFunc(func(_ record.ID, p *proposal) bool {
 		if now <= p.deadline {
 			return false
@@ -196,7 +246,7 @@
 // Apply adopts the text if its revision is higher.
 func (m SetText) Apply(s *State, _ clock.Millis) {
 	s.readiness.Read()
-	s.register.Adopt(config.Version{Revision: m.Revision, Hash: config.HashOf(nil), Text: m.Text})
+	s.register.Adopt(config.Version{Revision: m.Revision, Hash: config.HashOf(nil), Text: m.Text}, nil)
 	if s.putInForce() {
 		s.Urge()
 	}
--- /dev/null
+++ b/entry/control/config_test.go
@@ -0,0 +1,503 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mimosadock/entry/stream"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/config"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/journal"
+	"mimosadock/schedule/record"
+	"mimosadock/schedule/snapshot"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+	standin "mimosadock/standin/journal"
+)
+
+// Sizes of the model. Retention passes about every 8 s of virtual time.
+const (
+	modelNodes   = 3
+	modelSpan    = 40 * clock.Second
+	modelHeal    = 10 * clock.Second
+	modelStep    = 50 * clock.Millisecond
+	modelEntries = 300
+	forceWithin  = 4 * clock.Second
+)
+
+// rule is a statement about the configuration that the model checks.
+type rule string
+
+const (
+	ruleRevert rule = "a process went back to a lower or another text"
+	ruleLost   rule = "an accepted change is not in the history"
+	ruleTwo    rule = "two changes of one revision were accepted"
+	ruleLate   rule = "an accepted change was not in force in time"
+)
+
+// fault is a deliberate break of one rule.
+type fault int
+
+const (
+	sound fault = iota
+	adoptsLower
+	trustsSilence
+	ignoresBase
+	readsLate
+	neverSnapshots
+)
+
+// do runs in the control goroutine.
+type do func(s *State, now clock.Millis)
+
+func (f do) Apply(s *State, now clock.Millis) { f(s, now) }
+
+// link is a node's way to the journal, which can be cut.
+type link struct {
+	*standin.Memory
+	cut atomic.Bool
+}
+
+func (l *link) Append(ctx context.Context, data []byte) (unit.Offset, error) {
+	if l.cut.Load() {
+		return 0, verdict.Refuse("cut off")
+	}
+	return l.Memory.Append(ctx, data)
+}
+
+func (l *link) Follow(ctx context.Context, from unit.Offset, limit int, wait clock.Span) (journal.Page, error) {
+	if l.cut.Load() {
+		return journal.Page{}, verdict.Refuse("cut off")
+	}
+	return l.Memory.Follow(ctx, from, limit, wait)
+}
+
+// modelNode is one process and the host that restarts it.
+type modelNode struct {
+	name     unit.DataCentre
+	loop     *Loop
+	link     *link
+	group    *group.Group
+	alone    bool // cut off from its peers
+	healAt   clock.Millis
+	since    clock.Millis // reachable without a gap
+	revision unit.Revision
+}
+
+type acceptance struct {
+	version config.Version
+	id      record.ID
+	at      clock.Millis
+}
+
+type modelProposal struct {
+	base  unit.Revision
+	reply chan ChangeAnswer
+}
+
+// model drives processes, operators and faults, and collects the rules that
+// were broken.
+type model struct {
+	rng      *rand.Rand
+	fault    fault
+	start    time.Time
+	journal  *standin.Memory
+	nodes    []*modelNode
+	known    map[unit.Revision]config.Version
+	accepted map[unit.Revision]acceptance // by base
+	open     []modelProposal
+	broken   map[rule]string
+	down     bool
+	healAt   clock.Millis
+	results  map[string]int
+	common   atomic.Uint64 // offset of the newest common snapshot
+	texts    int
+	origin   record.Origin
+}
+
+func (m *model) Now() clock.Millis { return clock.Millis(time.Since(m.start).Milliseconds()) }
+
+func (m *model) chance(perMille int) bool { return m.rng.IntN(1000) < perMille }
+
+func (m *model) span(most clock.Span) clock.Span { return clock.Span(m.rng.Int64N(int64(most))) }
+
+func (m *model) fail(r rule, format string, args ...any) {
+	if m.broken[r] == "" {
+		m.broken[r] = fmt.Sprintf("at %d ms: ", m.Now()) + fmt.Sprintf(format, args...)
+	}
+}
+
+// boot starts the process of a node.
+func (m *model) boot(n *modelNode) {
+	self := Self{Instance: unit.Instance(fmt.Sprintf("%s-%d", n.name, m.Now())), DataCentre: n.name}
+	n.loop = New(m, self, ReceiptSystem, ConfigSystem, SnapshotSystem)
+	n.loop.LimitJournal(snapshot.Limits{Entries: modelEntries, Changes: 64})
+	w := stream.NewWriter(n.link, m)
+	n.loop.SubmitTo(w.Offer)
+	r := &stream.Reader{Journal: n.link, Clock: m, Saw: w.Saw, Deliver: m.deliver(n)}
+	n.loop.ReadAgainWith(r.Recover)
+	n.group, n.since, n.revision = &group.Group{}, m.Now(), 0
+	n.group.Go("control", n.loop.Run)
+	n.group.Go("writer", w.Run)
+	n.group.Go("reader", r.Run)
+	var owners []snapshot.Owner
+	for _, o := range m.nodes {
+		if o.loop != nil {
+			owners = append(owners, snapshot.Owner{DataCentre: o.name, Instance: o.loop.state.Self.Instance})
+		}
+	}
+	for _, o := range m.nodes {
+		if o.loop != nil && m.fault != neverSnapshots {
+			o.loop.Offer(do(func(s *State, _ clock.Millis) { s.Owners = owners }))
+		}
+	}
+}
+
+// deliver returns the reader's way to the control goroutine.
+func (m *model) deliver(n *modelNode) func(context.Context, *stream.Batch) error {
+	plain := DeliverTo(n.loop)
+	return func(ctx context.Context, b *stream.Batch) error {
+		for _, f := range b.Snapshots {
+			if f.Scope == snapshot.Common {
+				m.common.Store(max(m.common.Load(), uint64(f.From)))
+			}
+		}
+		switch {
+		case m.fault == readsLate && n == m.nodes[0]:
+			time.Sleep(6 * time.Second)
+		case m.fault == ignoresBase:
+			msg := NewJournalRead(b)
+			return n.loop.Send(ctx, do(func(s *State, now clock.Millis) {
+				base := s.register.Chain().Revision
+				for _, it := range b.Items {
+					if c, ok := msg.changes[it.Record.ID]; ok && !s.seen.Has(it.Record.ID) {
+						c.Base = base
+						base++
+						msg.changes[it.Record.ID] = c
+					}
+				}
+				msg.Apply(s, now)
+			}))
+		}
+		return plain(ctx, b)
+	}
+}
+
+// step lets a random part of the world happen.
+func (m *model) step() {
+	now := m.Now()
+	m.fillJournal()
+	for _, n := range m.nodes {
+		if now >= n.healAt {
+			n.alone = false
+			n.link.cut.Store(false)
+		}
+		if m.chance(5) {
+			n.healAt = now.Add(m.span(8 * clock.Second))
+			n.link.cut.Store(m.chance(700))
+			n.alone = m.chance(500)
+		}
+		if m.chance(4) {
+			n.group.Stop()
+			if err := n.group.Wait(); err != nil {
+				panic(err)
+			}
+			m.boot(n)
+		}
+	}
+	if now >= m.healAt {
+		m.down = false
+		m.journal.SetFailures(standin.Failures{})
+	}
+	if !m.down && m.chance(8) {
+		m.healAt, m.down = now.Add(m.span(6*clock.Second)), true
+		f := []standin.Failures{{Refuse: true}, {Silent: true}, {Delay: m.span(3 * clock.Second)}}
+		m.journal.SetFailures(f[m.rng.IntN(len(f))])
+	} else if !m.down && m.chance(20) {
+		m.journal.SetFailures(standin.Failures{LoseAnswers: 1 + m.rng.IntN(3)})
+	}
+	if m.chance(60) {
+		base := m.propose(nil)
+		if m.chance(400) {
+			m.propose(&base)
+		}
+	}
+}
+
+// fillJournal appends what other processes write, some of it damaged, so that
+// retention passes.
+func (m *model) fillJournal() {
+	var g record.Group
+	if m.down {
+		return
+	}
+	for range m.rng.IntN(4) {
+		r, _ := record.Encode(&m.origin, record.Audit, "filler")
+		g.Reset()
+		if ok, err := g.Add(r); !ok {
+			panic(err)
+		}
+		data := slices.Clone(g.Entry())
+		if m.chance(50) {
+			data[m.rng.IntN(len(data))] ^= 1
+		}
+		_, _ = m.journal.Append(context.Background(), data)
+	}
+}
+
+// propose lets an operator change the text at some node, from the revision in
+// force there, from an older one, or from the given one.
+func (m *model) propose(base *unit.Revision) unit.Revision {
+	n := m.nodes[m.rng.IntN(len(m.nodes))]
+	from := n.loop.View().Revision
+	if m.chance(150) {
+		from -= min(from, 1)
+	}
+	if base != nil {
+		from = *base
+	}
+	m.texts++
+	c, err := config.NewChange(from, "morag", 0, fmt.Appendf(nil, "version: 1\n# %d\n", m.texts))
+	if err != nil {
+		panic(err)
+	}
+	p := modelProposal{base: from, reply: make(chan ChangeAnswer, 1)}
+	n.loop.Offer(ProposeChange{Change: c, Deadline: m.Now().Add(5 * clock.Second), Reply: p.reply})
+	m.open = append(m.open, p)
+	return from
+}
+
+// collect takes in the answers to the operators.
+func (m *model) collect() {
+	m.open = slices.DeleteFunc(m.open, func(p modelProposal) bool {
+		select {
+		case a := <-p.reply:
+			m.answered(p, a)
+			return true
+		default:
+			return false
+		}
+	})
+}
+
+func (m *model) answered(p modelProposal, a ChangeAnswer) {
+	if m.fault == trustsSilence && a.Err != nil && a.Outcome.Result != config.Stale {
+		a = ChangeAnswer{Outcome: config.Outcome{Result: config.Accepted, Version: config.Version{Revision: p.base + 1}}}
+	}
+	if a.Err != nil {
+		m.results[verdict.Of(a.Err).String()+a.Outcome.Result.String()]++
+		return
+	}
+	m.results["accepted"]++
+	if old, ok := m.accepted[p.base]; ok {
+		m.fail(ruleTwo, "base %d: revisions %d and %d", p.base, old.version.Revision, a.Outcome.Version.Revision)
+	}
+	m.accepted[p.base] = acceptance{a.Outcome.Version, a.Outcome.ID, m.Now()}
+}
+
+// gossip does what heartbeats do: every process hears the revisions of the
+// others and fetches a higher text. Now and then an old view comes along.
+func (m *model) gossip() {
+	for _, n := range m.nodes {
+		for _, o := range m.nodes {
+			if n == o || n.alone || o.alone || m.fault == readsLate && n == m.nodes[0] {
+				continue
+			}
+			v := o.loop.View().Config
+			if m.chance(100) {
+				v = m.known[unit.Revision(m.rng.IntN(1+int(v.Revision)))]
+				if m.fault == adoptsLower && v.Text != nil {
+					n.loop.Offer(do(func(s *State, _ clock.Millis) {
+						s.register, s.Revision = config.Register{}, 0
+						s.register.Adopt(v, nil)
+						s.putInForce()
+						s.Urge()
+					}))
+				}
+			}
+			n.loop.Offer(HeardRevision{Instance: o.loop.state.Self.Instance, DataCentre: n.name, Revision: v.Revision})
+			if v.Text != nil {
+				n.loop.Offer(AdoptVersion{Version: v, History: o.loop.View().History})
+			}
+		}
+	}
+}
+
+// check compares what every process has in force with the rules.
+func (m *model) check() {
+	now, highest := m.Now(), unit.Revision(0)
+	for _, a := range m.accepted {
+		highest = max(highest, a.version.Revision)
+	}
+	informed := 0 // processes that peers can learn the newest text from
+	for _, n := range m.nodes {
+		if !n.alone && n.loop.View().Revision >= highest {
+			informed++
+		}
+	}
+	// A journal that has lost the configuration, because no process could
+	// write to it for a whole retention, can't bring it to anybody.
+	down := m.down
+	if !down {
+		b, err := m.journal.Bounds(context.Background())
+		down = err != nil || b.First > unit.Offset(m.common.Load())
+	}
+	for _, n := range m.nodes {
+		v := n.loop.View().Config
+		if v.Revision < n.revision {
+			m.fail(ruleRevert, "%s has revision %d after %d", n.name, v.Revision, n.revision)
+		}
+		n.revision = v.Revision
+		if old, ok := m.known[v.Revision]; ok && old.Hash != v.Hash {
+			m.fail(ruleRevert, "%s has another text of revision %d", n.name, v.Revision)
+		}
+		m.known[v.Revision] = v
+		if (n.link.cut.Load() || down) && (n.alone || informed == 0) {
+			n.since = now
+		}
+		for _, a := range m.accepted {
+			if now > max(a.at, n.since).Add(forceWithin) && v.Revision < a.version.Revision {
+				m.fail(ruleLate, "%s has revision %d, %d was accepted at %d", n.name, v.Revision, a.version.Revision, a.at)
+			}
+		}
+	}
+}
+
+// run lets the model pass its time and then heals everything.
+func (m *model) run() {
+	for i := clock.Span(0); i < (modelSpan+modelHeal)/modelStep; i++ {
+		if i*modelStep < modelSpan {
+			m.step()
+		} else {
+			m.heal()
+		}
+		if i%10 == 0 {
+			m.gossip()
+		}
+		time.Sleep(modelStep.Duration())
+		synctest.Wait()
+		m.collect()
+		m.check()
+	}
+	for _, n := range m.nodes {
+		past := make(chan []config.Past, 1)
+		n.loop.Offer(do(func(s *State, _ clock.Millis) { past <- s.register.History() }))
+		history := <-past
+		for _, a := range m.accepted {
+			if !slices.ContainsFunc(history, func(p config.Past) bool { return p.ID == a.id && p.Revision == a.version.Revision }) {
+				m.fail(ruleLost, "%s has no revision %d of %d", n.name, a.version.Revision, len(history))
+			}
+		}
+	}
+}
+
+func (m *model) heal() {
+	m.down = false
+	m.journal.SetFailures(standin.Failures{})
+	for _, n := range m.nodes {
+		n.alone = false
+		n.link.cut.Store(false)
+	}
+}
+
+// runModel returns the broken rules and how often operators got which answer.
+func runModel(t *testing.T, seed uint64, f fault) (map[rule]string, map[string]int) {
+	m := &model{
+		rng: rand.New(rand.NewPCG(seed, 0)), fault: f, known: map[unit.Revision]config.Version{},
+		accepted: map[unit.Revision]acceptance{}, broken: map[rule]string{}, results: map[string]int{},
+		origin: record.Origin{Writer: "filler"},
+	}
+	synctest.Test(t, func(*testing.T) {
+		m.start = time.Now()
+		m.journal = &standin.Memory{Clock: m}
+		m.journal.SetRetention(standin.Retention{Entries: modelEntries})
+		for i := range modelNodes {
+			m.nodes = append(m.nodes, &modelNode{name: unit.DataCentre('a' + rune(i)), link: &link{Memory: m.journal}})
+		}
+		for _, n := range m.nodes {
+			m.boot(n)
+		}
+		m.run()
+		for _, n := range m.nodes {
+			n.group.Stop()
+			if err := n.group.Wait(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	return m.broken, m.results
+}
+
+func seeds(t *testing.T, few int) int {
+	n, err := strconv.Atoi(os.Getenv("MIMOSA_SEEDS"))
+	if err != nil && os.Getenv("MIMOSA_SEEDS") != "" {
+		t.Fatal(err)
+	}
+	return max(n, few)
+}
+
+// Guards against a configuration that reverts, is lost, is accepted twice or
+// comes into force late, while operators race, processes restart, the journal
+// fails and forgets, and peers have old views.
+func TestConfigurationRules(t *testing.T) {
+	const workers = 6
+	var mu sync.Mutex
+	total := map[string]int{}
+	n := seeds(t, 12)
+	t.Run("seeds", func(t *testing.T) {
+		for w := range workers {
+			t.Run(fmt.Sprint(w), func(t *testing.T) {
+				t.Parallel()
+				for seed := w; seed < n; seed += workers {
+					broken, results := runModel(t, uint64(seed), sound)
+					for r, at := range broken {
+						t.Errorf("seed %d: %s: %s", seed, r, at)
+					}
+					mu.Lock()
+					for k, n := range results {
+						total[k] += n
+					}
+					mu.Unlock()
+				}
+			})
+		}
+	})
+	t.Log("answers:", n, total)
+	if total["accepted"] == 0 || total["didNotRunstale"] == 0 || total["mayHaveRunundecided"] == 0 {
+		t.Error("the model no longer reaches all outcomes")
+	}
+}
+
+// Guards against a model that would not notice a broken rule.
+func TestConfigurationBreaks(t *testing.T) {
+	tests := map[string]struct {
+		fault fault
+		want  rule
+	}{
+		"adopts a lower text":        {adoptsLower, ruleRevert},
+		"takes silence for success":  {trustsSilence, ruleLost},
+		"ignores the base":           {ignoresBase, ruleTwo},
+		"reads late":                 {readsLate, ruleLate},
+		"writes no snapshots at all": {neverSnapshots, ruleLost},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				if broken, _ := runModel(t, seed, tc.fault); broken[tc.want] != "" {
+					return
+				}
+			}
+			t.Errorf("no seed breaks the rule: %s", tc.want)
+		})
+	}
+}
--- a/entry/control/journal.go
+++ b/entry/control/journal.go
@@ -34,6 +34,7 @@
 	submitter Submitter
 	receipts  chan stream.Receipt
 	onReceipt map[record.ID]func(s *State, r stream.Receipt, now clock.Millis)
+	readAgain func() // makes the reader recover anew; may be nil
 }
 
 // OnRecord sets the handler of a kind of records. It is called before Run.
@@ -42,6 +43,10 @@
 // SubmitTo sets where records for the journal go. It is called before Run.
 func (l *Loop) SubmitTo(f Submitter) { l.state.submitter = f }
 
+// ReadAgainWith sets how the reader is told to recover anew. It is called
+// before Run.
+func (l *Loop) ReadAgainWith(f func()) { l.state.readAgain = f }
+
 // ReadToEnd returns the instant before which everything in the journal is
 // applied, and false if the journal wasn't read to its end yet.
 func (s *State) ReadToEnd() (clock.Millis, bool) { return s.confirmed, s.readToEnd }
@@ -85,10 +90,10 @@
 
 // JournalRead takes in a batch of the journal. Use [NewJournalRead].
 type JournalRead struct {
-	batch    *stream.Batch
-	changes  map[record.ID]config.Checked
-	restored *config.Restoration
-	applied  chan struct{} // closed when the batch is applied
+	batch   *stream.Batch
+	changes map[record.ID]config.Checked
+	commons map[record.ID]config.Restoration // by the record that completes the snapshot
+	applied chan struct{}                    // closed when the batch is applied
 }
 
 // NewJournalRead returns the message for a batch. It decodes and checks the
@@ -109,15 +114,14 @@
 		}
 		m.changes[it.Record.ID] = config.Check(c)
 	}
-	if b.Recovered {
-		m.restored = restoration(b.Snapshots)
-	}
+	m.commons = restorations(b.Snapshots)
 	return m
 }
 
-// restoration returns the configuration of the common snapshot, or nil if
-// there is none that can be used.
-func restoration(found []snapshot.Found) *config.Restoration {
+// restorations returns the configurations of the common snapshots that can be
+// used, by the record that completes the snapshot.
+func restorations(found []snapshot.Found) map[record.ID]config.Restoration {
+	var out map[record.ID]config.Restoration
 	for _, f := range found {
 		if f.Scope != snapshot.Common {
 			continue
@@ -127,11 +131,14 @@
 				continue
 			}
 			if r, err := config.Open(f.At, sec.Data); err == nil {
-				return &r
+				if out == nil {
+					out = make(map[record.ID]config.Restoration)
+				}
+				out[f.ID] = r
 			}
 		}
 	}
-	return nil
+	return out
 }
 
 // DeliverTo returns a function for a [stream.Reader] that sends its batches to
@@ -176,13 +183,23 @@
 	s.schedule.Grow(b.Bytes, len(m.changes))
 	if b.End {
 		s.readToEnd, s.confirmed = true, b.Asked
-		s.readiness.Read()
+		s.noteRead()
 	}
 	if s.putInForce() || len(m.changes) > 0 {
 		s.Urge()
 	}
 }
 
+// noteRead tells the readiness that the journal was read to its end. A journal
+// that has lost the configuration counts as unreachable.
+func (s *State) noteRead() {
+	if s.register.Anchored() {
+		s.readiness.Read()
+	} else {
+		s.readiness.Unreachable()
+	}
+}
+
 func (m JournalRead) applyItem(s *State, it record.Item, now clock.Millis) {
 	if it.Fault != record.Sound || !s.seen.Add(it.Record.ID) {
 		return
@@ -190,6 +207,9 @@
 	if it.Record.Kind == record.Change {
 		s.applyChange(it, m.changes[it.Record.ID])
 	}
+	if r, ok := m.commons[it.Record.ID]; ok && s.register.Meet(it.Offset, r) && s.readAgain != nil {
+		s.readAgain()
+	}
 	if h := s.handlers[it.Record.Kind]; h != nil {
 		h(s, it, now)
 	}
@@ -202,11 +222,13 @@
 	if b.From > s.register.Next() {
 		s.register.Detach()
 	}
-	switch {
-	case m.restored != nil && m.restored.At >= b.From:
-		s.register.Restore(*m.restored)
-	case b.From == 0 || b.End && len(b.Snapshots) == 0:
-		s.register.Anchor(b.From)
+	for _, r := range m.commons {
+		if r.At >= b.From {
+			s.register.Restore(r)
+		}
+	}
+	if b.From == 0 {
+		s.register.Anchor(0)
 	}
 	for _, f := range b.Snapshots {
 		if f.At < b.From {
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -8,6 +8,7 @@
 
 	"mimosadock/entry/stream"
 	"mimosadock/schedule/clock"
+	"mimosadock/schedule/config"
 	"mimosadock/schedule/record"
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
@@ -34,6 +35,8 @@
 	Ready    bool // whether new requests may be taken
 	Revision unit.Revision
 	Text     *service.Text
+	Config   config.Version // with the source of the text, for peers
+	History  []config.Past
 	Routes   *route.View
 }
 
--- a/entry/control/snapshots.go
+++ b/entry/control/snapshots.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"mimosadock/entry/stream"
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/record"
 	"mimosadock/schedule/snapshot"
@@ -94,10 +95,9 @@
 
 // needsSnapshot reports whether this process, an owner, has to write the
 // snapshot of the scope: as its writer, or in place of a writer that doesn't.
-// The common one is left to processes that know the configuration.
 func (s *State) needsSnapshot(scope snapshot.Scope, now clock.Millis) bool {
-	if scope == snapshot.Common && !s.register.Anchored() {
-		return false
+	if scope == snapshot.Common && s.register.Behind() {
+		return s.mayBringBack(now) && snapshot.Writer(scope, s.Owners) == s.Self.Instance && s.schedule.Idle(scope, now)
 	}
 	if snapshot.Writer(scope, s.Owners) == s.Self.Instance {
 		return s.schedule.Due(scope, s.next, now)
@@ -109,17 +109,22 @@
 	s.schedule.Tried(scope, now)
 	records, err := s.encodeSnapshot(scope)
 	if err == nil {
-		err = s.Submit(records, now.Add(snapshotDeadline), nil)
+		err = s.Submit(records, now.Add(snapshotDeadline), func(s *State, r stream.Receipt, _ clock.Millis) {
+			if r.Err == nil {
+				snapshotsWritten.Add(1)
+				return
+			}
+			snapshotsFailed.Add(1)
+			s.schedule.Failed(scope)
+		})
 	}
 	if err != nil {
 		snapshotsFailed.Add(1)
-		return
 	}
-	snapshotsWritten.Add(1)
 }
 
 func (s *State) encodeSnapshot(scope snapshot.Scope) ([]record.Record, error) {
-	c := snapshot.Contents{Scope: scope, At: s.next}
+	c := snapshot.Contents{Scope: scope, At: s.next, Fresh: scope == snapshot.Common && s.register.Behind()}
 	for _, sec := range s.sections {
 		if sec.Common != (scope == snapshot.Common) {
 			continue
--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -36,6 +36,8 @@
 		Ready:    s.Text != nil && s.readiness.Ready(s.Revision) && !s.Draining,
 		Revision: s.Revision,
 		Text:     s.Text,
+		Config:   s.register.InForce(),
+		History:  s.register.History(),
 		Routes:   s.routes,
 	}
 }
--- a/entry/process/journal.go
+++ b/entry/process/journal.go
@@ -32,6 +32,7 @@
 		Deliver: control.DeliverTo(p.Loop),
 	}
 	p.Loop.SubmitTo(j.writer.Offer)
+	p.Loop.ReadAgainWith(j.reader.Recover)
 	p.Loop.LimitJournal(snapshot.DefaultLimits)
 	p.journal = j
 }
--- a/entry/stream/reader.go
+++ b/entry/stream/reader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"sync/atomic"
 
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/journal"
@@ -43,15 +44,24 @@
 	assembler snapshot.Assembler
 	next      unit.Offset
 	backoff   backoff
+	again     atomic.Bool
 }
 
+// Recover makes the reader begin again from the newest snapshots. It may be
+// called from any goroutine.
+func (r *Reader) Recover() { r.again.Store(true) }
+
 // Run reads until ctx ends. Errors of the journal are delivered and retried.
 func (r *Reader) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		r.again.Store(false)
 		err := r.recover(ctx)
-		for err == nil {
+		for err == nil && !r.again.Load() {
 			err = r.follow(ctx)
 		}
+		if err == nil {
+			continue
+		}
 		if err := r.failed(ctx, err); err != nil && ctx.Err() == nil {
 			return err
 		}
@@ -209,13 +219,17 @@
 			return fmt.Errorf("%w: %d of %d", errBehind, at, high)
 		}
 		for _, e := range page.Entries {
+			at = e.Offset + 1
+			kinds, ok := record.KindsOf(e)
+			if !ok || !kinds.Has(record.SnapshotPart) && !kinds.Has(record.SnapshotEnd) {
+				continue
+			}
 			items = record.DecodeEntry(items[:0], e)
 			for _, it := range items {
 				if f, ok := a.Add(it); ok {
 					newest.Offer(f)
 				}
 			}
-			at = e.Offset + 1
 		}
 	}
 	return nil
--- a/schedule/config/register.go
+++ b/schedule/config/register.go
@@ -1,9 +1,10 @@
 package config
 
 import (
+	"slices"
+
 	"mimosadock/schedule/record"
 	"mimosadock/schedule/service"
-	"mimosadock/schedule/table"
 	"mimosadock/schedule/unit"
 )
 
@@ -60,16 +61,25 @@
 	anchored bool
 	next     unit.Offset // changes before this offset are applied
 	chain    Version     // from the journal alone; compare-and-set uses it
+	past     history     // of chain
 	inForce  Version     // highest of chain and adopted
-	history  table.Ring[Past]
-	sized    bool
+	forced   history     // of inForce
+}
+
+// history is a list of accepted changes, oldest first. It is copied on change,
+// so that it can be shared.
+type history []Past
+
+func (h history) with(p Past) history {
+	first := max(0, len(h)+1-HistoryLength)
+	return append(slices.Clone(h[first:]), p)
 }
 
 // Anchor makes r follow a journal that begins at the offset with no
 // configuration.
 func (r *Register) Anchor(at unit.Offset) {
 	if !r.anchored {
-		r.anchored, r.next, r.chain = true, at, Version{}
+		r.anchored, r.next, r.chain, r.past = true, at, Version{}, nil
 	}
 }
 
@@ -90,8 +100,14 @@
 // with.
 func (r *Register) Chain() Version { return r.chain }
 
-// History appends the accepted changes that r knows to dst, oldest first.
-func (r *Register) History(dst []Past) []Past { return r.history.AppendTo(dst) }
+// History returns the accepted changes up to the version in force, as far as
+// they are known, oldest first. It must not be changed.
+func (r *Register) History() []Past { return r.forced }
+
+// Behind reports whether r doesn't follow the journal, or follows it from a
+// lower revision than the one in force although it is at its end. The journal
+// has then lost the configuration, and a fresh snapshot has to bring it back.
+func (r *Register) Behind() bool { return !r.anchored || r.inForce.Revision > r.chain.Revision }
 
 // Apply compares a change of the journal at the offset with the configuration
 // before it. A change from before the position of r is [Old].
@@ -107,31 +123,23 @@
 		return Outcome{ID: id, Result: Faulty, Version: r.chain, Err: c.Err}
 	}
 	r.chain = Version{Revision: r.chain.Revision + 1, Hash: HashOf(c.Source), Source: c.Source, Text: c.Text}
-	r.remember(Past{Revision: r.chain.Revision, ID: id, Author: c.Author, When: c.When, Hash: r.chain.Hash})
-	r.raise(r.chain)
+	r.past = r.past.with(Past{Revision: r.chain.Revision, ID: id, Author: c.Author, When: c.When, Hash: r.chain.Hash})
+	r.raise(r.chain, r.past)
 	return Outcome{ID: id, Result: Accepted, Version: r.chain}
 }
 
 // Advance notes that all records before the offset were handed to Apply.
 func (r *Register) Advance(to unit.Offset) { r.next = max(r.next, to) }
 
-func (r *Register) remember(p Past) {
-	if !r.sized {
-		r.history.Resize(HistoryLength)
-		r.sized = true
-	}
-	r.history.Add(p)
-}
-
 // raise puts v into force if its revision is higher.
-func (r *Register) raise(v Version) bool {
+func (r *Register) raise(v Version, h history) bool {
 	if v.Revision == r.inForce.Revision && v.Revision > 0 && v.Hash != r.inForce.Hash {
 		r.Diverged++
 	}
 	if v.Revision <= r.inForce.Revision {
 		return false
 	}
-	r.inForce = v
+	r.inForce, r.forced = v, h
 	return true
 }
 
@@ -149,8 +157,9 @@
 
 // Adopt puts the version of a peer into force if its revision is higher. The
 // version must have been checked with [CheckVersion]. The compare-and-set
-// goes on with what the journal says.
-func (r *Register) Adopt(v Version) Adoption {
+// goes on with what the journal says. Past is the history of the peer and must
+// not be changed afterwards.
+func (r *Register) Adopt(v Version, past []Past) Adoption {
 	switch {
 	case v.Revision < r.inForce.Revision:
 		return Lower
@@ -163,7 +172,7 @@
 	case v.Text == nil || HashOf(v.Source) != v.Hash:
 		return Corrupt
 	}
-	r.raise(v)
+	r.raise(v, past[max(0, len(past)-HistoryLength):])
 	return Adopted
 }
 
--- a/schedule/config/register_test.go
+++ b/schedule/config/register_test.go
@@ -94,7 +94,7 @@
 			if int(v.Revision) != len(want) || len(want) > 0 && string(v.Source) != want[len(want)-1] || r.Chain().Hash != v.Hash {
 				t.Fatalf("revision %d, want %d", v.Revision, len(want))
 			}
-			if past := r.History(nil); len(past) != len(want) {
+			if past := r.History(); len(past) != len(want) {
 				t.Fatalf("history of %d, want %d", len(past), len(want))
 			}
 		}
@@ -130,7 +130,7 @@
 			r.Anchor(0)
 			r.Apply(0, record.ID{1}, checked(t, 0, "a"))
 			r.Apply(1, record.ID{2}, checked(t, 1, "b"))
-			is.Equal(r.Adopt(tc.peer), tc.want)
+			is.Equal(r.Adopt(tc.peer, nil), tc.want)
 			is.Equal(r.InForce().Revision, tc.in)
 			is.Equal(r.Chain().Revision, unit.Revision(2))
 			is.Equal(r.Diverged > 0, tc.want == Differs)
--- a/schedule/config/saved.go
+++ b/schedule/config/saved.go
@@ -13,32 +13,38 @@
 // ErrEmpty means that a saved register has no revision but a text.
 var ErrEmpty = errors.New("config: text without a revision")
 
-// Saved is a [Register] in the form that a snapshot keeps.
+// Saved is a [Register] in the form that a snapshot keeps. A fresh one doesn't
+// come from the journal: it brings a configuration back that the journal has
+// lost, and takes effect behind the record that completes its snapshot.
 type Saved struct {
 	Revision unit.Revision `cbor:"1,keyasint"`
 	Hash     Hash          `cbor:"2,keyasint"`
 	Packed   []byte        `cbor:"3,keyasint,omitempty"`
 	History  []Past        `cbor:"4,keyasint,omitempty"`
+	Fresh    bool          `cbor:"5,keyasint,omitempty"`
 }
 
 // Save returns the state of r as the journal has it, for a snapshot at the
-// position of r. It returns [ErrUndecided] if r doesn't follow the journal.
+// position of r. If r is [Register.Behind], it is a fresh one of the version in
+// force.
 func (r *Register) Save() (Saved, error) {
-	if !r.anchored {
-		return Saved{}, ErrUndecided
+	v, past := r.chain, r.past
+	if r.Behind() {
+		v, past = r.inForce, r.forced
 	}
-	s := Saved{Revision: r.chain.Revision, Hash: r.chain.Hash, History: r.History(nil)}
-	if r.chain.Revision == 0 {
+	s := Saved{Revision: v.Revision, Hash: v.Hash, History: past, Fresh: r.Behind()}
+	if v.Revision == 0 {
 		return s, nil
 	}
 	var err error
-	s.Packed, err = Pack(r.chain.Source)
+	s.Packed, err = Pack(v.Source)
 	return s, err
 }
 
 // Restoration is a [Saved] that was read back and checked.
 type Restoration struct {
 	At      unit.Offset
+	Fresh   bool
 	Version Version
 	History []Past
 }
@@ -49,7 +55,7 @@
 	if err != nil {
 		return Restoration{}, err
 	}
-	out := Restoration{At: at, History: s.History}
+	out := Restoration{At: at, Fresh: s.Fresh, History: s.History[max(0, len(s.History)-HistoryLength):]}
 	if s.Revision == 0 {
 		if len(s.Packed) > 0 {
 			return Restoration{}, ErrEmpty
@@ -66,17 +72,34 @@
 
 // Restore makes r follow the journal from the position of the snapshot and
 // reports whether it did. A register that follows the journal already keeps
-// its state, which is at least as new.
+// its state, which is at least as new. A fresh snapshot isn't restored but met
+// in the journal.
 func (r *Register) Restore(s Restoration) bool {
-	if r.anchored {
+	if r.anchored || s.Fresh {
 		return false
 	}
-	r.anchored, r.next, r.chain = true, s.At, s.Version
-	r.history.Resize(HistoryLength)
-	r.sized = true
-	for _, p := range s.History[max(0, len(s.History)-HistoryLength):] {
-		r.history.Add(p)
-	}
-	r.raise(s.Version)
+	r.begin(s, s.At)
 	return true
 }
+
+// Meet takes in the snapshot that the record at the offset completes. A fresh
+// one makes r follow the journal from there, unless r follows it already from
+// a revision that isn't lower. All readers meet it at the same place: whoever
+// wrote a fresh one had not met another, so that a reader which begins at its
+// position meets the first of them. Meet reports whether an unfresh snapshot
+// would let r follow the journal if it read again from the position of the
+// snapshot.
+func (r *Register) Meet(at unit.Offset, s Restoration) (again bool) {
+	if !s.Fresh {
+		return !r.anchored
+	}
+	if at >= r.next && (!r.anchored || s.Version.Revision > r.chain.Revision) {
+		r.begin(s, at)
+	}
+	return false
+}
+
+func (r *Register) begin(s Restoration, at unit.Offset) {
+	r.anchored, r.next, r.chain, r.past = true, at, s.Version, s.History
+	r.raise(s.Version, s.History)
+}
--- a/schedule/record/entry.go
+++ b/schedule/record/entry.go
@@ -1,7 +1,11 @@
 package record
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/binary"
+	"io"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -37,37 +41,86 @@
 	return m
 }
 
+// KindsOf returns the kinds of the records of e, without decoding them. It is
+// false for an entry that is damaged or of an unknown format.
+func KindsOf(e journal.Entry) (KindSet, bool) {
+	if open(e.Data) != Sound {
+		return 0, false
+	}
+	return KindSet(binary.LittleEndian.Uint32(e.Data[kindsAt:])), true
+}
+
+// open checks the header of an entry.
+func open(data []byte) Fault {
+	switch {
+	case len(data) < headerBytes, unit.Bytes(len(data)) > journal.MaxEntryBytes,
+		binary.LittleEndian.Uint64(data) != xxhash.Sum64(data[sumBytes:]):
+		return Damaged
+	case data[formatAt] != formatPlain && data[formatAt] != formatDeflated:
+		return UnknownVersion
+	}
+	return Sound
+}
+
 // DecodeEntry appends the records of e to dst and returns it. An entry whose
 // checksum is wrong gives one damaged item. Bytes that aren't a record give a
 // damaged item too; the records before them are kept.
 func DecodeEntry(dst []Item, e journal.Entry) []Item {
-	data := e.Data
-	if len(data) < headerBytes || unit.Bytes(len(data)) > journal.MaxEntryBytes ||
-		binary.LittleEndian.Uint64(data) != xxhash.Sum64(data[sumBytes:]) {
-		return append(dst, Item{Offset: e.Offset, Fault: Damaged})
+	if f := open(e.Data); f != Sound {
+		return append(dst, Item{Offset: e.Offset, Fault: f})
+	}
+	if e.Data[formatAt] == formatPlain {
+		return decodeRecords(dst, e.Offset, e.Data[headerBytes:])
 	}
-	if data[sumBytes] != format {
-		return append(dst, Item{Offset: e.Offset, Fault: UnknownVersion})
+	in := inflaters.Get().(*inflater)
+	defer inflaters.Put(in)
+	if !in.inflate(e.Data[headerBytes:]) {
+		return append(dst, Item{Offset: e.Offset, Fault: Damaged})
 	}
+	return decodeRecords(dst, e.Offset, in.out.Bytes())
+}
+
+func decodeRecords(dst []Item, at unit.Offset, rest []byte) []Item {
 	c := chain{}
-	for rest := data[headerBytes:]; len(rest) > 0; {
+	for len(rest) > 0 {
 		var w wire
+		it := Item{Fault: Damaged}
 		next, err := decoder.UnmarshalFirst(rest, &w)
-		if err != nil {
-			if next, err = c.skip(rest); err != nil {
-				return append(dst, Item{Offset: e.Offset, Fault: Damaged})
-			}
-			dst = append(dst, Item{Offset: e.Offset, Fault: Damaged})
-			rest = next
-			continue
+		if err == nil {
+			it = c.item(w)
+		} else if next, err = c.skip(rest); err != nil {
+			return append(dst, Item{Offset: at, Fault: Damaged})
 		}
-		it := c.item(w)
-		it.Offset = e.Offset
+		it.Offset = at
 		dst, rest = append(dst, it), next
 	}
 	return dst
 }
 
+// inflater keeps the storage for one inflated entry.
+type inflater struct {
+	in     bytes.Reader
+	reader io.ReadCloser
+	out    bytes.Buffer
+}
+
+var inflaters = sync.Pool{New: func() any {
+	in := new(inflater)
+	in.reader = flate.NewReader(&in.in)
+	return in
+}}
+
+// inflate reports whether data inflates to at most the size of an entry.
+func (in *inflater) inflate(data []byte) bool {
+	in.in.Reset(data)
+	in.out.Reset()
+	if in.reader.(flate.Resetter).Reset(&in.in, nil) != nil {
+		return false
+	}
+	n, err := in.out.ReadFrom(io.LimitReader(in.reader, int64(journal.MaxEntryBytes)+1))
+	return err == nil && unit.Bytes(n) <= journal.MaxEntryBytes
+}
+
 // chain fills in what a record leaves out because the one before it says it.
 type chain struct {
 	known  bool
--- a/schedule/record/entry_test.go
+++ b/schedule/record/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -51,7 +52,12 @@
 			}
 			want = append(want, make1(t, o, Kind(1+i%(Kinds-1)), fmt.Sprint(i)))
 		}
-		got := DecodeEntry(nil, entryOf(t, want...))
+		e := entryOf(t, want...)
+		kinds, ok := KindsOf(e)
+		if !ok || !kinds.Has(want[0].Kind) || kinds.Has(Audit) && len(want) < Kinds-1 {
+			rt.Fatalf("kinds %b", kinds)
+		}
+		got := DecodeEntry(nil, e)
 		if len(got) != len(want) {
 			rt.Fatalf("%d records, want %d", len(got), len(want))
 		}
@@ -73,7 +79,7 @@
 	flipped := entryOf(t, sound)
 	flipped.Data[len(flipped.Data)-1] ^= 1
 	future := entryOf(t, sound)
-	future.Data[sumBytes] = format + 1
+	seal(future.Data, formatDeflated+1, 0)
 	tests := map[string]struct {
 		entry journal.Entry
 		want  []Fault
@@ -82,7 +88,7 @@
 		"unknown kind":    {entryOf(t, newKind, sound), []Fault{UnknownKind, Sound}},
 		"bit flip":        {flipped, []Fault{Damaged}},
 		"empty":           {journal.Entry{}, []Fault{Damaged}},
-		"unknown format":  {reseal(future), []Fault{UnknownVersion}},
+		"unknown format":  {future, []Fault{UnknownVersion}},
 		"not a record":    {raw(t, sound, []byte{0x83, 1, 2, 3}), []Fault{Sound, Damaged}},
 		"no id to follow": {raw(t, sound, []byte{0x61, 'x'}, []byte{0xa2, 1, 1, 4, 1}), []Fault{Sound, Damaged, Damaged}},
 		"cut off":         {raw(t, sound, []byte{0xa4, 1}), []Fault{Sound, Damaged}},
@@ -111,17 +117,7 @@
 	for _, b := range more {
 		e.Data = append(e.Data, b...)
 	}
-	return reseal(e)
-}
-
-func reseal(e journal.Entry) journal.Entry {
-	f := e.Data[sumBytes]
-	g := Group{buf: e.Data, n: 1}
-	e.Data = g.Entry()
-	if f != format { // Entry has written the known format
-		e.Data[sumBytes] = f
-		g.seal()
-	}
+	seal(e.Data, formatPlain, 0)
 	return e
 }
 
@@ -165,17 +161,19 @@
 // than the entry has bytes.
 func FuzzDecodeEntry(f *testing.F) {
 	o := &Origin{Writer: "a"}
-	f.Add(entryOf(f, make1(f, o, Join, "x"), make1(f, o, Audit, "y")).Data[sumBytes:])
-	f.Add(raw(f, make1(f, o, Claim, "z"), []byte{0xa2, 1, 1, 4, 1}).Data[sumBytes:])
-	f.Add([]byte{format, 0xff, 0x00})
-	f.Add([]byte{})
-	f.Fuzz(func(t *testing.T, data []byte) {
-		g := Group{buf: append(make([]byte, sumBytes, sumBytes+len(data)), data...)}
-		if len(data) > 0 {
-			g.seal()
+	f.Add(entryOf(f, make1(f, o, Join, "x")).Data[headerBytes:], false)
+	f.Add(entryOf(f, make1(f, o, Join, strings.Repeat("x", 2*minDeflated))).Data[headerBytes:], true)
+	f.Add(raw(f, make1(f, o, Claim, "z"), []byte{0xa2, 1, 1, 4, 1}).Data[headerBytes:], false)
+	f.Add([]byte{0xff, 0x00}, true)
+	f.Fuzz(func(t *testing.T, data []byte, deflated bool) {
+		entry := append(make([]byte, headerBytes, headerBytes+len(data)), data...)
+		if deflated {
+			seal(entry, formatDeflated, 0)
+		} else {
+			seal(entry, formatPlain, 0)
 		}
-		items := DecodeEntry(nil, journal.Entry{Data: g.buf})
-		if len(items) > len(data)+1 {
+		items := DecodeEntry(nil, journal.Entry{Data: entry})
+		if len(items) > int(journal.MaxEntryBytes) || !deflated && len(items) > len(data)+1 {
 			t.Fatalf("%d items from %d bytes", len(items), len(data))
 		}
 		for _, it := range items {
--- a/schedule/record/group.go
+++ b/schedule/record/group.go
@@ -1,8 +1,11 @@
 package record
 
 import (
+	"bytes"
+	"compress/flate"
 	"encoding/binary"
 	"fmt"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -11,13 +14,24 @@
 	"mimosadock/schedule/unit"
 )
 
-// An entry begins with the xxhash of what follows and the format byte.
+// An entry begins with a header: the xxhash of what follows, the format and
+// the set of kinds, a bit each. The records come behind it.
 const (
 	sumBytes    = 8
-	headerBytes = sumBytes + 1
-	format      = 1
+	formatAt    = sumBytes
+	kindsAt     = formatAt + 1
+	headerBytes = kindsAt + 4
 )
 
+// The formats of an entry.
+const (
+	formatPlain    = 1
+	formatDeflated = 2 // the records are deflated
+)
+
+// minDeflated is the size from which on an entry is deflated.
+const minDeflated = 128
+
 // wire is the encoded form of a record. Keys 1 to 4 keep their meaning in all
 // versions, so that a reader can step over a version that it doesn't know.
 // Within an entry the id is left out if it follows that of the record before,
@@ -33,8 +47,10 @@
 // Group collects records for one journal entry. The zero value is empty and
 // ready to use.
 type Group struct {
-	buf    []byte
+	buf    []byte // plain entry, the header not filled in
+	packed bytes.Buffer
 	n      int
+	kinds  KindSet
 	id     ID
 	writer unit.Instance
 }
@@ -70,22 +86,54 @@
 	}
 	g.buf = append(g.buf, data...)
 	g.n, g.id, g.writer = g.n+1, r.ID, r.Writer
+	g.kinds = g.kinds.With(r.Kind)
 	return true, nil
 }
 
-// Entry returns the entry with the records so far. It is valid until the next
-// Add or Reset, and nil for an empty group.
+// Entry returns the entry with the records so far, deflated if that makes it
+// smaller. It is valid until the next Add or Reset, and nil for an empty group.
 func (g *Group) Entry() []byte {
 	if g.n == 0 {
 		return nil
 	}
-	g.buf[sumBytes] = format
-	g.seal()
-	return g.buf
+	if len(g.buf) >= minDeflated && g.deflate() == nil && g.packed.Len() < len(g.buf) {
+		return seal(g.packed.Bytes(), formatDeflated, g.kinds)
+	}
+	return seal(g.buf, formatPlain, g.kinds)
 }
 
-// seal writes the checksum.
-func (g *Group) seal() { binary.LittleEndian.PutUint64(g.buf, xxhash.Sum64(g.buf[sumBytes:])) }
+// seal fills in the header of an entry.
+func seal(entry []byte, format byte, kinds KindSet) []byte {
+	entry[formatAt] = format
+	binary.LittleEndian.PutUint32(entry[kindsAt:], uint32(kinds))
+	binary.LittleEndian.PutUint64(entry, xxhash.Sum64(entry[sumBytes:]))
+	return entry
+}
+
+// deflate writes the records behind an empty header into packed.
+func (g *Group) deflate() error {
+	g.packed.Reset()
+	g.packed.Write(g.buf[:headerBytes])
+	w := deflaters.Get().(*flate.Writer)
+	defer deflaters.Put(w)
+	w.Reset(&g.packed)
+	if _, err := w.Write(g.buf[headerBytes:]); err != nil {
+		return err
+	}
+	return w.Close()
+}
+
+// deflaters keeps the writers of deflate, each of which takes up 800 kB.
+var deflaters = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.DefaultCompression)
+	if err != nil {
+		panic("record: invalid compression level")
+	}
+	return w
+}}
 
 // Reset empties the group and keeps its storage.
-func (g *Group) Reset() { *g = Group{buf: g.buf[:0]} }
+func (g *Group) Reset() {
+	g.packed.Reset()
+	*g = Group{buf: g.buf[:0], packed: g.packed}
+}
--- a/schedule/record/kind.go
+++ b/schedule/record/kind.go
@@ -30,6 +30,20 @@
 // Kinds is one more than the highest known kind.
 const Kinds = int(Audit) + 1
 
+// KindSet is a set of kinds. The zero value is empty.
+type KindSet uint32
+
+// With returns the set with k in it. Kinds above 31 have no place and set all.
+func (s KindSet) With(k Kind) KindSet {
+	if k > 31 {
+		return ^KindSet(0)
+	}
+	return s | 1<<k
+}
+
+// Has reports whether k may be in the set.
+func (s KindSet) Has(k Kind) bool { return k > 31 || s&(1<<k) != 0 }
+
 // Fault says why a record can't be used.
 type Fault uint8
 
--- a/schedule/snapshot/assembler.go
+++ b/schedule/snapshot/assembler.go
@@ -18,9 +18,11 @@
 )
 
 // Found is a complete snapshot and where it lies. From is the offset of the
-// first of its records that was read, To that of the last.
+// first of its records that was read, To that of the last. ID is the id of the
+// record that completed it.
 type Found struct {
 	Contents
+	ID     record.ID
 	From   unit.Offset
 	To     unit.Offset
 	Others []Ref
@@ -85,7 +87,7 @@
 		row.bytes += len(p.Data)
 		a.bytes += len(p.Data)
 	}
-	return a.finish(k)
+	return a.finish(k, it.Record.ID)
 }
 
 func (a *Assembler) addEnd(it record.Item, e End) (Found, bool) {
@@ -93,7 +95,7 @@
 	if row := a.at(k, it.Offset); row.end == nil {
 		row.end = &e
 	}
-	return a.finish(k)
+	return a.finish(k, it.Record.ID)
 }
 
 // at returns the row of k, extended to the offset, and makes room for it.
@@ -129,7 +131,7 @@
 	a.open.Delete(k)
 }
 
-func (a *Assembler) finish(k key) (Found, bool) {
+func (a *Assembler) finish(k key, id record.ID) (Found, bool) {
 	row := a.open.Get(k)
 	if row.end == nil || len(row.parts) < row.end.Parts {
 		return Found{}, false
@@ -149,7 +151,7 @@
 		a.Rejected++
 		return Found{}, false
 	}
-	return Found{Contents: c, From: row.from, To: row.to, Others: row.end.Others}, true
+	return Found{Contents: c, ID: id, From: row.from, To: row.to, Others: row.end.Others}, true
 }
 
 // Newest keeps the newest snapshot of each scope. The zero value is empty.
@@ -161,7 +163,10 @@
 // whether it did.
 func (n *Newest) Offer(f Found) bool {
 	row := n.Get(f.Scope)
-	if row != nil && (row.At > f.At || row.At == f.At && row.To >= f.To) {
+	if row != nil && row.Fresh == f.Fresh && (row.At > f.At || row.At == f.At && row.To >= f.To) {
+		return false
+	}
+	if row != nil && !row.Fresh && f.Fresh {
 		return false
 	}
 	n.Put(f.Scope, f)
@@ -186,6 +191,9 @@
 	if last == nil {
 		return 0, false
 	}
+	if common := n.Get(Common); common != nil && common.Fresh {
+		return 0, true
+	}
 	return n.lowest(last, last.From), true
 }
 
--- a/schedule/snapshot/schedule.go
+++ b/schedule/snapshot/schedule.go
@@ -20,7 +20,7 @@
 }
 
 // DefaultLimits are for a journal that keeps a day or a million entries.
-var DefaultLimits = Limits{Entries: 1_000_000, Age: 24 * clock.Hour, Tail: 32 << 20, Changes: 64}
+var DefaultLimits = Limits{Entries: 1_000_000, Age: 24 * clock.Hour, Tail: 8 << 20, Changes: 64}
 
 // progress is what has happened since the newest snapshot of a scope.
 type progress struct {
@@ -87,6 +87,19 @@
 	overdueQuarters = 3
 )
 
+// Failed notes that the journal didn't take the snapshot that was tried.
+func (s *Schedule) Failed(scope Scope) {
+	if row := s.rows.Get(scope); row != nil {
+		row.trying = false
+	}
+}
+
+// Idle reports whether no snapshot of the scope is on its way to the journal.
+func (s *Schedule) Idle(scope Scope, now clock.Millis) bool {
+	row := s.rows.Get(scope)
+	return row == nil || !row.trying || now.Sub(row.tried) >= RetryAfter
+}
+
 // Due reports whether the scope needs a snapshot when next is the offset that
 // is read next. It does once half of the retention has passed, and when none
 // is known.
@@ -95,7 +108,7 @@
 	if row == nil {
 		return true
 	}
-	if row.trying && now.Sub(row.tried) < RetryAfter {
+	if !s.Idle(scope, now) {
 		return false
 	}
 	return !row.known || row.aged || s.passed(row, next, now, dueQuarters)
--- a/schedule/snapshot/snapshot.go
+++ b/schedule/snapshot/snapshot.go
@@ -34,11 +34,14 @@
 	Data []byte `cbor:"2,keyasint"`
 }
 
-// Contents is the state of one scope after all records before the offset At.
+// Contents is the state of one scope after all records before the offset At. A
+// fresh one brings state back that the journal has lost. It is only used where
+// no other can be read.
 type Contents struct {
 	Scope    Scope       `cbor:"1,keyasint"`
 	At       unit.Offset `cbor:"2,keyasint"`
 	Sections []Section   `cbor:"3,keyasint"`
+	Fresh    bool        `cbor:"4,keyasint,omitempty"`
 }
 
 // Ref points to the newest snapshot of another scope: From is the offset of
