--- a/entry/control/config.go
+++ b/entry/control/config.go
@@ -19,6 +19,7 @@
 
 var (
 	errNoJournal = verdict.Refuse("process has no journal")
+	errNoReceipt = &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "outcome of the append was not reported"}
 
 	// ErrStale is the cause of the error for a change that was made from
 	// another revision than the one in force.
--- a/entry/control/journal.go
+++ b/entry/control/journal.go
@@ -8,6 +8,7 @@
 	"mimosadock/schedule/config"
 	"mimosadock/schedule/record"
 	"mimosadock/schedule/snapshot"
+	"mimosadock/schedule/table"
 	"mimosadock/schedule/unit"
 )
 
@@ -33,10 +34,23 @@
 	origin    record.Origin
 	submitter Submitter
 	receipts  chan stream.Receipt
-	onReceipt map[record.ID]func(s *State, r stream.Receipt, now clock.Millis)
+	submitted table.Table[record.ID, submission]
 	readAgain func() // makes the reader recover anew; may be nil
 }
 
+// ReceiptFunc takes in what came of a submission.
+type ReceiptFunc func(s *State, r stream.Receipt, now clock.Millis)
+
+// submission waits for its receipt, under the id of its first record.
+type submission struct {
+	deadline clock.Millis
+	done     ReceiptFunc
+}
+
+// receiptGrace is how long after its deadline a submission waits for a receipt
+// before its outcome counts as unknown. Settling an append takes a few reads.
+const receiptGrace = 30 * clock.Second
+
 // OnRecord sets the handler of a kind of records. It is called before Run.
 func (l *Loop) OnRecord(k record.Kind, h Handler) { l.state.handlers[k] = h }
 
@@ -56,7 +70,7 @@
 
 // Submit hands records to the journal. The done function, which may be nil,
 // gets the receipt on a later tick. An error has the verdict DidNotRun.
-func (s *State) Submit(records []record.Record, deadline clock.Millis, done func(*State, stream.Receipt, clock.Millis)) error {
+func (s *State) Submit(records []record.Record, deadline clock.Millis, done ReceiptFunc) error {
 	if s.submitter == nil {
 		return errNoJournal
 	}
@@ -68,26 +82,43 @@
 		return err
 	}
 	if done != nil {
-		s.onReceipt[records[0].ID] = done
+		s.submitted.Put(records[0].ID, submission{deadline, done})
 	}
 	return nil
 }
 
-// ReceiptSystem hands out the receipts that have come since the last tick.
+// ReceiptSystem hands out the receipts that have come since the last tick, and
+// gives up submissions whose receipt was dropped.
 func ReceiptSystem(s *State, now clock.Millis) {
+	var late []record.ID
+	for id, sub := range s.submitted.All() {
+		if now > sub.deadline.Add(receiptGrace) {
+			late = append(late, id)
+		}
+	}
+	for _, id := range late {
+		s.settle(stream.Receipt{First: id, Err: errNoReceipt}, now)
+	}
 	for {
 		select {
 		case r := <-s.receipts:
-			if done := s.onReceipt[r.First]; done != nil {
-				delete(s.onReceipt, r.First)
-				done(s, r, now)
-			}
+			s.settle(r, now)
 		default:
 			return
 		}
 	}
 }
 
+func (s *State) settle(r stream.Receipt, now clock.Millis) {
+	sub := s.submitted.Get(r.First)
+	if sub == nil {
+		return
+	}
+	done := sub.done
+	s.submitted.Delete(r.First)
+	done(s, r, now)
+}
+
 // JournalRead takes in a batch of the journal. Use [NewJournalRead].
 type JournalRead struct {
 	batch   *stream.Batch
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -9,7 +9,6 @@
 	"mimosadock/entry/stream"
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/config"
-	"mimosadock/schedule/record"
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
 	"mimosadock/schedule/unit"
@@ -61,7 +60,6 @@
 	l.state.Self = self
 	l.state.origin.Writer = self.Instance
 	l.state.receipts = make(chan stream.Receipt, receiptsSize)
-	l.state.onReceipt = make(map[record.ID]func(*State, stream.Receipt, clock.Millis))
 	l.AddSection(Section{Name: configSection, Common: true, Save: saveConfig})
 	l.view.Store(&View{})
 	return l
--- /dev/null
+++ b/entry/process/journal_test.go
@@ -0,0 +1,72 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+
+	"mimosadock/entry/control"
+	"mimosadock/entry/setting"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/config"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/unit"
+	"mimosadock/standin/journal"
+)
+
+// Guards against a process that isn't connected to its journal over HTTP: two
+// processes come to the same revision, and one that starts later is ready with
+// it.
+func TestProcessesShareTheJournal(t *testing.T) {
+	is := is.New(t)
+	m := new(journal.Memory)
+	srv := httptest.NewServer(journal.Handler(m))
+	defer srv.Close()
+	var g group.Group
+	start := func() *Process {
+		p, err := Open(setting.Settings{
+			Listen: "127.0.0.1:0", Operator: "127.0.0.1:0", DataCentre: "kelso",
+			Journal: srv.Listener.Addr().String(),
+		}, log.New(io.Discard))
+		is.NoErr(err)
+		g.Go("entry", p.Run)
+		return p
+	}
+	one, two := start(), start()
+	for i := range 3 {
+		awaitRevision(t, one, unit.Revision(i))
+		c, err := config.NewChange(unit.Revision(i), "morag", 1, fmt.Appendf(nil, "version: 1\n# %d\n", i))
+		is.NoErr(err)
+		reply := make(chan control.ChangeAnswer, 1)
+		for { // refused until the journal is read
+			is.NoErr(one.Loop.Send(context.Background(), control.ProposeChange{Change: c, Deadline: clock.Never, Reply: reply}))
+			if a := <-reply; a.Err == nil {
+				break
+			}
+			time.Sleep(control.Tick.Duration())
+		}
+	}
+	for _, p := range []*Process{two, start()} {
+		awaitRevision(t, p, 3)
+		is.Equal(p.Loop.View().Config.Hash, one.Loop.View().Config.Hash)
+		is.True(p.Loop.View().Ready)
+	}
+	g.Stop()
+	is.NoErr(g.Wait())
+}
+
+func awaitRevision(t *testing.T, p *Process, r unit.Revision) {
+	for p.Loop.View().Revision < r {
+		select {
+		case <-t.Context().Done():
+			t.Fatal("stopped")
+		case <-time.After(control.Tick.Duration()):
+		}
+	}
+}
--- a/schedule/config/register_test.go
+++ b/schedule/config/register_test.go
@@ -140,6 +140,37 @@
 	}
 }
 
+// Guards against a lost configuration that comes back differently to a reader
+// that was there and to one that begins later, or over a newer one.
+func TestMeetFreshSnapshot(t *testing.T) {
+	is := is.New(t)
+	var old, late, newer Register
+	old.Adopt(Version{Revision: 4, Hash: HashOf(text("d")), Source: text("d"), Text: new(service.Text)}, nil)
+	saved, err := old.Save()
+	is.NoErr(err)
+	is.True(saved.Fresh)
+	data, err := record.Marshal(saved)
+	is.NoErr(err)
+	fresh, err := Open(10, data)
+	is.NoErr(err)
+	is.True(!late.Restore(fresh)) // takes effect where it is met
+	for _, r := range []*Register{&old, &late} {
+		is.Equal(r.Apply(11, record.ID{1}, checked(t, 4, "lost")).Result, Undecided)
+		is.True(!r.Meet(12, fresh))
+		is.Equal(r.Apply(13, record.ID{2}, checked(t, 4, "e")).Result, Accepted)
+		is.True(!r.Behind())
+	}
+	is.Equal(old.Chain(), late.Chain())
+	newer.Anchor(0)
+	for i := range 5 {
+		newer.Apply(unit.Offset(i), record.ID{byte(i)}, checked(t, unit.Revision(i), i))
+	}
+	newer.Meet(12, fresh)
+	is.Equal(newer.Chain().Revision, unit.Revision(5))
+	var lost Register // a plain snapshot has to be read from its position
+	is.True(lost.Meet(12, Restoration{At: 5}) && !lost.Anchored())
+}
+
 // Guards against a refused operator who isn't told what came first, and
 // against faulty or oversized texts on their way into force.
 func TestOutcomes(t *testing.T) {
--- a/schedule/snapshot/snapshot_test.go
+++ b/schedule/snapshot/snapshot_test.go
@@ -131,6 +131,12 @@
 	is.Equal(start, unit.Offset(15))
 	floor, _ = n.Floor()
 	is.Equal(floor, unit.Offset(30))
+	fresh := Found{Contents: Contents{Scope: Common, At: 90, Fresh: true}}
+	is.True(!n.Offer(fresh)) // another can be read
+	n.Delete(Common)
+	is.True(n.Offer(fresh))
+	floor, _ = n.Floor()
+	is.Equal(floor, unit.Offset(0)) // another may lie further back
 }
 
 // Guards against a snapshot that is written too late for the retention, too
