Read entries in binary over HTTP and measure the traffic of one owner

Cause: JSON with base64 adds a third to every entry, and ten reads a second add their headers; control on a node may take 21 KB a second.

--- a/bench/journal/journal_test.go
+++ b/bench/journal/journal_test.go
@@ -118,3 +118,14 @@
 		}
 	}
 }
+
+// BenchmarkTraffic measures the bytes a second of one owner over HTTP.
+func BenchmarkTraffic(b *testing.B) {
+	for range b.N {
+		n, err := Target.Traffic(b.Context(), 5*time.Second)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(n), "bytes/s")
+	}
+}
--- a/entry/platform/journal_test.go
+++ b/entry/platform/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -146,3 +147,17 @@
 		}
 	}
 }
+
+// Guards against an answer that makes the client panic or take up memory that
+// the answer only claims.
+func FuzzReadEntries(f *testing.F) {
+	f.Add([]byte{1, 'x', 0, 2, 'y', 'z'})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 1})
+	f.Add([]byte{5, 'x'})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		entries, err := readEntries(bufio.NewReader(bytes.NewReader(data)), 3)
+		if err == nil && len(entries) > len(data) {
+			t.Fatalf("%d entries from %d bytes", len(entries), len(data))
+		}
+	})
+}
