--- a/entry/control/config_test.go
+++ b/entry/control/config_test.go
@@ -454,6 +454,11 @@
 	var mu sync.Mutex
 	total := map[string]int{}
 	n := seeds(t, 8)
+	for _, seed := range []uint64{3583, 7285} { // all processes cut off for a whole retention
+		if broken, _ := runModel(t, seed, sound); len(broken) > 0 {
+			t.Errorf("seed %d: %v", seed, broken)
+		}
+	}
 	t.Run("seeds", func(t *testing.T) {
 		for w := range workers {
 			t.Run(fmt.Sprint(w), func(t *testing.T) {
@@ -501,3 +506,36 @@
 		})
 	}
 }
+
+// Guards against a process that becomes ready with the old text of a peer
+// because it has read a journal that has lost the configuration.
+func TestNotReadyWithoutConfiguration(t *testing.T) {
+	old, err := config.NewChange(0, "morag", 0, []byte("version: 1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := config.Version{Revision: 1, Hash: config.HashOf(old.Source), Source: old.Source, Text: old.Text}
+	tests := map[string]struct {
+		from unit.Offset
+		hear []Message
+		want bool
+	}{
+		"whole journal":            {from: 0, want: true},
+		"configuration is lost":    {from: 5, want: false},
+		"lost, neighbour as low":   {from: 5, hear: []Message{HeardRevision{DataCentre: "a", Revision: 1}}, want: true},
+		"lost, neighbour is ahead": {from: 5, hear: []Message{HeardRevision{DataCentre: "a", Revision: 2}}, want: false},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := New(new(clock.Manual), Self{DataCentre: "a"}, ConfigSystem)
+			read := NewJournalRead(&stream.Batch{Recovered: true, From: tc.from, Next: tc.from, End: true})
+			for _, m := range append([]Message{AdoptVersion{Version: v}, read}, tc.hear...) {
+				m.Apply(&l.state, 0)
+			}
+			l.Step()
+			if l.View().Ready != tc.want || l.View().Revision != 1 {
+				t.Errorf("ready %v, revision %d", l.View().Ready, l.View().Revision)
+			}
+		})
+	}
+}
--- a/entry/process/journal_test.go
+++ b/entry/process/journal_test.go
@@ -52,17 +52,21 @@
 			time.Sleep(control.Tick.Duration())
 		}
 	}
+	want := awaitRevision(t, one, 3)
 	for _, p := range []*Process{two, start()} {
-		awaitRevision(t, p, 3)
-		is.Equal(p.Loop.View().Config.Hash, one.Loop.View().Config.Hash)
-		is.True(p.Loop.View().Ready)
+		is.Equal(awaitRevision(t, p, 3).Config.Hash, want.Config.Hash)
 	}
 	g.Stop()
 	is.NoErr(g.Wait())
 }
 
-func awaitRevision(t *testing.T, p *Process, r unit.Revision) {
-	for p.Loop.View().Revision < r {
+// awaitRevision returns the first view of a ready process with the revision.
+// Without a revision no process is ready, and any view is returned.
+func awaitRevision(t *testing.T, p *Process, r unit.Revision) *control.View {
+	for {
+		if v := p.Loop.View(); v.Revision >= r && (v.Ready || r == 0) {
+			return v
+		}
 		select {
 		case <-t.Context().Done():
 			t.Fatal("stopped")
