--- a/entry/control/fetch.go
+++ b/entry/control/fetch.go
@@ -19,6 +19,7 @@
 	Revision unit.Revision `cbor:"1,keyasint"`
 	Hash     config.Hash   `cbor:"2,keyasint"`
 	Packed   []byte        `cbor:"3,keyasint"`
+	History  []config.Past `cbor:"4,keyasint"` // accepted changes, oldest first
 }
 
 var (
@@ -37,12 +38,12 @@
 // [AdoptVersion]. It is called before Run.
 func (l *Loop) ParseWith(f func(*SendText)) { l.state.parse = f }
 
-// heardRevision notes the revision of a member and asks for its text if it is
+// noteRevision notes the revision of a member and asks for its text if it is
 // higher. Members tell it in every heartbeat, so a lost answer is asked for
 // again.
-func (s *State) heardRevision(from unit.Instance, revision unit.Revision, now clock.Millis) {
+func (s *State) noteRevision(from unit.Instance, revision unit.Revision, now clock.Millis) {
 	if m := s.node.Members.Get(from); m != nil {
-		HeardRevision{DataCentre: m.DataCentre, Revision: revision}.Apply(s, now)
+		HeardRevision{Instance: from, DataCentre: m.DataCentre, Revision: revision}.Apply(s, now)
 	}
 	if revision <= s.Revision || s.parse == nil || s.fetched > 0 && now.Sub(s.fetched) < fetchRepeat {
 		return
@@ -61,7 +62,7 @@
 	if err != nil {
 		return
 	}
-	s.post(from, &SendText{Revision: v.Revision, Hash: v.Hash, Packed: packed}, now)
+	s.post(from, &SendText{Revision: v.Revision, Hash: v.Hash, Packed: packed, History: s.register.History()}, now)
 }
 
 // Deliver has the text checked.
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -8,7 +8,7 @@
 
 	"mimosadock/entry/stream"
 	"mimosadock/schedule/clock"
-	"mimosadock/schedule/record"
+	"mimosadock/schedule/config"
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
 	"mimosadock/schedule/unit"
@@ -36,6 +36,8 @@
 	Draining bool // requests are still taken, but the process is about to stop
 	Revision unit.Revision
 	Text     *service.Text
+	Config   config.Version // with the source of the text, for peers
+	History  []config.Past
 	Routes   *route.View
 	Work     map[unit.DataCentre]*work.View // summaries, by data centre
 }
@@ -61,7 +63,6 @@
 	l.state.Self, l.state.clock = self, c
 	l.state.origin.Writer = self.Instance
 	l.state.receipts = make(chan stream.Receipt, receiptsSize)
-	l.state.onReceipt = make(map[record.ID]func(*State, stream.Receipt, clock.Millis))
 	l.AddSection(Section{Name: configSection, Common: true, Save: saveConfig})
 	l.view.Store(&View{})
 	return l
--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -44,6 +44,8 @@
 		Draining: s.Draining,
 		Revision: s.Revision,
 		Text:     s.Text,
+		Config:   s.register.InForce(),
+		History:  s.register.History(),
 		Routes:   s.routes,
 		Work:     s.workViews,
 	}
--- a/entry/control/summary.go
+++ b/entry/control/summary.go
@@ -13,7 +13,7 @@
 
 // History returns the accepted changes that are known, newest first.
 func (s *State) History() []config.Past {
-	past := s.register.History(nil)
+	past := slices.Clone(s.register.History())
 	slices.Reverse(past)
 	return past
 }
--- a/entry/process/journal.go
+++ b/entry/process/journal.go
@@ -33,6 +33,7 @@
 		Deliver: control.DeliverTo(p.Loop),
 	}
 	p.Loop.SubmitTo(j.writer.Offer)
+	p.Loop.ReadAgainWith(j.reader.Recover)
 	p.Loop.LimitJournal(snapshot.DefaultLimits)
 	p.journal = j
 }
@@ -60,7 +61,7 @@
 		if err != nil {
 			return nil
 		}
-		_ = p.Loop.Send(ctx, control.AdoptVersion{Version: v})
+		_ = p.Loop.Send(ctx, control.AdoptVersion{Version: v, History: m.History})
 		return nil
 	})
 }
--- a/replay/revision/world.go
+++ b/replay/revision/world.go
@@ -245,7 +245,7 @@
 		}
 		if p := w.processes.Get(m.to); p.up && p.life == m.life {
 			p.readiness.Heard(m.v.Revision, m.from == p.DataCentre)
-			p.register.Adopt(m.v)
+			p.register.Adopt(m.v, nil)
 		}
 	}
 	w.messages = rest
