--- a/replay/generator/jobs.go
+++ b/replay/generator/jobs.go
@@ -107,14 +107,14 @@
 	b := newBuilder(name, seed, martLayout(), workLength)
 	b.trace.Header.PeakFrom, b.trace.Header.PeakTo = from, to+clock.Minute
 	b.standing(20, "feed", "marts")
-	ids := b.reports(420, "growth-report", "marts", "farms", "vets")
+	ids := b.reports(1250, "growth-report", "marts", "farms", "vets")
 	b.urgentTasks(swing(0.5, 10, clock.Millis(from), clock.Millis(to)))
 	b.noise(clock.Millis(6*clock.Minute), 8, 1.6, 2*clock.Minute)
 	b.noise(clock.Millis(from), 8, 2, clock.Minute)
 	b.workerFaults(5)
 	b.failingWorkers(2)
-	b.cancelWave(clock.Millis(from+10*clock.Second), ids, 25)
-	b.journalFault(from, 2*clock.Minute)
+	b.cancelWave(clock.Millis(from+10*clock.Second), ids, 40)
+	b.journalFault(14*clock.Minute, clock.Minute)
 	return b.finish()
 }
 
@@ -125,12 +125,12 @@
 	b := newBuilder(name, seed, tileLayout(), workLength)
 	b.trace.Header.PeakFrom, b.trace.Header.PeakTo = from, to+clock.Minute
 	b.standing(60, "firing-watch", "kilns")
-	ids := b.reports(300, "carving-plan", "moulds", "restorers")
+	ids := b.reports(900, "carving-plan", "moulds", "restorers")
 	b.urgentTasks(swing(0.4, 10, clock.Millis(from), clock.Millis(to)))
 	b.noise(clock.Millis(from), 6, 1.8, clock.Minute)
 	b.workerFaults(8)
 	b.failingWorkers(1)
-	b.cancelWave(clock.Millis(from+5*clock.Second), ids, 30)
+	b.cancelWave(clock.Millis(from+5*clock.Second), ids, 40)
 	return b.finish()
 }
 
--- a/replay/proof/proof.go
+++ b/replay/proof/proof.go
@@ -87,6 +87,7 @@
 	}{
 		{trace.Request, r.traffic},
 		{trace.Change, r.changes},
+		{trace.Submit, r.jobs},
 	}
 	for _, p := range parts {
 		if !slices.ContainsFunc(t.Events, func(e trace.Event) bool { return e.What == p.what }) {
