Replay jobs against the board

Cause: the decisions about work had no proof in virtual time. A task counts as lost only if the scheme no longer holds it: the first form of that check counted work that waits beside a half empty worker, which is throughput and bounded as such. The size given to a throttled attempt is its share of the limit.

--- a/replay/work/figures.go
+++ b/replay/work/figures.go
@@ -13,6 +13,7 @@
 	UrgentStarts    []float64 // ms from submission to start, in order; tasks that never started count to the end
 	PeakStarts      []float64 // of those submitted at the peak
 	BatchFinished   int
+	BatchInTime     float64 // s of true run time of batch tasks finished before the last submission
 	BatchDone       float64 // s of true run time of finished batch tasks
 	Evictions       int
 	Lost            float64 // s of run time that had to be done again
@@ -20,11 +21,14 @@
 	StandingGaps    int
 	UrgentBlocked   float64 // s in which urgent work waited too long while batch ran
 	UrgentSubmitted int
+	Impossible      int // impossible jobs refused at once
+	Failed          int // tasks reported as failed for good; none fails in a trace for long
 }
 
 // Figures sums up the replay.
 func (w *World) Figures() Figures {
-	f := Figures{Evictions: w.evictions, UrgentBlocked: float64(w.blocked)}
+	f := Figures{Evictions: w.evictions, Impossible: w.impossible, Failed: w.failed, UrgentBlocked: float64(w.blocked)}
+	last := w.lastBatch()
 	for _, t := range w.tasks.All() {
 		f.Lost += t.lost / float64(clock.Second)
 		switch t.job.Class {
@@ -36,6 +40,9 @@
 			if t.finished < clock.Never {
 				f.BatchFinished++
 				f.BatchDone += float64(t.run) / float64(clock.Second)
+				if t.finished < last {
+					f.BatchInTime += float64(t.run) / float64(clock.Second)
+				}
 			}
 		}
 	}
@@ -44,6 +51,18 @@
 	return f
 }
 
+// lastBatch returns the instant of the last submission of batch work. Until
+// then the workers are short, so that what is finished by then is throughput.
+func (w *World) lastBatch() clock.Millis {
+	last := clock.Millis(0)
+	for i := range w.events {
+		if j := w.events[i].Job; j != nil && j.Class == service.Batch {
+			last = w.events[i].At
+		}
+	}
+	return last
+}
+
 func (w *World) addUrgent(f *Figures, t *taskRow) {
 	if t.cancelled {
 		return
--- a/replay/work/plain.go
+++ b/replay/work/plain.go
@@ -74,6 +74,7 @@
 	renewed clock.Millis
 	read    clock.Millis
 	changed bool // room or work came since the last placement
+	urgent  bool // urgent work waits
 }
 
 // plainTask is a task as a baseline knows it.
@@ -85,7 +86,6 @@
 	at      unit.Worker
 	begun   clock.Millis
 	saved   string
-	number  int
 }
 
 // Declared reckons with the declared size.
@@ -107,15 +107,17 @@
 }
 
 // Submit lets the tasks of a job wait, unless no worker can ever hold one.
-func (s *Plain[P]) Submit(_ clock.Millis, j *trace.Job) {
+func (s *Plain[P]) Submit(_ clock.Millis, j *trace.Job) bool {
 	size := s.Sizes(j)
 	if !slices.ContainsFunc(s.order, func(a unit.Worker) bool { return size.Fits(s.world.workers.Get(a).Capacity) }) {
-		return
+		return false
 	}
 	s.changed = true
+	s.urgent = s.urgent || j.Class == service.LatencyCritical
 	for n := range j.Tasks {
-		s.waiting = append(s.waiting, &plainTask{id: TaskOf(j.ID, n), job: j, size: size, number: len(s.waiting)})
+		s.waiting = append(s.waiting, &plainTask{id: TaskOf(j.ID, n), job: j, size: size})
 	}
+	return true
 }
 
 // Cancel drops the tasks of a job.
@@ -128,6 +130,14 @@
 	}
 }
 
+// Find tells whether a task waits or is placed.
+func (s *Plain[P]) Find(id unit.Task) Finding {
+	if s.placed[id] != nil || slices.ContainsFunc(s.waiting, func(t *plainTask) bool { return t.id == id }) {
+		return Held
+	}
+	return Lost
+}
+
 // running returns the placed tasks in the order of their ids.
 func (s *Plain[P]) running() []*plainTask {
 	out := make([]*plainTask, 0, len(s.placed))
@@ -166,9 +176,12 @@
 		}
 		s.look(now, renew)
 	}
-	if s.changed {
-		s.changed = false
-		s.place(now)
+	// Urgent tasks are placed on each tick, the others when the workers were
+	// read.
+	all := s.read == max(now, 1)
+	if s.changed && (all || s.urgent) {
+		s.changed, s.urgent = false, false
+		s.place(now, all)
 	}
 }
 
@@ -221,7 +234,7 @@
 }
 
 // place starts the tasks that wait, as far as there is room.
-func (s *Plain[P]) place(now clock.Millis) {
+func (s *Plain[P]) place(now clock.Millis, all bool) {
 	slices.SortStableFunc(s.waiting, func(a, b *plainTask) int {
 		if c := cmp.Compare(a.job.Class, b.job.Class); c != 0 || !s.Short {
 			return c
@@ -232,12 +245,17 @@
 	s.waiting = nil // takes the tasks that are evicted meanwhile
 	var left []*plainTask
 	for _, t := range todo {
+		if !all && t.job.Class != service.LatencyCritical {
+			left = append(left, t)
+			continue
+		}
 		address, ok := s.pick(t)
 		if !ok && s.Preempt && t.job.Class == service.LatencyCritical {
 			address, ok = s.evictFor(t)
 		}
 		if !ok || !s.start(t, address, now) {
 			left = append(left, t)
+			s.urgent = s.urgent || t.job.Class == service.LatencyCritical
 		}
 	}
 	s.waiting = append(left, s.waiting...)
@@ -247,7 +265,7 @@
 	low := 0.0
 	for i, address := range s.order {
 		free := s.free[address]
-		if !t.size.Fits(free) || !s.world.workers.Get(address).up {
+		if !t.size.Fits(free) || !s.usable(address, t) {
 			continue
 		}
 		score := s.Policy.Score(Candidate{Order: i, Free: free, Capacity: s.world.workers.Get(address).Capacity})
@@ -261,13 +279,14 @@
 // evictFor stops the newest batch tasks of the worker where the fewest make
 // room for t.
 func (s *Plain[P]) evictFor(t *plainTask) (unit.Worker, bool) {
+	batch := s.batch()
 	var fewest []*plainTask
 	at := unit.Worker("")
 	for _, address := range s.order {
-		if !s.world.workers.Get(address).up {
+		if !s.usable(address, t) {
 			continue
 		}
-		if victims := s.victims(address, t); victims != nil && (fewest == nil || len(victims) < len(fewest)) {
+		if victims := victimsOf(batch[address], s.free[address], t); victims != nil && (fewest == nil || len(victims) < len(fewest)) {
 			fewest, at = victims, address
 		}
 	}
@@ -278,24 +297,35 @@
 	return at, fewest != nil
 }
 
-func (s *Plain[P]) victims(address unit.Worker, t *plainTask) []*plainTask {
-	var batch, out []*plainTask
-	for _, v := range s.running() {
-		if v.at == address && v.job.Class == service.Batch {
-			batch = append(batch, v)
+// batch returns the placed batch tasks by worker, the newest first.
+func (s *Plain[P]) batch() map[unit.Worker][]*plainTask {
+	out := make(map[unit.Worker][]*plainTask)
+	running := s.running()
+	slices.SortStableFunc(running, func(a, b *plainTask) int { return cmp.Compare(b.begun, a.begun) })
+	for _, v := range running {
+		if v.job.Class == service.Batch {
+			out[v.at] = append(out[v.at], v)
 		}
 	}
-	slices.SortStableFunc(batch, func(a, b *plainTask) int { return cmp.Compare(b.begun, a.begun) })
-	free := s.free[address]
-	for _, v := range batch {
-		out, free = append(out, v), free.Add(v.size)
-		if t.size.Fits(free) {
-			return out
+	return out
+}
+
+// victimsOf returns the first of the batch tasks that make room for t, or nil.
+func victimsOf(batch []*plainTask, free unit.Resources, t *plainTask) []*plainTask {
+	for i, v := range batch {
+		if free = free.Add(v.size); t.size.Fits(free) {
+			return batch[:i+1]
 		}
 	}
 	return nil
 }
 
+// usable reports whether a worker of the data centre of t answers.
+func (s *Plain[P]) usable(address unit.Worker, t *plainTask) bool {
+	r := s.world.workers.Get(address)
+	return r.up && r.DataCentre == t.job.DataCentre
+}
+
 func (s *Plain[P]) start(t *plainTask, address unit.Worker, now clock.Millis) bool {
 	t.attempt++
 	err := s.world.Start(context.Background(), address, worker.Start{
--- /dev/null
+++ b/schedule/estimate/kind.go
@@ -0,0 +1,81 @@
+package estimate
+
+import (
+	"slices"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/unit"
+)
+
+// Terms of the estimates.
+const (
+	// minSamples is how many samples an estimate needs before it is used.
+	minSamples = 5
+	// stragglerFactor times the p90 of a kind is where a straggler begins.
+	stragglerFactor = 3
+	p90             = 0.9
+)
+
+// Kind is what is known of one kind of work. The zero value knows nothing.
+type Kind struct {
+	CPU     Moments `json:"cpu" cbor:"1,keyasint"` // peak of an attempt, milli CPU
+	Memory  Moments `json:"memory" cbor:"2,keyasint"`
+	RunTime Moments `json:"runTime" cbor:"3,keyasint"` // of whole tasks, ms
+	times   table.Ring[clock.Span]
+	sorted  []clock.Span // of times; nil after a new sample
+}
+
+// AddUsage adds the peak usage of an attempt.
+func (k *Kind) AddUsage(peak unit.Resources) {
+	k.CPU.Add(float64(peak.CPU))
+	k.Memory.Add(float64(peak.Memory))
+}
+
+// AddRunTime adds the run time of a whole task.
+func (k *Kind) AddRunTime(s clock.Span) {
+	k.RunTime.Add(float64(s))
+	k.times.Add(s)
+	k.sorted = nil
+}
+
+// Size returns the size to reserve for a task: the greater of what is declared
+// and the mean and two spreads of what was measured, once enough samples are
+// known, and never over the given capacity. Accelerators are as declared.
+func (k *Kind) Size(declared, capacity unit.Resources) unit.Resources {
+	size := declared
+	if k != nil && k.CPU.N >= minSamples {
+		size.CPU = min(max(size.CPU, unit.MilliCPU(k.CPU.High())), max(capacity.CPU, declared.CPU))
+		size.Memory = min(max(size.Memory, unit.MiB(k.Memory.High())), max(capacity.Memory, declared.Memory))
+	}
+	return size
+}
+
+// Expected returns the run time of a task: the mean of what was measured, or
+// what is declared while too few samples are known.
+func (k *Kind) Expected(declared clock.Span) clock.Span {
+	if k == nil || k.RunTime.N < minSamples {
+		return declared
+	}
+	return clock.Span(k.RunTime.Mean)
+}
+
+// P90 returns the run time that nine in ten of the last tasks did not exceed,
+// or 0 while too few samples are known.
+func (k *Kind) P90() clock.Span {
+	if k == nil || k.times.Len() < minSamples {
+		return 0
+	}
+	if k.sorted == nil {
+		k.sorted = k.times.AppendTo(nil)
+		slices.Sort(k.sorted)
+	}
+	return k.sorted[int(p90*float64(len(k.sorted)-1))]
+}
+
+// Straggles reports whether a task that has run for the given time straggles
+// against its own kind.
+func (k *Kind) Straggles(ran clock.Span) bool {
+	p := k.P90()
+	return p > 0 && ran > stragglerFactor*p
+}
--- /dev/null
+++ b/schedule/estimate/moments.go
@@ -0,0 +1,40 @@
+package estimate
+
+import "math"
+
+// Moments are the running mean and spread of samples. The zero value has none.
+//
+// The update is that of B. P. Welford, "Note on a method for calculating
+// corrected sums of squares and products", Technometrics 4(3), 1962.
+type Moments struct {
+	N    int     `json:"n" cbor:"1,keyasint"`
+	Mean float64 `json:"mean" cbor:"2,keyasint"`
+	M2   float64 `json:"m2" cbor:"3,keyasint"`
+}
+
+// memory bounds the weight of old samples, so that a change of a kind shows
+// after about as many new ones.
+const memory = 200
+
+// Add adds a sample.
+func (m *Moments) Add(x float64) {
+	if m.N >= memory {
+		m.M2 -= m.M2 / float64(m.N)
+		m.N--
+	}
+	m.N++
+	d := x - m.Mean
+	m.Mean += d / float64(m.N)
+	m.M2 += d * (x - m.Mean)
+}
+
+// Spread returns the standard deviation of the samples, 0 for fewer than two.
+func (m *Moments) Spread() float64 {
+	if m.N < 2 {
+		return 0
+	}
+	return math.Sqrt(max(0, m.M2) / float64(m.N-1))
+}
+
+// High returns the mean and two spreads.
+func (m *Moments) High() float64 { return m.Mean + 2*m.Spread() }
--- /dev/null
+++ b/schedule/job/spec.go
@@ -0,0 +1,116 @@
+package job
+
+import (
+	"bytes"
+	"strconv"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+)
+
+// Bounds of a submission. They keep a submitted record within one journal
+// entry and a cancellation of a whole job within one tick.
+const (
+	MaxTasks                = 10_000
+	MaxPayload   unit.Bytes = 64 << 10
+	MaxIDLength             = 200
+	retryUnknown            = 5 * clock.Second // while no worker is known
+)
+
+// Spec is what a caller submits. The id is the caller's own; the same id with
+// the same body is the same job.
+type Spec struct {
+	ID       unit.Job       `json:"id" cbor:"1,keyasint"`
+	Team     unit.Team      `json:"team" cbor:"2,keyasint"`
+	Kind     unit.Kind      `json:"kind" cbor:"3,keyasint"`
+	Tasks    int            `json:"tasks" cbor:"4,keyasint"`
+	Size     unit.Resources `json:"size,omitzero" cbor:"5,keyasint,omitempty"`        // of one task; zero takes that of the kind
+	Expected clock.Span     `json:"expectedMs,omitempty" cbor:"6,keyasint,omitempty"` // run time; zero takes that of the kind
+	Deadline clock.Span     `json:"deadlineMs,omitempty" cbor:"7,keyasint,omitempty"` // after acceptance; zero is none
+	Payload  []byte         `json:"payload,omitempty" cbor:"8,keyasint,omitempty"`
+}
+
+// Same reports whether s and o are the same submission.
+func (s Spec) Same(o Spec) bool {
+	return s.ID == o.ID && s.Team == o.Team && s.Kind == o.Kind && s.Tasks == o.Tasks &&
+		s.Size == o.Size && s.Expected == o.Expected && s.Deadline == o.Deadline &&
+		bytes.Equal(s.Payload, o.Payload)
+}
+
+// Terms are the properties of the kind that hold for a job. They are fixed
+// when the job is accepted, so that a later change of the text leaves accepted
+// work alone.
+type Terms struct {
+	Class      service.WorkClass `json:"class" cbor:"1,keyasint"`
+	Size       unit.Resources    `json:"size" cbor:"2,keyasint"` // declared, of one task
+	Expected   clock.Span        `json:"expectedMs,omitempty" cbor:"3,keyasint,omitempty"`
+	Checkpoint clock.Span        `json:"checkpointMs,omitempty" cbor:"4,keyasint,omitempty"` // interval; zero takes none
+	SafeTwice  bool              `json:"safeTwice,omitempty" cbor:"5,keyasint,omitempty"`
+	DependsOn  []string          `json:"dependsOn,omitempty" cbor:"6,keyasint,omitempty"`
+}
+
+// TaskID returns the id of the task with the given index, from 0.
+func TaskID(j unit.Job, index int) unit.Task {
+	return unit.Task(string(j) + "/" + strconv.Itoa(index))
+}
+
+// Check returns the terms of a submission, or an error with the verdict
+// DidNotRun. capacities are those of the known workers.
+func Check(s Spec, text *service.Text, capacities []unit.Resources) (Terms, error) {
+	if err := s.checkShape(); err != nil {
+		return Terms{}, err
+	}
+	if text == nil || text.Team(s.Team) == nil {
+		return Terms{}, verdict.Refuse("unknown team %q", s.Team)
+	}
+	kind := text.Kind(s.Kind)
+	if kind == nil {
+		return Terms{}, verdict.Refuse("unknown kind %q", s.Kind)
+	}
+	if kind.Team != s.Team {
+		return Terms{}, verdict.Refuse("kind %q belongs to team %q, not to %q", s.Kind, kind.Team, s.Team)
+	}
+	t := Terms{kind.Class, kind.Resources, kind.ExpectedMs, kind.CheckpointMs, kind.SafeTwice, kind.DependsOn}
+	if s.Size != (unit.Resources{}) {
+		t.Size = s.Size
+	}
+	if s.Expected != 0 {
+		t.Expected = s.Expected
+	}
+	return t, t.checkSize(capacities)
+}
+
+func (s Spec) checkShape() error {
+	switch {
+	case s.ID == "" || len(s.ID) > MaxIDLength:
+		return verdict.Refuse("id must have 1 to %d bytes", MaxIDLength)
+	case s.Tasks < 1 || s.Tasks > MaxTasks:
+		return verdict.Refuse("tasks is %d, allowed are 1 to %d", s.Tasks, MaxTasks)
+	case s.Size.CPU < 0 || s.Size.Memory < 0 || s.Size.Accelerators < 0:
+		return verdict.Refuse("size has a negative component: %+v", s.Size)
+	case s.Expected < 0 || s.Deadline < 0:
+		return verdict.Refuse("expectedMs and deadlineMs must not be negative")
+	case unit.Bytes(len(s.Payload)) > MaxPayload:
+		return verdict.Refuse("payload has %d bytes, allowed are %d", len(s.Payload), MaxPayload)
+	}
+	return nil
+}
+
+func (t Terms) checkSize(capacities []unit.Resources) error {
+	if t.Size.CPU <= 0 || t.Size.Memory <= 0 {
+		return verdict.Refuse("size needs processor and memory above zero: %+v", t.Size)
+	}
+	if len(capacities) == 0 {
+		err := verdict.Refuse("no worker is known yet")
+		err.RetryAfter = retryUnknown
+		return err
+	}
+	for _, c := range capacities {
+		if t.Size.Fits(c) {
+			return nil
+		}
+	}
+	return verdict.Refuse("a task of size %+v is larger than any worker", t.Size)
+}
--- /dev/null
+++ b/schedule/job/state.go
@@ -0,0 +1,79 @@
+package job
+
+import "fmt"
+
+//go:generate go tool stringer -type=State -linecomment
+
+// State is the state of a task, and of a job as a whole.
+type State int
+
+// The states. A task is submitted until the journal holds its job, placed from
+// the choice of a worker until a report shows it running, and resumed instead of
+// placed when an earlier attempt was evicted.
+const (
+	StateSubmitted     State = iota // submitted
+	StateWaiting                    // waiting
+	StatePlaced                     // placed
+	StateRunning                    // running
+	StateCheckpointing              // checkpointing
+	StateEvicted                    // evicted
+	StateResumed                    // resumed
+	StateFinished                   // finished
+	StateFailed                     // failed
+	StateCancelled                  // cancelled
+	StateImpossible                 // impossible
+	states             = iota
+)
+
+// set is a set of states.
+type set uint16
+
+func of(states ...State) set {
+	var s set
+	for _, st := range states {
+		s |= 1 << st
+	}
+	return s
+}
+
+func (s set) has(st State) bool { return s&(1<<st) != 0 }
+
+// transitions lists for each state the states that may follow it. A placed
+// task goes back to waiting when its start certainly did not run.
+var transitions = [states]set{
+	StateSubmitted:     of(StateWaiting, StatePlaced, StateCancelled, StateImpossible),
+	StateWaiting:       of(StatePlaced, StateCancelled, StateImpossible),
+	StatePlaced:        of(StateWaiting, StateRunning, StateCheckpointing, StateEvicted, StateFinished, StateFailed, StateCancelled),
+	StateRunning:       of(StateCheckpointing, StateEvicted, StateFinished, StateFailed, StateCancelled),
+	StateCheckpointing: of(StateRunning, StateEvicted, StateFinished, StateFailed, StateCancelled),
+	StateEvicted:       of(StateResumed, StateFinished, StateCancelled, StateImpossible),
+	StateResumed:       of(StateRunning, StateCheckpointing, StateEvicted, StateFinished, StateFailed, StateCancelled),
+}
+
+// CanFollow reports whether a task may go from one state to another.
+func CanFollow(from, to State) bool { return transitions[from].has(to) }
+
+// Ended reports whether no state can follow s.
+func (s State) Ended() bool { return transitions[s] == 0 }
+
+// Active reports whether an attempt of the task may be at a worker.
+func (s State) Active() bool {
+	return of(StatePlaced, StateRunning, StateCheckpointing, StateResumed).has(s)
+}
+
+// Queued reports whether the task waits for a worker.
+func (s State) Queued() bool { return s == StateWaiting || s == StateEvicted }
+
+// MarshalText returns the camel-case name of s.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// UnmarshalText sets s from its camel-case name.
+func (s *State) UnmarshalText(text []byte) error {
+	for c := StateSubmitted; c < states; c++ {
+		if c.String() == string(text) {
+			*s = c
+			return nil
+		}
+	}
+	return fmt.Errorf("job: unknown state %q", text)
+}
--- /dev/null
+++ b/schedule/work/board.go
@@ -0,0 +1,355 @@
+package work
+
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/estimate"
+	"mimosadock/schedule/job"
+	"mimosadock/schedule/placement"
+	"mimosadock/schedule/quota"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+	"mimosadock/schedule/worker"
+)
+
+// keepEnded is how long a job that has ended is kept, so that a repeated
+// submission finds it.
+const keepEnded = 24 * clock.Hour
+
+// retryAccepting is when to ask again about a job that is being accepted.
+const retryAccepting = 200 * clock.Millisecond
+
+// Board is the work of one data centre. Policies must be set; other fields may
+// be zero. It is owned by one goroutine.
+type Board struct {
+	Home     unit.DataCentre
+	Policies placement.Policies
+	Text     *service.Text
+	// Down tells whether a dependency of a kind is down. Nil means none is.
+	Down func(name string) bool
+
+	Jobs         job.Tables
+	Workers      worker.Tables
+	Kinds        table.Table[unit.Kind, estimate.Kind]
+	Interference estimate.Interference
+	Demand       estimate.Demand
+	Teams        quota.Shares
+	Count        Counters
+
+	right    Right
+	settled  clock.Millis // instant from which no attempt of a former owner runs
+	handed   []unit.Worker
+	fenced   bool
+	records  []job.Record
+	ending   table.Table[unit.Job, int]   // end records not written yet
+	unsaved  table.Table[worker.Ref, int] // results not written yet
+	lines    lines
+	parked   []unit.Task
+	promises table.Table[unit.Task, promise]
+	holds    table.Table[unit.Kind, int]       // attempts by kind
+	used     [service.Batch + 1]unit.Resources // by class
+	free     unit.Resources
+	ticks    int64
+	cleared  bool         // the takeover has been settled
+	owner    bool         // this process was the owner before
+	owned    clock.Millis // until then
+	batches  uint64       // id of the last batch
+	spares   []unit.Task
+	dirty    bool // room was freed since batch work was last placed
+	scratch  scratch
+}
+
+// scratch is storage that systems use again.
+type scratch struct {
+	jobs    []unit.Job
+	tasks   []unit.Task
+	refs    []worker.Ref
+	seen    map[worker.Ref]bool
+	sizes   []unit.Resources
+	teams   []unit.Team
+	largest unit.Resources
+}
+
+// Counters count what happened. They only grow.
+type Counters struct {
+	Starts      int64      `json:"starts"`
+	Finished    int64      `json:"finished"`
+	Failed      int64      `json:"failed"`
+	Evictions   int64      `json:"evictions"` // for room
+	Moves       int64      `json:"moves"`     // through a checkpoint
+	Lost        int64      `json:"lost"`      // with a worker or a lease
+	Throttles   int64      `json:"throttles"`
+	Spares      int64      `json:"spares"`
+	Quarantines int64      `json:"quarantines"`
+	Gaps        int64      `json:"gaps"` // interruptions of standing work
+	GapTime     clock.Span `json:"gapMs"`
+	Fenced      int64      `json:"fenced"`
+}
+
+// head returns the head of a record of the current owner.
+func (b *Board) head(j unit.Job, t unit.Task, a unit.Attempt) job.Head {
+	return job.Head{Home: b.Home, Epoch: b.right.Epoch, Job: j, Task: t, Attempt: a}
+}
+
+// Runs reports whether an attempt of the kind may run.
+func (b *Board) Runs(k unit.Kind) bool {
+	n := b.holds.Get(k)
+	return n != nil && *n > 0
+}
+
+// emit applies a record and queues it for the journal.
+func (b *Board) emit(r job.Record) bool {
+	if !b.Jobs.Apply(r) {
+		return false
+	}
+	b.queueRecord(r)
+	return true
+}
+
+func (b *Board) queueRecord(r job.Record) {
+	h := r.Subject()
+	ends := false
+	switch m := r.(type) {
+	case job.Finished:
+		ends = true
+	case job.Failed:
+		ends = m.Final
+	case job.Cancelled, job.Impossible:
+		ends = true
+	}
+	if ends {
+		*b.ending.Ensure(h.Job)++
+	}
+	b.records = append(b.records, r)
+}
+
+// Records appends the records that wait for the journal to dst, oldest first,
+// and forgets them. Each must be reported to [Board.Written].
+func (b *Board) Records(dst []job.Record) []job.Record {
+	dst = append(dst, b.records...)
+	clear(b.records)
+	b.records = b.records[:0]
+	return dst
+}
+
+// Written takes the outcome of writing a record. Records that may be in the
+// journal or certainly are not are queued again, except for a submission that
+// was certainly not accepted, which is dropped.
+func (b *Board) Written(now clock.Millis, r job.Record, v verdict.Verdict) {
+	h := r.Subject()
+	if v != verdict.Ran {
+		if m, ok := r.(job.Submitted); ok && b.refused(m, v) {
+			return
+		}
+		if h.Epoch == b.right.Epoch {
+			b.records = append(b.records, r)
+		}
+		return
+	}
+	switch m := r.(type) {
+	case job.Submitted:
+		b.accept(now, m)
+	case job.Finished:
+		b.endWritten(h)
+		b.release(worker.Ref{Task: h.Task, Attempt: h.Attempt})
+	case job.Failed:
+		b.release(worker.Ref{Task: h.Task, Attempt: h.Attempt})
+		if m.Final {
+			b.endWritten(h)
+		}
+	case job.Cancelled, job.Impossible:
+		b.endWritten(h)
+	}
+}
+
+func (b *Board) endWritten(h job.Head) {
+	if n := b.ending.Get(h.Job); n != nil {
+		if *n--; *n <= 0 {
+			b.ending.Delete(h.Job)
+		}
+	}
+}
+
+// Submit takes a job. It returns the state of the job; the job is accepted once
+// that is no longer [job.StateSubmitted]. Errors have the verdict DidNotRun.
+func (b *Board) Submit(now clock.Millis, s job.Spec) (job.State, error) {
+	if j := b.Jobs.Jobs.Get(s.ID); j != nil {
+		if !j.Spec.Same(s) {
+			return 0, verdict.Refuse("job %q exists with another body", s.ID)
+		}
+		return j.State, nil
+	}
+	if !b.mayAccept(now) {
+		err := verdict.Refuse("data centre %q has no owner here that may accept jobs", b.Home)
+		err.RetryAfter = clock.Second
+		return 0, err
+	}
+	terms, err := job.Check(s, b.Text, b.Workers.Capacities(nil))
+	if err != nil {
+		return 0, err
+	}
+	m := job.Submitted{Head: b.head(s.ID, "", 0), Spec: s, Terms: terms}
+	if !b.emit(m) {
+		return 0, verdict.Refuse("the owner of data centre %q has changed", b.Home)
+	}
+	j := b.Jobs.Jobs.Get(s.ID)
+	j.State, j.Fresh = job.StateSubmitted, true
+	for i := range s.Tasks {
+		b.Jobs.Tasks.Get(job.TaskID(s.ID, i)).State = job.StateSubmitted
+	}
+	return job.StateSubmitted, nil
+}
+
+// refused drops a job whose record is certainly not in the journal. Once one
+// try to write it may have taken effect, a later one that did not proves
+// nothing.
+func (b *Board) refused(m job.Submitted, v verdict.Verdict) bool {
+	j := b.Jobs.Jobs.Get(m.Job)
+	if j == nil || j.State != job.StateSubmitted {
+		return true
+	}
+	if v != verdict.DidNotRun || j.Doubtful {
+		j.Doubtful = true
+		return false
+	}
+	j.State = job.StateCancelled
+	b.Jobs.Forget(m.Job)
+	return true
+}
+
+func (b *Board) accept(now clock.Millis, m job.Submitted) {
+	j := b.Jobs.Jobs.Get(m.Job)
+	if j == nil || j.State != job.StateSubmitted {
+		return
+	}
+	j.State = job.StateWaiting
+	b.admit(now, j)
+}
+
+// admit queues the tasks of an accepted job.
+func (b *Board) admit(now clock.Millis, j *job.Job) {
+	j.Accepted, j.Deadline = now, clock.Never
+	if j.Spec.Deadline > 0 {
+		j.Deadline = now.Add(j.Spec.Deadline)
+	}
+	for i := range j.Spec.Tasks {
+		id := job.TaskID(j.Spec.ID, i)
+		k := b.Jobs.Tasks.Get(id)
+		k.Advance(job.StateWaiting)
+		k.Since = now
+		b.enqueue(id, k, j)
+	}
+}
+
+// Move gives a job another home. Its attempts must have ended. It returns an
+// error with the verdict DidNotRun otherwise.
+func (b *Board) Move(now clock.Millis, id unit.Job, to unit.DataCentre) error {
+	j := b.Jobs.Jobs.Get(id)
+	switch {
+	case j == nil || j.State != job.StateWaiting:
+		return verdict.Refuse("no job %q that could move", id)
+	case !b.mayRun(now) || !b.isSettled(now):
+		return verdict.Refuse("data centre %q has no owner here that may move jobs", b.Home)
+	case j.Held > 0:
+		return verdict.Refuse("job %q has attempts that may run", id)
+	}
+	b.queueRecord(job.Moved{Head: b.head(id, "", 0), To: to})
+	j.Moving = true
+	return nil
+}
+
+// Arrived queues the tasks of a job that has moved here.
+func (b *Board) Arrived(now clock.Millis, id unit.Job) {
+	if j := b.Jobs.Jobs.Get(id); j != nil && !j.State.Ended() && b.right.Owner {
+		b.admit(now, j)
+	}
+}
+
+// Outcome returns the state of a job, and whether the journal holds it, so that
+// it can be told to a caller. A job that is not known has no outcome.
+func (b *Board) Outcome(id unit.Job) (state job.State, known, durable bool) {
+	j := b.Jobs.Jobs.Get(id)
+	if j == nil {
+		return 0, false, false
+	}
+	return j.State, true, j.State != job.StateSubmitted && b.ending.Get(id) == nil
+}
+
+// Cancel cancels a job and returns its state from then on, which is another one
+// if the job had ended before. It takes time in proportion to the tasks of the
+// job only. The caller is told the state once [Board.Outcome] says that it is
+// durable. Errors have the verdict DidNotRun.
+func (b *Board) Cancel(now clock.Millis, id unit.Job) (job.State, error) {
+	j := b.Jobs.Jobs.Get(id)
+	switch {
+	case j == nil:
+		return 0, verdict.Refuse("unknown job %q", id)
+	case j.State.Ended():
+		return j.State, nil
+	case j.State == job.StateSubmitted:
+		err := verdict.Refuse("job %q is still being accepted", id)
+		err.RetryAfter = retryAccepting
+		return 0, err
+	case !b.mayRun(now):
+		return 0, verdict.Refuse("data centre %q has no owner here", b.Home)
+	}
+	b.emit(job.Cancelled{Head: b.head(id, "", 0)})
+	b.afterEnd(j)
+	return j.State, nil
+}
+
+// afterEnd stops what is left of a job that has ended.
+func (b *Board) afterEnd(j *job.Job) {
+	if j.Held == 0 {
+		return
+	}
+	for i := range j.Spec.Tasks {
+		id := job.TaskID(j.Spec.ID, i)
+		if k := b.Jobs.Tasks.Get(id); k != nil && k.Held > 0 {
+			b.stopAttempts(id, k, 0)
+		}
+	}
+}
+
+// stopAttempts stops the attempts of a task, except for one.
+func (b *Board) stopAttempts(id unit.Task, k *job.Task, except unit.Attempt) {
+	for a := max(k.Attempt, k.Spare); a > 0 && k.Held > 0; a-- {
+		if a == except {
+			continue
+		}
+		if h := b.Workers.Held.Get(worker.Ref{Task: id, Attempt: a}); h != nil {
+			b.stop(h, worker.ForOutcome)
+		}
+		if max(k.Attempt, k.Spare)-a >= 2 {
+			return
+		}
+	}
+}
+
+func (b *Board) stop(h *worker.Held, why worker.StopReason) {
+	if h.Stop == worker.Keep || h.Stop == worker.ForMove {
+		h.Stop = why
+	}
+	h.StopAt = 0
+	b.touch(h.Worker)
+}
+
+func (b *Board) touch(w unit.Worker) {
+	if r := b.Workers.Workers.Get(w); r != nil {
+		r.Dirty = true
+	}
+}
+
+// Forget drops jobs that ended long ago.
+func (b *Board) forget(now clock.Millis) {
+	for id, j := range b.Jobs.Jobs.All() {
+		if j.State.Ended() && j.Held == 0 && now.Sub(j.Accepted) > keepEnded && b.ending.Get(id) == nil {
+			b.scratch.jobs = append(b.scratch.jobs, id)
+		}
+	}
+	for _, id := range b.scratch.jobs {
+		b.Jobs.Forget(id)
+	}
+	b.scratch.jobs = b.scratch.jobs[:0]
+}
--- /dev/null
+++ b/schedule/work/do.go
@@ -0,0 +1,32 @@
+package work
+
+import (
+	"context"
+
+	"mimosadock/schedule/worker"
+)
+
+// Do carries out one command of a batch at a worker. The report is set for a
+// renewal that succeeded.
+func Do(ctx context.Context, a worker.Agent, b Batch, c Command) (*worker.Report, error) {
+	m := c.Command(b.Epoch)
+	switch c.Call {
+	case CallStop:
+		return nil, a.Stop(ctx, b.Worker, m)
+	case CallRelease:
+		return nil, a.Release(ctx, b.Worker, m)
+	case CallThrottle:
+		return nil, a.Throttle(ctx, b.Worker, m, c.Share)
+	case CallCheckpoint:
+		return nil, a.Checkpoint(ctx, b.Worker, m)
+	case CallStart:
+		return nil, a.Start(ctx, b.Worker, c.Start)
+	case CallRenew:
+		rep, err := a.Renew(ctx, b.Worker, c.Renewal)
+		if err != nil {
+			return nil, err
+		}
+		return &rep, nil
+	}
+	panic("work: unknown call")
+}
--- /dev/null
+++ b/schedule/work/tick.go
@@ -0,0 +1,57 @@
+package work
+
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/service"
+	"mimosadock/schedule/unit"
+)
+
+// Ticks between two runs of the slower systems.
+const (
+	secondTicks = 20
+	hourTicks   = 3600 * secondTicks
+)
+
+// SetWorkers takes the platform's list of hosts. Workers that are missing from
+// it stay, since the list lags; what runs on them ends with its leases.
+func (b *Board) SetWorkers(list []member.Listing) {
+	for _, l := range list {
+		if l.Role == member.Worker && l.DataCentre == b.Home {
+			r := b.Workers.Put(unit.Worker(l.Address), l.Host, l.Rack, l.Capacity)
+			r.Leaving = l.State == member.Leaving
+		}
+	}
+}
+
+// SetText takes the services text in force.
+func (b *Board) SetText(t *service.Text) {
+	b.Text = t
+	for _, team := range t.Teams {
+		b.Teams.Teams.Ensure(team.Name).Quota = team.Quota
+	}
+}
+
+// Tick runs the systems. Batches and records are taken afterwards.
+func (b *Board) Tick(now clock.Millis) {
+	b.ticks++
+	if !b.right.Owner {
+		return
+	}
+	b.lapse(now)
+	b.settle(now)
+	if b.ticks%parkTicks == 0 {
+		b.unparkAll(now)
+	}
+	b.assign(now)
+	b.Demand.Add(now, b.used[service.LatencyCritical])
+	if b.ticks%secondTicks == 0 {
+		b.relax()
+		b.giveBack(now)
+		b.expirePromises(now)
+		b.dirty = true
+	}
+	if b.ticks%hourTicks == 0 {
+		b.forget(now)
+	}
+}
