--- /dev/null
+++ b/entry/control/audit.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"mimosadock/entry/stream"
+	"mimosadock/schedule/audit"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/record"
+)
+
+// auditState keeps the last audit entries.
+type auditState struct {
+	audits []audit.Entry // oldest first
+}
+
+// maxAudits bounds the audit entries that a process shows.
+const maxAudits = 200
+
+// RecordAudit appends an audit entry to the journal. Reply gets nil once the
+// journal has it, or an error with its verdict; it must have room for one
+// value.
+type RecordAudit struct {
+	Entry    audit.Entry
+	Deadline clock.Millis
+	Reply    chan<- error
+}
+
+// Apply hands the entry to the journal.
+func (m RecordAudit) Apply(s *State, _ clock.Millis) {
+	r, err := record.Encode(&s.origin, record.Audit, m.Entry)
+	if err == nil {
+		err = s.Submit([]record.Record{r}, m.Deadline, func(_ *State, receipt stream.Receipt, _ clock.Millis) { m.Reply <- receipt.Err })
+	}
+	if err != nil {
+		m.Reply <- err
+	}
+}
+
+// FollowAudits makes the loop carry out the audit entries of the journal. It
+// is called before Run.
+func (l *Loop) FollowAudits() {
+	l.OnRecord(record.Audit, func(s *State, it record.Item, now clock.Millis) {
+		e, err := record.Decode[audit.Entry](it.Record)
+		if err != nil {
+			unreadable.Add(1)
+			return
+		}
+		s.audits = append(s.audits[max(0, len(s.audits)+1-maxAudits):], e)
+		if e.Action == audit.Drain {
+			DrainHost{Address: e.Target}.Apply(s, now)
+		}
+	})
+}
--- /dev/null
+++ b/entry/control/jobrecords.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"strings"
+
+	"mimosadock/entry/stream"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/job"
+	"mimosadock/schedule/record"
+	"mimosadock/schedule/snapshot"
+	"mimosadock/schedule/tenure"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+)
+
+// jobsSection names the section of jobs in the snapshot of a data centre.
+const jobsSection = "jobs"
+
+// jobDeadline bounds the time in which an append of a job's record may begin.
+// The board repeats records that were not written.
+const jobDeadline = 5 * clock.Second
+
+// journalJobs appends the records of jobs to the journal.
+type journalJobs struct{}
+
+var _ Appender = journalJobs{}
+
+// Append hands one record to the journal.
+func (journalJobs) Append(s *State, r job.Record, written Written) {
+	rec, err := encodeJob(&s.origin, r)
+	if err == nil {
+		err = s.Submit([]record.Record{rec}, s.clock.Now().Add(jobDeadline), func(s *State, receipt stream.Receipt, now clock.Millis) {
+			written(s, verdict.Of(receipt.Err), now)
+		})
+	}
+	if err != nil {
+		written(s, verdict.DidNotRun, s.clock.Now())
+	}
+}
+
+func encodeJob(o *record.Origin, r job.Record) (record.Record, error) {
+	switch b := r.(type) {
+	case job.Submitted:
+		return record.Encode(o, record.Submitted, b)
+	case job.Started:
+		return record.Encode(o, record.Started, b)
+	case job.Checkpointed:
+		return record.Encode(o, record.Checkpointed, b)
+	case job.Evicted:
+		return record.Encode(o, record.Evicted, b)
+	case job.Finished:
+		return record.Encode(o, record.Finished, b)
+	case job.Failed:
+		return record.Encode(o, record.Failed, b)
+	case job.Cancelled:
+		return record.Encode(o, record.Cancelled, b)
+	case job.Impossible:
+		return record.Encode(o, record.Impossible, b)
+	case job.Moved:
+		return record.Encode(o, record.Moved, b)
+	default:
+		panic("control: record of an unknown type")
+	}
+}
+
+// JobJournal makes the loop learn jobs from the journal and returns where it
+// appends its own. It is called before Run.
+func (l *Loop) JobJournal() Appender {
+	l.OnRecord(record.Submitted, applyJob[job.Submitted])
+	l.OnRecord(record.Started, applyJob[job.Started])
+	l.OnRecord(record.Checkpointed, applyJob[job.Checkpointed])
+	l.OnRecord(record.Evicted, applyJob[job.Evicted])
+	l.OnRecord(record.Finished, applyJob[job.Finished])
+	l.OnRecord(record.Failed, applyJob[job.Failed])
+	l.OnRecord(record.Cancelled, applyJob[job.Cancelled])
+	l.OnRecord(record.Impossible, applyJob[job.Impossible])
+	l.OnRecord(record.Moved, applyJob[job.Moved])
+	l.AddSection(Section{Name: jobsSection, Save: saveJobs, Restore: restoreJobs})
+	return journalJobs{}
+}
+
+func applyJob[R job.Record](s *State, it record.Item, now clock.Millis) {
+	r, err := record.Decode[R](it.Record)
+	if err != nil {
+		unreadable.Add(1)
+		return
+	}
+	s.ApplyJob(r, now)
+}
+
+// fenceJobs makes the records of former owners without effect from a claim on,
+// at the same place of the journal for every reader.
+func (s *State) fenceJobs(c *tenure.Claim) { s.Board(c.DataCentre).Jobs.Fence(c.Epoch) }
+
+// savedJobs is the section of the jobs of one data centre.
+type savedJobs struct {
+	Epoch unit.Epoch             `cbor:"1,keyasint"`
+	Jobs  []job.Job              `cbor:"2,keyasint"`
+	Tasks map[unit.Task]job.Task `cbor:"3,keyasint"`
+}
+
+func homeOf(scope snapshot.Scope) unit.DataCentre {
+	return unit.DataCentre(strings.TrimPrefix(string(scope), string(snapshot.ScopeOf(""))))
+}
+
+func saveJobs(s *State, scope snapshot.Scope) ([]byte, error) {
+	t := &s.Board(homeOf(scope)).Jobs
+	saved := savedJobs{Epoch: t.Epoch, Tasks: make(map[unit.Task]job.Task, t.Tasks.Len())}
+	for _, j := range t.Jobs.All() {
+		if j.State != job.StateSubmitted { // its record is not known to be in the journal
+			saved.Jobs = append(saved.Jobs, *j)
+		}
+	}
+	for id, k := range t.Tasks.All() {
+		if k.State != job.StateSubmitted {
+			saved.Tasks[id] = *k
+		}
+	}
+	return record.Marshal(saved)
+}
+
+func restoreJobs(s *State, scope snapshot.Scope, _ unit.Offset, data []byte) error {
+	saved, err := record.Unmarshal[savedJobs](data)
+	if err != nil {
+		return err
+	}
+	t := job.Tables{Epoch: saved.Epoch}
+	for _, j := range saved.Jobs {
+		j.Deadline = clock.Never
+		t.Jobs.Put(j.Spec.ID, j)
+	}
+	for id, k := range saved.Tasks {
+		t.Tasks.Put(id, k)
+	}
+	s.Board(homeOf(scope)).Jobs = t
+	return nil
+}
--- a/entry/control/loop.go
+++ b/entry/control/loop.go
@@ -12,6 +12,7 @@
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
 	"mimosadock/schedule/unit"
+	"mimosadock/schedule/work"
 )
 
 // Tick is the time between two runs of the systems.
@@ -36,6 +37,7 @@
 	Revision unit.Revision
 	Text     *service.Text
 	Routes   *route.View
+	Work     map[unit.DataCentre]*work.View // summaries, by data centre
 }
 
 var (
@@ -56,7 +58,7 @@
 // New returns a loop that runs the given systems in order on each tick.
 func New(c clock.Clock, self Self, systems ...System) *Loop {
 	l := &Loop{clock: c, systems: systems, inbox: make(chan Message, inboxSize)}
-	l.state.Self = self
+	l.state.Self, l.state.clock = self, c
 	l.state.origin.Writer = self.Instance
 	l.state.receipts = make(chan stream.Receipt, receiptsSize)
 	l.state.onReceipt = make(map[record.ID]func(*State, stream.Receipt, clock.Millis))
--- a/entry/control/routes_test.go
+++ b/entry/control/routes_test.go
@@ -14,13 +14,13 @@
 
 const remote = "10.0.1.0:80"
 
-func address(i int) unit.Upstream { return unit.Upstream(fmt.Sprintf("10.0.0.%d:80", i)) }
+func upstreamAddress(i int) unit.Upstream { return unit.Upstream(fmt.Sprintf("10.0.0.%d:80", i)) }
 
 // textOf has upstreams first to n-1 in kelso and one in hawick.
 func textOf(first, n int) *service.Text {
 	members := fmt.Sprintf("{address: %q, dataCentre: hawick}", remote)
 	for i := first; i < n; i++ {
-		members += fmt.Sprintf(", {address: %q, dataCentre: kelso}", address(i))
+		members += fmt.Sprintf(", {address: %q, dataCentre: kelso}", upstreamAddress(i))
 	}
 	text, err := service.Parse([]byte(`version: 1
 dataCentres: [{name: kelso, region: lowland}, {name: hawick, region: lowland}]
@@ -63,7 +63,7 @@
 func answers(l *Loop, now *clock.Manual, n, upstreams int, latency func(i int) route.Latency) {
 	for range n {
 		for i := range upstreams {
-			Outcome{Upstream: address(i), Service: "lookup", Latency: 1000 * latency(i), InFlight: 1}.Apply(&l.state, now.Now())
+			Outcome{Upstream: upstreamAddress(i), Service: "lookup", Latency: 1000 * latency(i), InFlight: 1}.Apply(&l.state, now.Now())
 		}
 	}
 }
@@ -80,12 +80,12 @@
 		}, true},
 		"fails": {func(l *Loop, now *clock.Manual) {
 			for range 5 {
-				Outcome{Upstream: address(0), Service: "lookup", Failed: true}.Apply(&l.state, now.Now())
+				Outcome{Upstream: upstreamAddress(0), Service: "lookup", Failed: true}.Apply(&l.state, now.Now())
 			}
 		}, false},
 		"fails now and then": {func(l *Loop, now *clock.Manual) {
 			for i := range 20 {
-				Outcome{Upstream: address(0), Service: "lookup", Failed: i%4 != 0}.Apply(&l.state, now.Now())
+				Outcome{Upstream: upstreamAddress(0), Service: "lookup", Failed: i%4 != 0}.Apply(&l.state, now.Now())
 			}
 		}, true},
 		"slow": {func(l *Loop, now *clock.Manual) {
@@ -100,15 +100,15 @@
 			}
 		}, false},
 		"leaving": {func(l *Loop, now *clock.Manual) {
-			SetLeaving{Upstream: address(0), Leaving: true}.Apply(&l.state, now.Now())
+			SetLeaving{Upstream: upstreamAddress(0), Leaving: true}.Apply(&l.state, now.Now())
 		}, false},
 		"stays after all": {func(l *Loop, now *clock.Manual) {
-			SetLeaving{Upstream: address(0), Leaving: true}.Apply(&l.state, now.Now())
-			SetLeaving{Upstream: address(0)}.Apply(&l.state, now.Now())
+			SetLeaving{Upstream: upstreamAddress(0), Leaving: true}.Apply(&l.state, now.Now())
+			SetLeaving{Upstream: upstreamAddress(0)}.Apply(&l.state, now.Now())
 		}, true},
 		"leaving before a new list": {func(l *Loop, now *clock.Manual) {
-			SetLeaving{Upstream: address(0), Leaving: true}.Apply(&l.state, now.Now())
-			SetMembers{Set: "weighbook", Members: []service.Member{{Address: address(0), DataCentre: "kelso"}}}.Apply(&l.state, now.Now())
+			SetLeaving{Upstream: upstreamAddress(0), Leaving: true}.Apply(&l.state, now.Now())
+			SetMembers{Set: "weighbook", Members: []service.Member{{Address: upstreamAddress(0), DataCentre: "kelso"}}}.Apply(&l.state, now.Now())
 		}, false},
 		"no longer in the text": {func(l *Loop, now *clock.Manual) {
 			SetText{Revision: 2, Text: textOf(1, 10)}.Apply(&l.state, now.Now())
@@ -118,11 +118,11 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			l, now := loopOf(10)
-			is.True(open(l, address(0)))
+			is.True(open(l, upstreamAddress(0)))
 			tc.event(l, now)
 			tick(l, now, 1)
-			is.Equal(open(l, address(0)), tc.open)
-			is.True(open(l, address(1)))
+			is.Equal(open(l, upstreamAddress(0)), tc.open)
+			is.True(open(l, upstreamAddress(1)))
 			is.True(open(l, remote))
 		})
 	}
@@ -133,17 +133,17 @@
 func TestUpstreamComesBack(t *testing.T) {
 	is := is.New(t)
 	l, now := loopOf(10)
-	u := l.state.upstreams.Get(address(0)).upstream
+	u := l.state.upstreams.Get(upstreamAddress(0)).upstream
 	for range 5 {
-		Outcome{Upstream: address(0), Failed: true}.Apply(&l.state, now.Now())
+		Outcome{Upstream: upstreamAddress(0), Failed: true}.Apply(&l.state, now.Now())
 	}
 	tick(l, now, 1)
-	is.True(!open(l, address(0)))
+	is.True(!open(l, upstreamAddress(0)))
 	tick(l, now, 41)
-	is.True(open(l, address(0)))
+	is.True(open(l, upstreamAddress(0)))
 	is.Equal(u.Limit(), unit.Slots(1))
 	for range 3 {
-		Outcome{Upstream: address(0), Service: "lookup", Latency: 1000}.Apply(&l.state, now.Now())
+		Outcome{Upstream: upstreamAddress(0), Service: "lookup", Latency: 1000}.Apply(&l.state, now.Now())
 	}
 	tick(l, now, 1)
 	is.Equal(u.Limit(), unit.Slots(1))
@@ -160,7 +160,7 @@
 	l, now := loopOf(1)
 	SetMembers{Set: "weighbook", Members: []service.Member{{Address: "new", DataCentre: "kelso"}}}.Apply(&l.state, now.Now())
 	tick(l, now, 1)
-	is.Equal(l.state.upstreams.Get(address(0)).upstream.Limit(), unit.Slots(0))
+	is.Equal(l.state.upstreams.Get(upstreamAddress(0)).upstream.Limit(), unit.Slots(0))
 	is.Equal(l.state.upstreams.Get("new").upstream.Limit(), unit.Slots(1))
 }
 
@@ -168,9 +168,9 @@
 func TestOldLoadIsForgotten(t *testing.T) {
 	is := is.New(t)
 	l, now := loopOf(1)
-	u := l.state.upstreams.Get(address(0)).upstream
+	u := l.state.upstreams.Get(upstreamAddress(0)).upstream
 	u.Report(7)
-	Outcome{Upstream: address(0), Service: "lookup", Latency: 1000, Reported: true}.Apply(&l.state, now.Now())
+	Outcome{Upstream: upstreamAddress(0), Service: "lookup", Latency: 1000, Reported: true}.Apply(&l.state, now.Now())
 	tick(l, now, 10)
 	is.Equal(u.Busyness(), int64(7))
 	tick(l, now, 12)
--- a/entry/control/state.go
+++ b/entry/control/state.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"mimosadock/schedule/clock"
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
 	"mimosadock/schedule/unit"
@@ -20,12 +21,17 @@
 	Text     *service.Text
 	Revision unit.Revision
 	Draining bool
+	clock    clock.Clock
 	routes   *route.View
 	urgent   bool // run the systems before the next tick
 	routeState
 	journalState
 	configState
 	snapshotState
+	auditState
+	slotState
+	memberState
+	workState
 }
 
 // Urge makes the systems run right after the current message.
@@ -38,5 +44,6 @@
 		Revision: s.Revision,
 		Text:     s.Text,
 		Routes:   s.routes,
+		Work:     s.workViews,
 	}
 }
--- a/entry/setting/setting.go
+++ b/entry/setting/setting.go
@@ -1,8 +1,12 @@
 package setting
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -11,13 +15,20 @@
 
 // Settings are the settings of one entry process.
 type Settings struct {
-	Listen       string        // callers, "ip:port"
-	Operator     string        // operators, "ip:port"
-	DataCentre   string        // data centre of this host
-	Journal      string        // journal of the platform, "ip:port"; empty is none
-	LogLevel     string        // debug, info, warn or error
-	BalancerWait time.Duration // how long new requests are taken after readiness ended
-	DrainFor     time.Duration // how long requests in flight may take after that
+	Listen        string        // callers, "ip:port"
+	Operator      string        // operators, "ip:port"
+	DataCentre    string        // data centre of this host
+	Journal       string        // journal of the platform, "ip:port"; empty is none
+	HostList      string        // platform's list of hosts, "ip:port"; empty is none
+	OperatorToken string        // SHA-256 of a token that makes an operator beside those of the text
+	LogLevel      string        // debug, info, warn or error
+	BalancerWait  time.Duration // how long new requests are taken after readiness ended
+	DrainFor      time.Duration // how long requests in flight may take after that
+	PeerListen    string        // other entry processes, "ip:port"; empty keeps all slots to this process
+	Peers         []string      // known entry processes, "ip:port" each
+	PeerCert      string        // PEM files of mutual TLS between entry processes; all or none
+	PeerKey       string
+	PeerCA        string
 }
 
 // Register adds the flags of s to app.
@@ -26,9 +37,16 @@
 	app.Flag("operator", "Address for operators: metrics, state dump, administration.").Envar("MIMOSA_OPERATOR").Default("127.0.0.1:8081").StringVar(&s.Operator)
 	app.Flag("data-centre", "Data centre of this host.").Envar("MIMOSA_DATA_CENTRE").Required().StringVar(&s.DataCentre)
 	app.Flag("journal", "Address of the platform's journal. Empty runs without one.").Envar("MIMOSA_JOURNAL").StringVar(&s.Journal)
+	app.Flag("host-list", "Address of the platform's list of hosts. Empty takes the upstreams of the text only.").Envar("MIMOSA_HOST_LIST").StringVar(&s.HostList)
+	app.Flag("operator-token-sha256", "SHA-256 in hexadecimal of a bearer token of an operator, beside those of the services text. Needed for the first text.").Envar("MIMOSA_OPERATOR_TOKEN_SHA256").StringVar(&s.OperatorToken)
 	app.Flag("log-level", "Lowest level to log.").Envar("MIMOSA_LOG_LEVEL").Default("info").StringVar(&s.LogLevel)
 	app.Flag("balancer-wait", "Time for which new requests are still taken after a stop signal, until the load balancer has seen that the process is not ready.").Envar("MIMOSA_BALANCER_WAIT").Default("10s").DurationVar(&s.BalancerWait)
 	app.Flag("drain-for", "Time for requests in flight after a stop signal.").Envar("MIMOSA_DRAIN_FOR").Default("2h").DurationVar(&s.DrainFor)
+	app.Flag("peer-listen", "Address for other entry processes.").Envar("MIMOSA_PEER_LISTEN").StringVar(&s.PeerListen)
+	app.Flag("peers", "Address of a known entry process; repeat for more.").Envar("MIMOSA_PEERS").StringsVar(&s.Peers)
+	app.Flag("peer-cert", "Certificate for TLS between entry processes.").Envar("MIMOSA_PEER_CERT").StringVar(&s.PeerCert)
+	app.Flag("peer-key", "Key of the certificate.").Envar("MIMOSA_PEER_KEY").StringVar(&s.PeerKey)
+	app.Flag("peer-ca", "Authorities that sign the certificates of entry processes.").Envar("MIMOSA_PEER_CA").StringVar(&s.PeerCA)
 }
 
 // Check returns an error that names the flag, its value and what is allowed.
@@ -44,6 +62,14 @@
 	if _, err := netip.ParseAddrPort(s.Journal); err != nil && s.Journal != "" {
 		return fmt.Errorf("--journal is %q, must be an IP number and a port, or empty", s.Journal)
 	}
+	if s.HostList != "" {
+		if _, err := netip.ParseAddrPort(s.HostList); err != nil {
+			return fmt.Errorf("--host-list is %q, must be an IP number and a port", s.HostList)
+		}
+	}
+	if b, err := hex.DecodeString(s.OperatorToken); err != nil || s.OperatorToken != "" && len(b) != sha256.Size || strings.ToLower(s.OperatorToken) != s.OperatorToken {
+		return errors.New("--operator-token-sha256 is not shown, must be 64 digits of lower-case hexadecimal")
+	}
 	if _, err := log.ParseLevel(s.LogLevel); err != nil {
 		return fmt.Errorf("--log-level is %q, must be debug, info, warn or error", s.LogLevel)
 	}
@@ -53,5 +79,23 @@
 	if s.DrainFor < 0 || s.DrainFor > 24*time.Hour {
 		return fmt.Errorf("--drain-for is %s, must be 0s to 24h", s.DrainFor)
 	}
+	return s.checkPeers()
+}
+
+func (s *Settings) checkPeers() error {
+	if a, err := netip.ParseAddrPort(s.PeerListen); s.PeerListen != "" && (err != nil || a.Addr().IsUnspecified()) {
+		return fmt.Errorf("--peer-listen is %q, must be the IP number of this host and a port", s.PeerListen)
+	}
+	for _, p := range s.Peers {
+		if _, err := netip.ParseAddrPort(p); err != nil {
+			return fmt.Errorf("--peers is %q, must be an IP number and a port", p)
+		}
+	}
+	if len(s.Peers) > 0 && s.PeerListen == "" {
+		return fmt.Errorf("--peer-listen is %q, must be set with --peers", s.PeerListen)
+	}
+	if (s.PeerCert == "") != (s.PeerKey == "") || (s.PeerCert == "") != (s.PeerCA == "") {
+		return fmt.Errorf("--peer-cert is %q, must be set together with --peer-key and --peer-ca", s.PeerCert)
+	}
 	return nil
 }
--- a/entry/setting/setting_test.go
+++ b/entry/setting/setting_test.go
@@ -22,8 +22,13 @@
 		"host name":    {change: func(s *Settings) { s.Listen = "localhost:80" }, want: "--listen"},
 		"same address": {change: func(s *Settings) { s.Listen, s.Operator = "127.0.0.1:80", "127.0.0.1:80" }, want: "--operator"},
 		"journal":      {change: func(s *Settings) { s.Journal = "journal:7000" }, want: "--journal"},
+		"host list":    {change: func(s *Settings) { s.HostList = "hosts" }, want: "--host-list"},
+		"token":        {change: func(s *Settings) { s.OperatorToken = "secret" }, want: "--operator-token-sha256"},
 		"log level":    {change: func(s *Settings) { s.LogLevel = "loud" }, want: "--log-level"},
 		"balancer":     {change: func(s *Settings) { s.BalancerWait = time.Hour }, want: "--balancer-wait"},
+		"peer host":    {change: func(s *Settings) { s.PeerListen = "0.0.0.0:90" }, want: "--peer-listen"},
+		"peers":        {change: func(s *Settings) { s.PeerListen, s.Peers = "10.0.0.1:90", []string{"a:1"} }, want: "--peers"},
+		"half of keys": {change: func(s *Settings) { s.PeerCert = "c.pem" }, want: "--peer-cert"},
 		"drain":        {change: func(s *Settings) { s.DrainFor = -1 }, want: "--drain-for"},
 	}
 	for name, tc := range tests {
--- a/load/run.sh
+++ b/load/run.sh
@@ -34,8 +34,10 @@
 
 # start_entry N starts entry process N and sets pid_N.
 start_entry() {
+	# shellcheck disable=SC2086
 	MIMOSA_DRAIN_FOR=5s MIMOSA_BALANCER_WAIT=1s bin/entry \
 		--listen "127.0.0.1:$((port + 100 + $1))" --operator "127.0.0.1:$((port + 200 + $1))" \
+		--peer-listen "127.0.0.1:$((port + 300 + $1))" $peers --host-list "127.0.0.1:$((port + 1))" \
 		--data-centre kelso --journal "127.0.0.1:$port" --log-level warn >>"$dir/entry$1.log" 2>&1 &
 	eval "pid_$1=$!"
 	children="$children $!"
@@ -58,6 +60,10 @@
 children="$children $!"
 bin/load configure --journal "127.0.0.1:$port" --hosts "127.0.0.1:$((port + 1))"
 targets=
+peers=
+for n in 1 2 3 4 5 6 7; do
+	peers="$peers --peers 127.0.0.1:$((port + 300 + n))"
+done
 for n in 1 2 3 4 5 6 7; do
 	start_entry "$n"
 	targets="$targets --target 127.0.0.1:$((port + 100 + n))"
--- a/replay/traffic/granted.go
+++ b/replay/traffic/granted.go
@@ -95,7 +95,7 @@
 // holds the slots of a process without peers.
 func routeSystems() []control.System {
 	return []control.System{
-		control.MemberSystem, control.HealthSystem, control.EjectionSystem,
+		control.UpstreamSystem, control.HealthSystem, control.EjectionSystem,
 		control.LimitSystem, control.StatsSystem, control.RouteSystem,
 	}
 }
