--- a/entry/control/hosts.go
+++ b/entry/control/hosts.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"expvar"
 	"slices"
 
 	"mimosadock/schedule/clock"
@@ -14,59 +13,84 @@
 // checkEvery is the time between two checks of a host that the list lacks.
 const checkEvery = clock.Second
 
-var listFailures = expvar.NewInt("control.hostListFailures")
+// Checker finds out whether something listens at an address, without waiting.
+// The outcome comes as [HostChecked].
+type Checker interface {
+	Check(address string)
+}
+
+// SetChecker sets the checker of hosts that the platform's list lacks. It must
+// be called before Run; without it such hosts are kept.
+func (l *Loop) SetChecker(c Checker) { l.state.checker = c }
+
+// HostList is the platform's list of hosts as it was read.
+type HostList struct{ Listings []member.Listing }
 
-// HostsListed is what the platform's list of hosts had, or that it failed.
-type HostsListed struct {
-	Rows []member.Listing
-	Err  error
+// Apply updates the hosts. An empty list leaves them as they are.
+func (m HostList) Apply(s *State, now clock.Millis) {
+	s.hosts.Update(m.Listings, now)
+	SetWorkers(m).Apply(s, now)
+	s.routeHosts(now)
 }
 
-// Apply updates the table of hosts and the upstreams that come from it. A
-// failed or empty list leaves the last known set in place.
-func (m HostsListed) Apply(s *State, now clock.Millis) {
-	if m.Err != nil {
-		listFailures.Add(1)
+// HostLeaving tells that a host is going away, from whichever source.
+type HostLeaving struct{ Address string }
+
+// Apply gives the host nothing new from the next run of the systems on, and has
+// the other members told.
+func (m HostLeaving) Apply(s *State, now clock.Millis) {
+	if s.notices.Get(m.Address) != nil {
 		return
 	}
-	s.hosts.Update(m.Rows, now)
-	SetWorkers{m.Rows}.Apply(s, now)
-	s.routeHosts(now)
+	s.notices.Put(m.Address, now)
+	s.hosts.Leave(m.Address)
+	SetLeaving{Upstream: unit.Upstream(m.Address), Leaving: true}.Apply(s, now)
+}
+
+// Times of a notice that a host is leaving. It is kept longer than it is told,
+// so that it does not go round for ever.
+const (
+	noticeTold = 10 * clock.Second
+	noticeKept = clock.Minute
+)
+
+// maxNotices bounds the hosts in one heartbeat. When a whole data centre
+// leaves, the platform's list tells the rest.
+const maxNotices = 16
+
+// toldNotices appends the hosts to dst that members are to be told of.
+func (s *State) toldNotices(dst []string, now clock.Millis) []string {
+	for address, at := range s.notices.All() {
+		if now.Sub(*at) < noticeTold && len(dst) < maxNotices {
+			dst = append(dst, address)
+		}
+	}
+	return dst
 }
 
 // HostChecked is the outcome of a check of a host that the list lacks.
 type HostChecked struct {
 	Address string
-	Refused bool // the host refused the connection
+	Refused bool
 }
 
-// Apply removes the host if it refused.
+// Apply removes a host that refused the connection.
 func (m HostChecked) Apply(s *State, now clock.Millis) {
 	if s.hosts.Settle(m.Address, m.Refused) {
 		s.routeHosts(now)
 	}
 }
 
-// DrainHost marks a host as leaving on an operator's word.
-type DrainHost struct{ Address string }
-
-// Apply marks the host, which may be a fixed upstream of the text.
-func (m DrainHost) Apply(s *State, now clock.Millis) {
-	s.hosts.Leave(m.Address)
-	SetLeaving{Upstream: unit.Upstream(m.Address), Leaving: true}.Apply(s, now)
-	s.routeHosts(now)
-}
-
-// DueChecks returns the hosts that are to be checked now.
-func (s *State) DueChecks(now clock.Millis) []string { return s.hosts.Due(nil, now, checkEvery) }
-
-// Hosts returns a copy of the table of hosts.
-func (s *State) Hosts() []member.HostRow {
-	rows := make([]member.HostRow, 0, s.hosts.Len())
-	for _, r := range s.hosts.All() {
-		rows = append(rows, *r)
+// HostSystem has the hosts checked that the list lacks.
+func HostSystem(s *State, now clock.Millis) {
+	s.notices.DeleteFunc(func(_ string, at *clock.Millis) bool { return now.Sub(*at) >= noticeKept })
+	if s.checker == nil {
+		return
+	}
+	s.checks = s.hosts.Due(s.checks[:0], now, checkEvery)
+	for _, address := range s.checks {
+		s.checker.Check(address)
 	}
-	return rows
 }
 
 // routeHosts hands the listed executors to the request path.
@@ -90,3 +114,12 @@
 		}
 	}
 }
+
+// Hosts returns a copy of the table of hosts.
+func (s *State) Hosts() []member.HostRow {
+	rows := make([]member.HostRow, 0, s.hosts.Len())
+	for _, r := range s.hosts.All() {
+		rows = append(rows, *r)
+	}
+	return rows
+}
--- a/entry/control/slots.go
+++ b/entry/control/slots.go
@@ -40,12 +40,12 @@
 	centres  []unit.DataCentre
 }
 
-// Systems returns the systems of membership, tenure, routes and slots in the
+// Systems returns the systems of hosts, membership, tenure, routes and slots in the
 // order in which they run: grants need the rows of the upstreams, and the
 // limits of the routes need the grants.
 func Systems() []System {
 	return []System{
-		MembershipSystem, TenureSystem, UpstreamSystem, GrantSystem, HoldSystem,
+		HostSystem, MembershipSystem, TenureSystem, UpstreamSystem, GrantSystem, HoldSystem,
 		HealthSystem, EjectionSystem, LimitSystem, StatsSystem, RouteSystem,
 	}
 }
@@ -116,9 +116,14 @@
 
 func (s *State) syncGranter(dc unit.DataCentre, g *granterRow) {
 	for name, row := range s.upstreams.All() {
-		if row.upstream.DataCentre == dc {
-			g.Upstream(name, slot.Set(row.set), row.slots)
+		if row.upstream.DataCentre != dc {
+			continue
+		}
+		slots := row.slots
+		if row.leaving || row.stale {
+			slots = 0 // it may get nothing new
 		}
+		g.Upstream(name, slot.Set(row.set), slots)
 	}
 }
 
@@ -250,6 +255,9 @@
 	switch b := m.Body.(type) {
 	case *tenure.Heartbeat:
 		s.node.Receive(m.From, b, now)
+		for _, address := range b.LeavingHosts {
+			HostLeaving{Address: address}.Apply(s, now)
+		}
 	case *slot.Demand:
 		s.demand(m.From, b, now)
 	case *slot.Grants:
