--- a/replay/traffic/attempt.go
+++ b/replay/traffic/attempt.go
@@ -1,6 +1,8 @@
 package traffic
 
 import (
+	"slices"
+
 	"mimosadock/replay/invariant"
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/service"
@@ -102,7 +104,11 @@
 		return
 	}
 	a.ended = true
-	u.running--
+	if a.started {
+		u.running--
+	} else {
+		u.waiting = slices.DeleteFunc(u.waiting, func(other attemptIndex) bool { return other == i })
+	}
 	w.observed.Get(u.Address).Running--
 	for len(u.waiting) > 0 && u.running < int(u.Slots) {
 		next := u.waiting[0]
--- a/replay/traffic/events.go
+++ b/replay/traffic/events.go
@@ -91,7 +91,7 @@
 }
 
 // processDown ends a process. Its callers see broken connections, which may
-// have run; what it sent goes on at the upstreams.
+// have run; the upstreams see them too and stop within their grace.
 func (w *World) processDown(p *processRow) {
 	if !p.up {
 		return
@@ -102,6 +102,11 @@
 			w.close(r)
 		}
 	}
+	for i := range w.attempts {
+		if a := &w.attempts[i]; a.process == p && !a.ended {
+			w.calendar.add(w.now+stepsIn(upstreamGrace), action{what: finished, attempt: attemptIndex(i)})
+		}
+	}
 }
 
 func (w *World) processUp(p *processRow) {
--- a/replay/traffic/granted.go
+++ b/replay/traffic/granted.go
@@ -84,6 +84,7 @@
 	s.peer.queued = func(slot.Set) unit.Slots { return unit.Slots(s.queue.Len()) }
 	s.peer.pinned = s.pinAnswered
 	s.peer.granted = s.refresh
+	s.peer.leaving = s.leaving
 	for _, u := range s.anyTarget().Upstreams {
 		s.upstreams[u.Address] = u
 		s.peer.track(u)
@@ -310,7 +311,7 @@
 		return
 	}
 	if !s.peer.node.Leaving {
-		s.peer.node.Leaving = true
+		s.peer.node.Leaving, s.peer.holder.Leaving = true, true
 		return
 	}
 	if s.leftAt == 0 {
--- a/replay/traffic/peer.go
+++ b/replay/traffic/peer.go
@@ -38,6 +38,7 @@
 	queued   func(slot.Set) unit.Slots
 	pinned   func(*slot.Pinned)
 	granted  func()
+	leaving  map[unit.Upstream]bool // upstreams
 }
 
 // granterRow is the granter of one data centre and the holders to answer.
@@ -142,17 +143,26 @@
 	g.Limits = p.node.Limits
 	g.Begin(dc, r.Epoch)
 	g.due = table.Table[unit.Instance, struct{}]{}
-	for _, u := range p.world.header.Deployment.Upstreams {
-		if u.DataCentre == dc {
-			g.Upstream(u.Address, allUpstreams, u.Slots)
-		}
-	}
+	p.sync(dc, g)
 	if n := len(r.Formers); n > 0 && r.Formers[n-1].Handed {
 		g.Receive(g.handed, now)
 	}
 	g.handed = nil
 }
 
+// sync tells a granter its upstreams. Those that are leaving get nothing new.
+func (p *peer) sync(dc unit.DataCentre, g *granterRow) {
+	for _, u := range p.world.header.Deployment.Upstreams {
+		slots := u.Slots
+		if p.leaving[u.Address] {
+			slots = 0
+		}
+		if u.DataCentre == dc {
+			g.Upstream(u.Address, allUpstreams, slots)
+		}
+	}
+}
+
 // owned returns the granter of the data centre and its rights, or nil if this
 // process is not the owner.
 func (p *peer) owned(dc unit.DataCentre) (*granterRow, tenure.Right) {
@@ -179,6 +189,7 @@
 				g.Drop(id, now)
 			}
 		}
+		p.sync(dc, g)
 		g.Tick(now, right)
 		for id := range g.due.All() {
 			if answer, ok := g.Answer(id, now, right); ok {
--- a/replay/work/decided.go
+++ b/replay/work/decided.go
@@ -79,8 +79,10 @@
 	b := *s.boards.Get(s.world.tasks.Get(id).job.DataCentre)
 	k := b.Jobs.Tasks.Get(id)
 	switch {
-	case k == nil || k.State == job.StateFinished:
+	case k == nil:
 		return Lost
+	case k.State == job.StateFinished:
+		return Done
 	case k.State == job.StateFailed || b.Jobs.Jobs.Get(k.Job).State == job.StateFailed:
 		return Failed
 	default:
--- a/replay/work/plain.go
+++ b/replay/work/plain.go
@@ -69,6 +69,7 @@
 	world   *World
 	waiting []*plainTask
 	placed  map[unit.Task]*plainTask
+	done    map[unit.Task]bool
 	free    map[unit.Worker]unit.Resources
 	order   []unit.Worker
 	renewed clock.Millis
@@ -97,7 +98,7 @@
 // Open returns the scheme for a world.
 func (s Plain[P]) Open(w *World) Scheme {
 	s.world = w
-	s.placed = make(map[unit.Task]*plainTask)
+	s.placed, s.done = make(map[unit.Task]*plainTask), make(map[unit.Task]bool)
 	s.free = make(map[unit.Worker]unit.Resources)
 	for address, r := range w.workers.All() {
 		s.free[address] = r.Capacity
@@ -135,6 +136,9 @@
 	if s.placed[id] != nil || slices.ContainsFunc(s.waiting, func(t *plainTask) bool { return t.id == id }) {
 		return Held
 	}
+	if s.done[id] {
+		return Done
+	}
 	return Lost
 }
 
@@ -221,6 +225,7 @@
 	case worker.Finished:
 		_ = s.world.Release(context.Background(), t.at, s.command(t))
 		s.remove(t)
+		s.done[t.id] = true
 	case worker.Failed, worker.Stopped:
 		_ = s.world.Release(context.Background(), t.at, s.command(t))
 		s.again(t)
