--- a/replay/traffic/granted.go
+++ b/replay/traffic/granted.go
@@ -77,7 +77,8 @@
 	rng := rand.New(rand.NewPCG(uint64(p.index), uint64(p.life)))
 	s.chooser.Rand = rng.Uint64
 	self := control.Self{Instance: p.Instance(), Host: p.Host, DataCentre: p.DataCentre}
-	s.loop = control.New(&w.clock, self, append([]control.System{s.applyInbox}, routeSystems()...)...)
+	s.loop = control.New(&w.clock, self, append([]control.System{s.applyInbox}, control.RouteSystems()...)...)
+	s.loop.Connect(elsewhere{}, elsewhere{}, tenure.DefaultLimits(), nil)
 	s.inbox = append(s.inbox, control.SetText{Revision: 1, Text: w.text})
 	s.loop.Step()
 	s.peer.open(w, p)
@@ -92,14 +93,15 @@
 	return s
 }
 
-// routeSystems returns the systems of the request path without the one that
-// holds the slots of a process without peers.
-func routeSystems() []control.System {
-	return []control.System{
-		control.UpstreamSystem, control.HealthSystem, control.EjectionSystem,
-		control.LimitSystem, control.StatsSystem, control.RouteSystem,
-	}
-}
+// elsewhere drops the messages and records of a control loop. It makes the loop
+// leave the slots to the peer of this package.
+type elsewhere struct{}
+
+// Post drops the message.
+func (elsewhere) Post(control.Outgoing) {}
+
+// Append drops the record.
+func (elsewhere) Append(any) {}
 
 func (s *Granted) connected() *peer { return &s.peer }
 
