--- a/bench/main.go
+++ b/bench/main.go
@@ -36,7 +36,7 @@
 // all returns the measures of every file.
 func all() measure.Group {
 	g := make(measure.Group)
-	for _, part := range []measure.Group{routeMeasures(), textMeasures(), journalMeasures(), frontMeasures()} {
+	for _, part := range []measure.Group{routeMeasures(), textMeasures(), journalMeasures(), frontMeasures(), workMeasures(), slotMeasures()} {
 		maps.Copy(g, part)
 	}
 	return g
--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -110,6 +110,9 @@
 	})
 }
 
+// Nanos returns the time of one operation of f in nanoseconds.
+func Nanos(f func(b *testing.B)) float64 { return nanos(benchmark(f)) }
+
 func nanos(r testing.BenchmarkResult) float64 {
 	if r.N == 0 {
 		return math.NaN() // the benchmark failed, which never meets a bound
