--- a/entry/control/routes.go
+++ b/entry/control/routes.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"expvar"
+
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/limit"
 	"mimosadock/schedule/route"
@@ -10,6 +12,11 @@
 	"mimosadock/schedule/unit"
 )
 
+var (
+	ejections = expvar.NewInt("control.ejections") // ticks in which upstreams were ejected
+	trials    = expvar.NewInt("control.trials")    // trials of ejected upstreams that began or failed
+)
+
 // upstreamRow is one upstream of an upstream set.
 type upstreamRow struct {
 	set      string
@@ -99,6 +106,7 @@
 	Failed   bool          // speaks against the upstream
 	Reported bool          // the answer had a load
 	InFlight unit.Slots    // of this process at the upstream, with this request
+	Busyness int64         // of all processes, as far as it is known
 }
 
 // Apply adds the sample to the rows of the upstream and of the service.
@@ -124,7 +132,7 @@
 	if m.Class != service.Long { // the time of a long request says nothing
 		slow = route.SlownessOf(m.Latency, samples.Stats.P50())
 	}
-	row.health.Success(slow)
+	row.health.Success(slow, m.Busyness)
 	if slow > 0 {
 		row.window.answers++
 		row.window.slowness += slow
@@ -199,9 +207,10 @@
 	for _, row := range s.upstreams.All() {
 		if route.Judge(&row.health, now) {
 			s.routesStale = true
+			trials.Add(1)
 		}
 		if row.health.LoadExpired(now) {
-			row.upstream.Report(0)
+			row.upstream.ForgetReport()
 		}
 	}
 }
@@ -216,6 +225,7 @@
 		}
 		if route.Eject(rows, now) {
 			s.routesStale = true
+			ejections.Add(1)
 		}
 	}
 }
@@ -223,24 +233,38 @@
 // LimitSystem publishes to the request path what each upstream may get: the
 // lower of the adaptive limit and that of the slow start or trial.
 func LimitSystem(s *State, now clock.Millis) {
-	for _, row := range s.upstreams.All() {
-		u, w := row.upstream, row.window
-		row.window = window{}
-		held := u.InFlight() + u.Slots.Free() + u.Pinned.Free()
-		t := limit.Tick{Answers: w.answers, Peak: max(w.peak, u.InFlight()), Slots: held}
-		if w.answers > 0 {
-			t.Latency = float64(w.slowness) / float64(w.answers)
+	var means []float64
+	for _, addresses := range s.groups.All() {
+		means = means[:0]
+		for _, a := range *addresses {
+			if m := s.upstreams.Get(a).adaptive.Mean(); m > 0 {
+				means = append(means, m)
+			}
 		}
-		bound := row.adaptive.Update(t)
-		if h := row.health.Limit(row.slots, now); h > 0 && (bound == 0 || h < bound) {
-			bound = h
+		peers := limit.Median(means)
+		for _, a := range *addresses {
+			s.limitUpstream(s.upstreams.Get(a), peers, now)
 		}
-		u.SetSlowness(row.health.Slowness)
-		u.SetTrial(row.health.Phase == route.Trial && s.hasIdempotent(row.set))
-		u.SetLimit(bound)
 	}
 }
 
+func (s *State) limitUpstream(row *upstreamRow, peers float64, now clock.Millis) {
+	u, w := row.upstream, row.window
+	row.window = window{}
+	held := u.InFlight() + u.Slots.Free() + u.Pinned.Free()
+	t := limit.Tick{Answers: w.answers, Peers: peers, Peak: max(w.peak, u.InFlight()), Slots: held}
+	if w.answers > 0 {
+		t.Latency = float64(w.slowness) / float64(w.answers)
+	}
+	bound := row.adaptive.Update(t)
+	if h := row.health.Limit(row.slots, now); h > 0 && (bound == 0 || h < bound) {
+		bound = h
+	}
+	u.SetCost(row.health.Cost())
+	u.SetTrial(row.health.Phase == route.Trial && s.hasIdempotent(row.set))
+	u.SetLimit(bound)
+}
+
 // hasIdempotent reports whether a trial upstream of set can be tried with
 // requests that may run twice.
 func (s *State) hasIdempotent(set string) bool {
--- a/entry/control/slots.go
+++ b/entry/control/slots.go
@@ -86,6 +86,7 @@
 			s.holder.Adopt(dc, r.Epoch, r.Instance)
 		}
 		if r.Epoch > 0 && r.Instance == s.Self.Instance {
+			r.NoteEnds(&s.node.Members, now)
 			s.begin(dc, r, now)
 		}
 	}
@@ -255,6 +256,7 @@
 	switch b := m.Body.(type) {
 	case *tenure.Heartbeat:
 		s.node.Receive(m.From, b, now)
+		s.heardRevision(m.From, b.Revision, now)
 		for _, address := range b.LeavingHosts {
 			HostLeaving{Address: address}.Apply(s, now)
 		}
