Never give the number of an attempt twice

Room freed by throttling went to other batch work, and usage of stopped attempts counted as measured load. Change: a task keeps its highest number; batch work stays off workers that throttle; only live attempts are measured.

--- a/entry/control/work.go
+++ b/entry/control/work.go
@@ -289,13 +289,15 @@
 func (s *State) answerWaits(now clock.Millis) {
 	kept := s.waits[:0]
 	for _, w := range s.waits {
-		st, known := s.Board(w.home).Status(w.job)
+		b := s.Board(w.home)
+		_, known, durable := b.Outcome(w.job)
 		switch {
 		case !known:
 			err := verdict.Refuse("the journal did not take the job")
 			err.RetryAfter = clock.Second
 			w.reply <- JobReply{Err: err}
-		case st.Durable:
+		case durable:
+			st, _ := b.Status(w.job)
 			w.reply <- JobReply{Status: st}
 		case now >= w.until:
 			w.reply <- JobReply{Err: &verdict.Error{
--- a/schedule/job/tables.go
+++ b/schedule/job/tables.go
@@ -32,7 +32,8 @@
 type Task struct {
 	Job        unit.Job      `json:"job" cbor:"1,keyasint"`
 	State      State         `json:"state" cbor:"2,keyasint"`
-	Attempt    unit.Attempt  `json:"attempt" cbor:"3,keyasint"` // last attempt
+	Attempt    unit.Attempt  `json:"attempt" cbor:"3,keyasint"` // current attempt, or the last one
+	Last       unit.Attempt  `json:"last" cbor:"12,keyasint"`   // highest number given; none is given twice
 	Spare      unit.Attempt  `json:"spare,omitempty" cbor:"4,keyasint,omitempty"`
 	Worker     unit.Worker   `json:"worker,omitempty" cbor:"5,keyasint,omitempty"` // of the last attempt
 	Checkpoint string        `json:"checkpoint,omitempty" cbor:"6,keyasint,omitempty"`
@@ -135,14 +136,14 @@
 }
 
 func (k *Task) start(m Started) bool {
-	if m.Attempt <= max(k.Attempt, k.Spare) {
+	if m.Attempt <= k.Last {
 		return false
 	}
 	if m.Spare {
 		if !k.State.Active() {
 			return false
 		}
-		k.Spare = m.Attempt
+		k.Spare, k.Last = m.Attempt, m.Attempt
 		return true
 	}
 	to := StatePlaced
@@ -152,7 +153,7 @@
 	if !CanFollow(k.State, to) {
 		return false
 	}
-	k.State, k.Attempt, k.Worker = to, m.Attempt, m.Worker
+	k.State, k.Attempt, k.Last, k.Worker = to, m.Attempt, m.Attempt, m.Worker
 	return true
 }
 
@@ -215,7 +216,7 @@
 		return false
 	}
 	k.State, k.Result, k.Worker = StateFinished, m.Result, m.Worker
-	k.Attempt, k.Spare = max(k.Attempt, m.Attempt), 0
+	k.Attempt, k.Spare, k.Last = m.Attempt, 0, max(k.Last, m.Attempt)
 	if j.Done++; j.Done == j.Spec.Tasks {
 		j.State = StateFinished
 	}
--- a/schedule/work/assign.go
+++ b/schedule/work/assign.go
@@ -277,6 +277,9 @@
 		if !size.Fits(free) || !r.Ready(b.right.Epoch, now) || avoids(now, k, id) {
 			continue
 		}
+		if r.Throttled > 0 && j.Terms.Class == service.Batch {
+			continue
+		}
 		o := placement.Option{Class: j.Terms.Class, Size: size, Free: free, Capacity: r.Capacity, Attempts: r.Attempts}
 		if i := r.RackIndex(); i < len(inRack) {
 			o.InRack = inRack[i]
@@ -301,7 +304,7 @@
 
 // place gives a task to a worker. The start is sent with the next batch.
 func (b *Board) place(now clock.Millis, id unit.Task, k *job.Task, j *job.Job, w unit.Worker, size unit.Resources, spare bool) {
-	a := max(k.Attempt, k.Spare, unit.Attempt(b.right.Epoch-1)*attemptsPerEpoch) + 1
+	a := max(k.Last, unit.Attempt(b.right.Epoch-1)*attemptsPerEpoch) + 1
 	if !b.Jobs.Apply(job.Started{Head: b.head(k.Job, id, a), Worker: w, Spare: spare}) {
 		return
 	}
--- a/schedule/work/board.go
+++ b/schedule/work/board.go
@@ -20,6 +20,10 @@
 	keepTasks = 1 * clock.Hour
 )
 
+// lastAttempts is how many numbers of attempts of a task are looked at when it
+// ends. A task has two attempts at most, and refused starts leave gaps.
+const lastAttempts = 8
+
 // retryAccepting is when to ask again about a job that is being accepted.
 const retryAccepting = 200 * clock.Millisecond
 
@@ -311,23 +315,18 @@
 	for i := range j.Spec.Tasks {
 		id := job.TaskID(j.Spec.ID, i)
 		if k := b.Jobs.Tasks.Get(id); k != nil && k.Held > 0 {
-			b.stopAttempts(id, k, 0)
+			b.stopAttempts(id, k)
 		}
 	}
 }
 
-// stopAttempts stops the attempts of a task, except for one.
-func (b *Board) stopAttempts(id unit.Task, k *job.Task, except unit.Attempt) {
-	for a := max(k.Attempt, k.Spare); a > 0 && k.Held > 0; a-- {
-		if a == except {
-			continue
-		}
+// stopAttempts stops the attempts of a task. Those that have other numbers than
+// the last ones are stopped when a report shows them.
+func (b *Board) stopAttempts(id unit.Task, k *job.Task) {
+	for a := k.Last; a > 0 && a > k.Last-lastAttempts && k.Held > 0; a-- {
 		if h := b.Workers.Held.Get(worker.Ref{Task: id, Attempt: a}); h != nil {
 			b.stop(h, worker.ForOutcome)
 		}
-		if max(k.Attempt, k.Spare)-a >= 2 {
-			return
-		}
 	}
 }
 
--- a/schedule/work/report.go
+++ b/schedule/work/report.go
@@ -174,7 +174,9 @@
 		st := &rep.Statuses[i]
 		ref := worker.Ref{Task: st.Task, Attempt: st.Attempt}
 		b.scratch.seen[ref] = true
-		r.Measured = r.Measured.Add(st.Usage)
+		if st.Phase.Live() {
+			r.Measured = r.Measured.Add(st.Usage)
+		}
 		if h := b.Workers.Held.Get(ref); h != nil && h.Worker == r.ID {
 			b.status(now, r, h, st)
 		} else {
@@ -274,7 +276,7 @@
 func (b *Board) stray(now clock.Millis, r *worker.Row, st *worker.Status) {
 	k := b.Jobs.Tasks.Get(st.Task)
 	open := k != nil && !k.State.Ended()
-	newer := open && st.Attempt > max(k.Attempt, k.Spare)
+	newer := open && st.Attempt > k.Last
 	current := open && k.State.Active() && (st.Attempt == k.Attempt || st.Attempt == k.Spare)
 	ref := worker.Ref{Task: st.Task, Attempt: st.Attempt}
 	switch {
@@ -302,7 +304,7 @@
 
 // adopt takes over an attempt that a former owner started.
 func (b *Board) adopt(now clock.Millis, r *worker.Row, k *job.Task, st *worker.Status) {
-	if st.Attempt > k.Attempt {
+	if st.Attempt > k.Last {
 		if k.State.Active() {
 			// The attempt that the journal names ended before this one began.
 			b.emit(job.Evicted{Head: b.head(k.Job, st.Task, k.Attempt), Reason: "overtaken by a later attempt"})
@@ -335,7 +337,7 @@
 	r.Health.Finished()
 	b.Count.Finished++
 	b.unsaved.Put(ref, 1)
-	b.stopAttempts(st.Task, k, 0)
+	b.stopAttempts(st.Task, k)
 	if j := b.Jobs.Jobs.Get(k.Job); j.State.Ended() {
 		b.afterEnd(now, j)
 	}
--- a/schedule/worker/row.go
+++ b/schedule/worker/row.go
@@ -22,7 +22,10 @@
 	Attempts int            // that may run here
 	Refs     []Ref          // the attempts that may run here
 	rack     int            // index of Rack
-	Leaving  bool
+	// Throttled counts the attempts that get less processor than their size.
+	// Their room is for urgent work; batch work must not take it.
+	Throttled int
+	Leaving   bool
 
 	Epoch    unit.Epoch // under which it last reported
 	Instance unit.Instance
@@ -163,6 +166,9 @@
 	}
 	r.Used = r.Used.Add(l)
 	r.Attempts += n
+	if h.Share < 1 {
+		r.Throttled += n
+	}
 	if h.Class == service.Batch {
 		r.Batch = r.Batch.Add(l)
 		return
--- a/standin/worker/scenario_test.go
+++ b/standin/worker/scenario_test.go
@@ -50,7 +50,10 @@
 // own gives the tenure to a new board that has read the journal so far.
 func (s *stage) own(e unit.Epoch, read *work.Board, sole clock.Millis) {
 	s.board = &work.Board{Home: home, Policies: placement.Default()}
+	barn := kindOf("barn", service.Batch, 1000, 3*clock.Second, false)
+	barn.Team = "farms"
 	s.board.SetText(textOf([]service.Kind{
+		barn,
 		kindOf("lookup", service.LatencyCritical, 2000, 0, false),
 		kindOf("feed", service.Standing, 1000, 0, false),
 		kindOf("plan", service.Batch, 1000, 3*clock.Second, false),
@@ -192,6 +195,22 @@
 			s.run(30 * clock.Second)
 			s.True(s.task("p", 0).Attempt > 1<<16)
 		}},
+		"borrowed quota is given back at need": {1, func(s *stage) {
+			s.board.Teams.Teams.Ensure("marts").Quota = unit.Resources{CPU: 2000, Memory: 2000}
+			s.board.Teams.Teams.Ensure("farms").Quota = unit.Resources{CPU: 2000, Memory: 2000}
+			for i := range 4 {
+				s.truth[job.TaskID("p", i)] = standin.Truth{Usage: unit.Resources{CPU: 1000}, Time: clock.Hour}
+			}
+			s.submit("p", "plan", 4) // borrows two cores
+			s.run(10 * clock.Second)
+			s.Equal(s.board.Workers.Held.Len(), 4)
+			_, err := s.board.Submit(s.clock.Now(), job.Spec{ID: "b", Team: "farms", Kind: "barn", Tasks: 2})
+			s.NoErr(err)
+			s.run(20 * clock.Second)
+			s.Equal(s.board.Teams.Teams.Get("farms").Used.CPU, unit.MilliCPU(2000))
+			s.Equal(s.board.Teams.Teams.Get("marts").Used.CPU, unit.MilliCPU(2000)) // its own
+			s.Equal(s.board.Count.Evictions, int64(0))                              // through checkpoints
+		}},
 		"work without a large enough worker is impossible": {1, func(s *stage) {
 			s.submit("f", "feed", 5)
 			s.truth["f/0"] = standin.Truth{}
