Queue the tasks of a moved job at its new home

Cause: a moved task kept the mark that it was queued, so the new home never queued it; the benchmark's board no longer filled up since unknown kinds are probed. Change: the mark is cleared; the benchmark's kinds are known.

--- a/schedule/job/job_test.go
+++ b/schedule/job/job_test.go
@@ -138,11 +138,13 @@
 			is := is.New(t)
 			var from, to Tables
 			from.Apply(Submitted{Head: Head{Epoch: 2, Job: "a"}, Spec: Spec{ID: "a", Tasks: 2}})
+			from.Tasks.Get("a/0").InQueue = true
 			from.Fence(tc.fence)
 			m := Moved{Head: Head{Epoch: tc.epoch, Job: "a"}, To: "selkirk"}
 			is.Equal(Move(&from, &to, m), tc.want)
 			is.Equal(Move(&from, &to, m), false)
 			is.Equal(to.Tasks.Len() == 2, tc.want)
+			is.True(!tc.want || !to.Tasks.Get("a/0").InQueue) // or the new home would never queue it
 			is.Equal(from.Jobs.Len() == 0, tc.want)
 		})
 	}
--- a/schedule/job/tables.go
+++ b/schedule/job/tables.go
@@ -249,7 +249,7 @@
 	for i := range j.Spec.Tasks {
 		id := TaskID(m.Job, i)
 		if k := from.Tasks.Get(id); k != nil {
-			to.Tasks.Put(id, *k)
+			to.Tasks.Put(id, *k).InQueue = false
 			from.Tasks.Delete(id)
 		}
 	}
--- a/schedule/work/bench_test.go
+++ b/schedule/work/bench_test.go
@@ -44,6 +44,11 @@
 	for _, r := range b.Workers.Workers.All() {
 		r.Epoch, r.Reported = 1, 1000
 	}
+	for i := range 210 {
+		for range 5 { // or the kinds would be probed with a few tasks each
+			b.Kinds.Ensure(unit.Kind(fmt.Sprintf("kind%d", i))).AddUsage(unit.Resources{CPU: 900, Memory: 3000})
+		}
+	}
 	for i := range 16 {
 		for o := range 16 {
 			b.Interference.Learn(unit.Kind(fmt.Sprintf("kind%d", i)), []unit.Kind{unit.Kind(fmt.Sprintf("kind%d", o))}, 2, 0.2)
