End spare attempts that a takeover does not find

Change: when a takeover is settled, every attempt of an active task that no worker has reported is ended, the spare included.

--- a/schedule/work/right.go
+++ b/schedule/work/right.go
@@ -142,14 +142,19 @@
 	}
 	b.cleared = true
 	for id, k := range b.Jobs.Tasks.All() {
-		if k.State.Active() && k.Held == 0 {
-			b.scratch.tasks = append(b.scratch.tasks, id)
+		if !k.State.Active() {
+			continue
+		}
+		for _, a := range []unit.Attempt{k.Attempt, k.Spare} {
+			if ref := (worker.Ref{Task: id, Attempt: a}); a != 0 && b.Workers.Held.Get(ref) == nil {
+				b.scratch.refs = append(b.scratch.refs, ref)
+			}
 		}
 	}
-	for _, id := range b.scratch.tasks {
-		b.lose(now, id, b.Jobs.Tasks.Get(id).Attempt, "not found after a change of owner")
+	for _, ref := range b.scratch.refs {
+		b.lose(now, ref.Task, ref.Attempt, "not found after a change of owner")
 	}
-	b.scratch.tasks = b.scratch.tasks[:0]
+	b.scratch.refs = b.scratch.refs[:0]
 	b.dirty = true
 }
 
--- a/standin/worker/board_test.go
+++ b/standin/worker/board_test.go
@@ -21,7 +21,7 @@
 // is lost, or overfills a worker, and against callers who are told an outcome
 // that does not last, while owners, workers, the network and the journal fail.
 func TestInvariants(t *testing.T) {
-	const parts = 4
+	const parts = 8
 	n := seeds(24)
 	for part := range parts {
 		t.Run("part"+strconv.Itoa(part), func(t *testing.T) {
