--- /dev/null
+++ b/demo/site.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http/httptest"
+
+	"github.com/charmbracelet/log"
+
+	"mimosadock/entry/process"
+	"mimosadock/entry/setting"
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/member"
+	"mimosadock/schedule/unit"
+	"mimosadock/standin/hosts"
+	"mimosadock/standin/journal"
+	"mimosadock/standin/upstream"
+	"mimosadock/standin/worker"
+)
+
+// operatorToken is the token of the operator of this run.
+const operatorToken = "demo-operator"
+
+// Sizes of the site.
+const (
+	processes = 3
+	upstreams = 4
+	workers   = 2
+	slots     = 8
+)
+
+// site is the platform's stand-ins and the entry processes on them.
+type site struct {
+	journal   journal.Memory
+	hosts     hosts.List
+	world     worker.World
+	upstreams []*upstream.Server
+	workers   []*worker.Worker
+	servers   []*httptest.Server
+	processes []*process.Process
+	group     *group.Group
+}
+
+// dataCentres are those of the site; the second has one entry process.
+var dataCentres = []unit.DataCentre{"kelso", "hawick"}
+
+// openSite starts everything. Close must be called, also after an error.
+func openSite(ctx context.Context) (*site, error) {
+	s := &site{group: group.New(ctx)}
+	s.world = worker.World{Clock: clock.System{}, Truth: truth, SaveTime: 50 * clock.Millisecond}
+	var list []member.Listing
+	for i := range upstreams {
+		u, err := upstream.Listen()
+		if err != nil {
+			return s, err
+		}
+		s.upstreams = append(s.upstreams, u)
+		list = append(list, member.Listing{
+			Address: u.Address(), DataCentre: dataCentres[i%2], Role: member.Executor, Service: "weighbook", Slots: slots,
+		})
+	}
+	for range workers {
+		list = append(list, s.addWorker())
+	}
+	journalServer := httptest.NewServer(journal.Handler(&s.journal))
+	hostServer := httptest.NewServer(hosts.Handler(&s.hosts))
+	s.servers = append(s.servers, journalServer, hostServer)
+	for i := range processes {
+		p, err := process.Open(setting.Settings{
+			Listen: "127.0.0.1:0", Operator: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
+			DataCentre: string(dataCentres[i/2]), LogLevel: "error", OperatorToken: tokenHash(operatorToken),
+			Journal: journalServer.Listener.Addr().String(), HostList: hostServer.Listener.Addr().String(),
+		}, log.New(io.Discard))
+		if err != nil {
+			return s, err
+		}
+		s.processes = append(s.processes, p)
+		list = append(list, member.Listing{Address: p.PeerAddress(), DataCentre: dataCentres[i/2], Role: member.Entry})
+	}
+	s.hosts.Set(list)
+	for _, p := range s.processes {
+		s.group.Go("entry", func(ctx context.Context) error { return p.Run(ctx, context.Background()) })
+	}
+	return s, nil
+}
+
+func (s *site) addWorker() member.Listing {
+	capacity := unit.Resources{CPU: 4500, Memory: 4096}
+	srv := httptest.NewUnstartedServer(nil)
+	address := srv.Listener.Addr().String()
+	w := worker.New(&s.world, unit.Worker(address), capacity)
+	s.workers = append(s.workers, w)
+	srv.Config.Handler = (&worker.Server{Worker: w}).Handler()
+	srv.Start()
+	s.servers = append(s.servers, srv)
+	return member.Listing{Address: address, DataCentre: dataCentres[0], Role: member.Worker, Capacity: capacity}
+}
+
+// close stops the processes and then the stand-ins.
+func (s *site) close() error {
+	s.group.Stop()
+	err := s.group.Wait()
+	for _, srv := range s.servers {
+		srv.CloseClientConnections()
+		srv.Close()
+	}
+	for _, u := range s.upstreams {
+		err = errors.Join(err, u.Close())
+	}
+	return err
+}
+
+// truth is what the tasks of each kind really take.
+func truth(_ unit.Task, kind unit.Kind) worker.Truth {
+	switch kind {
+	case "report":
+		return worker.Truth{Usage: unit.Resources{CPU: 1900, Memory: 1900}, Time: 8 * clock.Second}
+	case "ring":
+		return worker.Truth{Usage: unit.Resources{CPU: 900, Memory: 1400}, Time: 2 * clock.Second}
+	default: // the feed runs until it is stopped
+		return worker.Truth{Usage: unit.Resources{CPU: 100, Memory: 50}}
+	}
+}
+
+func tokenHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+const servicesText = `version: 1
+capacity: {cpu: 9000, memory: 8192}
+dataCentres:
+  - {name: kelso, region: lowland}
+  - {name: hawick, region: lowland}
+teams:
+  - {name: marts, quota: {cpu: 4500, memory: 4096}}
+  - {name: farms, quota: {cpu: 4500, memory: 4096}}
+upstreamSets:
+  - {name: weighbook, slots: 8}
+services:
+  - {name: lookup, team: marts, class: urgent, upstreamSet: weighbook, deadlineMs: 2000, idempotent: true}
+  - {name: order, team: marts, class: standard, upstreamSet: weighbook, deadlineMs: 4000}
+  - {name: watch, team: farms, class: long, upstreamSet: weighbook, deadlineMs: 60000}
+kinds:
+  - {name: ring, team: marts, class: latencyCritical, resources: {cpu: 1000, memory: 1500}, expectedMs: 2000}
+  - {name: report, team: farms, class: batch, resources: {cpu: 2000, memory: 2000}, expectedMs: 8000, checkpointMs: 500}
+  - {name: feed, team: farms, class: standing, resources: {cpu: 200, memory: 60}}
+`
