Settle a claim whose append has no known outcome

Change: such a claim is appended again until a claim of its epoch is known. Types and fields of package tenure and member have plainer names.

--- a/entry/control/hosts_test.go
+++ b/entry/control/hosts_test.go
@@ -26,12 +26,12 @@
 		tell func(m *model)
 		kept bool
 	}{
-		"told to the owner":        {tell: func(m *model) { m.procs[lonely].apply(HostLeaving{going}) }},
+		"told to the owner":        {tell: func(m *model) { m.procs[single].apply(HostLeaving{going}) }},
 		"told to one holder":       {tell: func(m *model) { m.procs[0].apply(HostLeaving{going}) }},
-		"listed to one process":    {tell: func(m *model) { m.procs[lonely].apply(leavingList(member.Leaving, false)) }},
-		"listed as live":           {tell: func(m *model) { m.procs[lonely].apply(leavingList(member.Live, false)) }, kept: true},
-		"missing in the list":      {tell: func(m *model) { m.procs[lonely].apply(leavingList(member.Live, true)) }, kept: true},
-		"the list is empty at all": {tell: func(m *model) { m.procs[lonely].apply(HostList{}) }, kept: true},
+		"listed to one process":    {tell: func(m *model) { m.procs[single].apply(leavingList(member.Leaving, false)) }},
+		"listed as live":           {tell: func(m *model) { m.procs[single].apply(leavingList(member.Live, false)) }, kept: true},
+		"missing in the list":      {tell: func(m *model) { m.procs[single].apply(leavingList(member.Live, true)) }, kept: true},
+		"the list is empty at all": {tell: func(m *model) { m.procs[single].apply(HostList{}) }, kept: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/entry/control/membership.go
+++ b/entry/control/membership.go
@@ -29,7 +29,7 @@
 // by reading; see [JournalRead]. A record that certainly was not appended is
 // told by [NotAppended].
 type Records interface {
-	Append(record any) // member.Card (a join), member.Goodbye or tenure.Claim
+	Append(record any) // member.Identity (a join), member.Goodbye or tenure.Claim
 }
 
 // memberState holds the tables of membership.
@@ -47,8 +47,8 @@
 	pruned       clock.Millis // last removal of members that ended long ago
 	seeded       clock.Millis // last heartbeats to the seeds
 	joining      clock.Millis // last append of the join record; zero before
-	left         chan struct{}
-	farewelled   bool
+	leaveDone    chan struct{}
+	goodbyeSent  bool
 }
 
 // Connect makes the process a member: it sends to peers and appends to the
@@ -58,7 +58,7 @@
 	s := &l.state
 	s.peers, s.records, s.seeds = peers, records, seeds
 	s.node.Limits = limits
-	s.node.Self.Card = member.Card{
+	s.node.Self.Identity = member.Identity{
 		Instance: s.Self.Instance, Address: s.Self.Address, Host: s.Self.Host, DataCentre: s.Self.DataCentre,
 	}
 	s.holder.Self = s.Self.Instance
@@ -87,10 +87,10 @@
 // Apply makes the record due again.
 func (m NotAppended) Apply(s *State, _ clock.Millis) {
 	switch r := m.Record.(type) {
-	case member.Card:
+	case member.Identity:
 		s.joining = 0
 	case tenure.Claim:
-		if b := s.node.Bids.Get(r.DataCentre); b != nil && b.Epoch == r.Epoch && b.Unsure == 0 {
+		if b := s.node.Pending.Get(r.DataCentre); b != nil && b.Epoch == r.Epoch && b.Unsure == 0 {
 			b.Appended = 0
 		}
 	}
@@ -125,14 +125,14 @@
 
 // Apply ends the grants of this process.
 func (m Leave) Apply(s *State, _ clock.Millis) {
-	s.node.Leaving, s.holder.Leaving, s.left = true, true, m.Done
+	s.node.Leaving, s.holder.Leaving, s.leaveDone = true, true, m.Done
 	s.Urge()
 }
 
-// farewell appends the goodbye record once no tenure is left that a live member
+// sayGoodbye appends the goodbye record once no tenure is left that a live member
 // could take over.
-func (s *State) farewell(now clock.Millis) {
-	if !s.node.Leaving || s.farewelled {
+func (s *State) sayGoodbye(now clock.Millis) {
+	if !s.node.Leaving || s.goodbyeSent {
 		return
 	}
 	alone := s.successor(s.Self.DataCentre, now) == ""
@@ -141,10 +141,10 @@
 			return
 		}
 	}
-	s.farewelled = true
+	s.goodbyeSent = true
 	s.records.Append(member.Goodbye{Instance: s.Self.Instance})
-	if s.left != nil {
-		close(s.left)
+	if s.leaveDone != nil {
+		close(s.leaveDone)
 	}
 }
 
@@ -172,7 +172,7 @@
 		s.pruned = now
 		s.node.Prune(now)
 	}
-	s.farewell(now)
+	s.sayGoodbye(now)
 	if s.node.Full() {
 		member.Acknowledge(&s.node.Members, now, tenure.Allow(s.node.Limits.Confirm))
 	}
@@ -233,7 +233,7 @@
 		return
 	}
 	s.joining = max(now, 1)
-	s.records.Append(s.node.Self.Card)
+	s.records.Append(s.node.Self.Identity)
 }
 
 // declareLost applies the data centres that the services text declares lost,
--- a/entry/control/model_test.go
+++ b/entry/control/model_test.go
@@ -21,7 +21,7 @@
 	pause     float64 // chances per process and second
 	death     float64
 	cut       float64 // of a link or of the journal for one process
-	island    float64 // a whole data centre is cut off, per data centre and second
+	isolation float64 // a whole data centre is cut off, per data centre and second
 	outage    float64 // of the journal, per second
 	loss      float64 // of one message or append
 	drift     float64
@@ -128,7 +128,7 @@
 	for i := range m.procs {
 		m.boot(i)
 	}
-	m.after(0, m.weather)
+	m.after(0, m.inject)
 	m.after(0, m.sample)
 	return m
 }
@@ -290,7 +290,7 @@
 			e.Claim = &r
 		case member.Goodbye:
 			e.Goodbye = &r
-		case member.Card:
+		case member.Identity:
 			e.Join = &r
 		}
 		p.m.records = append(p.m.records, e)
@@ -359,7 +359,7 @@
 		p.apply(Leave{})
 		p.m.after(10*clock.Second, func() { p.m.kill(p) })
 	}
-	if s.farewelled {
+	if s.goodbyeSent {
 		p.m.after(p.m.span(1, 3*clock.Second), func() { p.m.kill(p) })
 	}
 }
@@ -429,15 +429,15 @@
 	f()
 }
 
-// weather makes things fail and heal, once a second.
-func (m *model) weather() {
-	m.after(clock.Second, m.weather)
+// inject makes things fail and heal, once a second.
+func (m *model) inject() {
+	m.after(clock.Second, m.inject)
 	if m.chance(m.outage) {
 		m.down = true
 		m.after(m.span(clock.Second, 40*clock.Second), func() { m.down = false })
 	}
 	for i := range m.centres {
-		if m.chance(m.island) {
+		if m.chance(m.isolation) {
 			m.isolate(centreName(i), m.span(clock.Second, 50*clock.Second))
 		}
 	}
--- a/entry/control/scenario_test.go
+++ b/entry/control/scenario_test.go
@@ -11,12 +11,12 @@
 // quiet returns a model in which nothing fails by itself. The data centre dc1
 // has one entry process, at place 2.
 func quiet() faults {
-	f := calm()
+	f := faultless()
 	f.length, f.noRestart, f.pins = clock.Hour, true, 0
 	return f
 }
 
-const lonely = 2 // place of the only process of dc1
+const single = 2 // place of the only process of dc1
 
 // ownerOf returns the owner of dc1 as the journal has it, and its epoch.
 func (m *model) ownerOf(dc unit.DataCentre) (owner unit.Instance, epoch unit.Epoch) {
@@ -48,8 +48,8 @@
 }
 
 func everyone(*proc) bool     { return true }
-func outside(p *proc) bool    { return p.place != lonely }
-func onlyLonely(p *proc) bool { return p.place == lonely }
+func outside(p *proc) bool    { return p.place != single }
+func onlySingle(p *proc) bool { return p.place == single }
 
 // Slots of dc1 in the model.
 const (
@@ -67,13 +67,13 @@
 	const settle = 4 * clock.Second                // until the slots are divided by demand after that
 	tests := map[string]func(t *testing.T, m *model){
 		"dies": func(t *testing.T, m *model) {
-			m.kill(m.procs[lonely])
+			m.kill(m.procs[single])
 			m.untilEpoch(t, 2, 8*clock.Second)
 			m.runTo(m.now.Add(l.Outstanding(l.Quick) + settle))
 			m.expect(t, "after the proof of death", allSlots-moving, allSlots, outside)
 		},
 		"paused beyond T and G": func(t *testing.T, m *model) {
-			p := m.procs[lonely]
+			p := m.procs[single]
 			p.paused = m.now.Add(2*l.Confirm + l.Quick + 2*clock.Second)
 			m.runTo(p.paused - 1)
 			if right := ownRight(p); right.Quick(p.Now()) {
@@ -82,7 +82,7 @@
 			if _, epoch := m.ownerOf("dc1"); epoch != 2 {
 				t.Errorf("epoch %d, want 2", epoch)
 			}
-			m.expect(t, "at the end of the pause", 0, 0, onlyLonely)
+			m.expect(t, "at the end of the pause", 0, 0, onlySingle)
 			m.runTo(m.now.Add(takeover + settle))
 			m.expect(t, "after the pause", allSlots-moving, allSlots, everyone)
 		},
@@ -90,27 +90,27 @@
 			m.isolate("dc1", clock.Hour)
 			cut := m.now
 			m.runTo(cut.Add(l.Confirm + l.Quick + settle))
-			m.expect(t, "isolated owner", slowSlots, slowSlots, onlyLonely)
+			m.expect(t, "isolated owner", slowSlots, slowSlots, onlySingle)
 			m.untilEpoch(t, 2, 8*clock.Second)
 			claimed := m.now
 			m.runTo(claimed.Add(takeover + clock.Second))
 			m.expect(t, "takeover from outside, without waiting longer", quickSlots-1, quickSlots, outside)
 			m.runTo(claimed.Add(takeover + settle))
-			m.expect(t, "isolated owner after the takeover", slowSlots, slowSlots, onlyLonely)
+			m.expect(t, "isolated owner after the takeover", slowSlots, slowSlots, onlySingle)
 			m.expect(t, "takeover from outside", quickSlots, quickSlots, outside)
 			m.runTo(cut.Add(tenure.Allow(m.limits.Isolated)))
-			m.expect(t, "isolated owner after H", 0, 0, onlyLonely)
+			m.expect(t, "isolated owner after H", 0, 0, onlySingle)
 			m.runTo(m.now.Add(l.Outstanding(l.Quick) + 2*settle + 2*clock.Second))
 			m.expect(t, "outside after H", allSlots-moving, allSlots, outside)
 		},
 		"leaves": func(t *testing.T, m *model) {
-			m.procs[lonely].leaving = true
+			m.procs[single].leaving = true
 			m.untilEpoch(t, 2, 30*clock.Second)
 			m.runTo(m.now.Add(settle))
 			m.expect(t, "after the hand-over", allSlots-moving, allSlots, outside)
 		},
 		"journal is cut off, a peer relays": func(t *testing.T, m *model) {
-			m.cutLink(-1, lonely, clock.Hour)
+			m.cutLink(-1, single, clock.Hour)
 			m.runTo(m.now.Add(20 * clock.Second))
 			m.expect(t, "without the journal", allSlots-moving, allSlots, everyone)
 			if _, epoch := m.ownerOf("dc1"); epoch != 1 {
--- a/entry/control/slots.go
+++ b/entry/control/slots.go
@@ -73,7 +73,7 @@
 	for i := range s.Text.DataCentres {
 		s.centres = append(s.centres, s.Text.DataCentres[i].Name)
 	}
-	s.claims = s.node.Bid(s.claims[:0], s.centres, now, claimRepeat)
+	s.claims = s.node.ClaimDue(s.claims[:0], s.centres, now, claimRepeat)
 	for _, c := range s.claims {
 		s.records.Append(c)
 	}
@@ -99,7 +99,7 @@
 	g.due = table.Table[unit.Instance, struct{}]{}
 	s.syncGranter(dc, g)
 	if n := len(r.Formers); n > 0 && r.Formers[n-1].Handed {
-		g.Receive(g.handed, now)
+		g.TakeOver(g.handed, now)
 	}
 	g.handed = nil
 }
@@ -181,7 +181,7 @@
 	}
 	g.handing = max(now, 1)
 	if to := s.successor(dc, now); to != "" {
-		s.post(to, &Handover{DataCentre: dc, Epoch: r.Epoch, Outstanding: g.Hand(now)}, now)
+		s.post(to, &Handover{DataCentre: dc, Epoch: r.Epoch, Outstanding: g.HandOver(now)}, now)
 	}
 }
 
--- a/entry/control/slots_test.go
+++ b/entry/control/slots_test.go
@@ -31,15 +31,15 @@
 	return n
 }
 
-func calm() faults {
+func faultless() faults {
 	return faults{centres: []int{2, 1, 2}, length: 60 * clock.Second, drift: 0.0099, step: 50 * clock.Millisecond, pins: 0.05, upstreams: 2, tries: modelSlots, limits: modelLimits()}
 }
 
-func stormy() faults {
-	f := calm()
+func faulty() faults {
+	f := faultless()
 	f.length = 90 * clock.Second
 	f.leave = 0.004
-	f.pause, f.death, f.cut, f.island, f.outage, f.loss = 0.02, 0.006, 0.02, 0.007, 0.01, 0.03
+	f.pause, f.death, f.cut, f.isolation, f.outage, f.loss = 0.02, 0.006, 0.02, 0.007, 0.01, 0.03
 	return f
 }
 
@@ -52,8 +52,8 @@
 		granted float64 // least share of the slots, over all seeds
 		used    float64
 	}{
-		"calm":   {faults: calm(), seeds: 2, granted: 0.9, used: 0.8},
-		"stormy": {faults: stormy(), seeds: 12, granted: 0.4, used: 0.35},
+		"faultless": {faults: faultless(), seeds: 2, granted: 0.9, used: 0.8},
+		"faulty":    {faults: faulty(), seeds: 12, granted: 0.4, used: 0.35},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -138,7 +138,7 @@
 	for name, rule := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := stormy()
+			f := faulty()
 			f.breakRule = rule
 			for seed := range 200 {
 				m := newModel(uint64(seed), f)
--- a/schedule/member/instance.go
+++ b/schedule/member/instance.go
@@ -10,8 +10,8 @@
 // peer that has merged version v knows everything up to v.
 type Version uint64
 
-// Card is what is told about an instance. It is the body of a join record.
-type Card struct {
+// Identity is what is told about an instance. It is the body of a join record.
+type Identity struct {
 	Instance   unit.Instance   `json:"instance" cbor:"1,keyasint"`
 	Address    string          `json:"address" cbor:"2,keyasint"` // for peers, "ip:port"
 	Host       unit.Host       `json:"host" cbor:"3,keyasint"`
@@ -46,7 +46,7 @@
 // Row is one other instance as this process knows it. All instants are on the
 // clock of this process but for Sent.
 type Row struct {
-	Card
+	Identity
 	Version  Version      // of this process when it learned of the instance
 	Learned  clock.Millis // when it did
 	Joined   bool         // its join record was seen in the journal
@@ -96,11 +96,11 @@
 }
 
 // Learn adds an instance unless it is known and returns its row.
-func (t *Table) Learn(c Card, now clock.Millis) *Row {
+func (t *Table) Learn(c Identity, now clock.Millis) *Row {
 	if r := t.Get(c.Instance); r != nil {
 		return r
 	}
-	return t.Put(c.Instance, Row{Card: c, Version: t.Advance(), Learned: now, Heard: now})
+	return t.Put(c.Instance, Row{Identity: c, Version: t.Advance(), Learned: now, Heard: now})
 }
 
 // Prove records that the death of an instance is proven: the connection was
--- a/schedule/member/member_test.go
+++ b/schedule/member/member_test.go
@@ -94,8 +94,8 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			var m Table
-			m.Learn(Card{Instance: "other"}, 0)
-			m.Learn(Card{Instance: "new"}, 100).Introduce(100)
+			m.Learn(Identity{Instance: "other"}, 0)
+			m.Learn(Identity{Instance: "new"}, 100).Introduce(100)
 			other := m.Get("other")
 			other.Merged, other.Dead = tc.merged, tc.dead
 			Acknowledge(&m, tc.now, confirm+70)
--- a/schedule/slot/granter.go
+++ b/schedule/slot/granter.go
@@ -175,8 +175,8 @@
 	return out, true
 }
 
-// Hand returns what the holders may still use, for the successor.
-func (g *Granter) Hand(now clock.Millis) []Outstanding {
+// HandOver returns what the holders may still use, for the successor.
+func (g *Granter) HandOver(now clock.Millis) []Outstanding {
 	out := make([]Outstanding, 0, g.holders.Len())
 	for id, h := range g.holders.All() {
 		o := Outstanding{Holder: id}
@@ -192,9 +192,9 @@
 	return g.handPins(out, now)
 }
 
-// Receive counts what a former owner has handed over as filled until the
+// TakeOver counts what a former owner has handed over as filled until the
 // holder reports or it has ended by time.
-func (g *Granter) Receive(outstanding []Outstanding, now clock.Millis) {
+func (g *Granter) TakeOver(outstanding []Outstanding, now clock.Millis) {
 	for _, o := range outstanding {
 		h := g.holder(o.Holder, now)
 		if h.asked == 0 {
--- a/schedule/slot/pins.go
+++ b/schedule/slot/pins.go
@@ -26,8 +26,8 @@
 	until clock.Millis
 }
 
-// pinPatience is how long a pin counts as waiting after its last repetition.
-const pinPatience = clock.Second
+// pinWaitTime is how long a pin counts as waiting after its last repetition.
+const pinWaitTime = clock.Second
 
 // Pin decides on a pinned grant. It reports false if the answer has to wait
 // until short requests give a slow slot back; the holder repeats the pin.
@@ -51,7 +51,7 @@
 	name, shared := g.pinnable(p.Set)
 	if name == "" {
 		if shared {
-			g.waiting.Put(key, waitingRow{set: p.Set, until: now.Add(pinPatience)})
+			g.waiting.Put(key, waitingRow{set: p.Set, until: now.Add(pinWaitTime)})
 		}
 		return out, !shared
 	}
--- a/schedule/tenure/claim.go
+++ b/schedule/tenure/claim.go
@@ -23,7 +23,7 @@
 	Epoch    unit.Epoch
 	Since    clock.Millis // when this process learned of the claim that followed
 	Handed   bool         // it has told this process all that it granted
-	Gave     bool         // it lives and knows that its tenure is over
+	GaveWay  bool         // it lives and knows that its tenure is over
 	Ended    clock.Millis // when it was known to grant nothing more; zero before
 }
 
--- a/schedule/tenure/heartbeat.go
+++ b/schedule/tenure/heartbeat.go
@@ -17,25 +17,25 @@
 	Sent         clock.Millis      `json:"sent" cbor:"1,keyasint"`              // on the clock of the sender
 	Echo         clock.Millis      `json:"echo" cbor:"2,keyasint,omitempty"`    // last Sent that came from the receiver
 	Read         clock.Millis      `json:"read" cbor:"3,keyasint,omitempty"`    // the journal was read to its end after this Sent of the receiver came
-	Base         member.Version    `json:"base" cbor:"4,keyasint,omitempty"`    // the news are those after it
-	Version      member.Version    `json:"version" cbor:"5,keyasint,omitempty"` // the news are those up to it
+	Base         member.Version    `json:"base" cbor:"4,keyasint,omitempty"`    // the updates are those after it
+	Version      member.Version    `json:"version" cbor:"5,keyasint,omitempty"` // the updates are those up to it
 	Merged       member.Version    `json:"merged" cbor:"6,keyasint,omitempty"`  // what the sender has merged of the receiver
-	Members      []member.Card     `json:"members,omitempty" cbor:"7,keyasint,omitempty"`
+	Members      []member.Identity `json:"members,omitempty" cbor:"7,keyasint,omitempty"`
 	Claims       []Claim           `json:"claims,omitempty" cbor:"8,keyasint,omitempty"`
-	Partial      bool              `json:"partial,omitempty" cbor:"9,keyasint,omitempty"` // more news follow; no promise
+	Partial      bool              `json:"partial,omitempty" cbor:"9,keyasint,omitempty"` // more updates follow; no promise
 	Claiming     []unit.DataCentre `json:"claiming,omitempty" cbor:"10,keyasint,omitempty"`
 	Introducing  bool              `json:"introducing,omitempty" cbor:"11,keyasint,omitempty"`  // the sender asks to be acknowledged
 	Acknowledged bool              `json:"acknowledged,omitempty" cbor:"12,keyasint,omitempty"` // the sender acknowledges the receiver
 	Leaving      bool              `json:"leaving,omitempty" cbor:"13,keyasint,omitempty"`
-	Card         *member.Card      `json:"card,omitempty" cbor:"14,keyasint,omitempty"` // of the sender, until the receiver has merged something
+	Identity     *member.Identity  `json:"identity,omitempty" cbor:"14,keyasint,omitempty"` // of the sender, until the receiver has merged something
 	Revision     unit.Revision     `json:"revision,omitempty" cbor:"15,keyasint,omitempty"`
 	TextHash     uint64            `json:"textHash,omitempty" cbor:"16,keyasint,omitempty"`
 	LeavingHosts []string          `json:"leavingHosts,omitempty" cbor:"18,keyasint,omitempty"` // addresses that lately told a process that they are going away
 	JournalEnd   unit.Offset       `json:"journalEnd,omitempty" cbor:"17,keyasint,omitempty"`
 }
 
-// maxNews bounds the facts of one heartbeat.
-const maxNews = 64
+// maxUpdates bounds the facts of one heartbeat.
+const maxUpdates = 64
 
 // Node is what one process knows of members and tenures and of its own part.
 // The zero value knows nothing; Self and Limits must be set.
@@ -44,16 +44,16 @@
 	Limits   Limits
 	Members  member.Table
 	Tenures  Table
-	Bids     Bids
+	Pending  PendingClaims
 	JoinedAt clock.Millis // when the own join record was seen in the journal; zero before
 	Offset   unit.Offset  // of the own join record
 	Leaving  bool
 }
 
-// fact is a news of a heartbeat with its version.
+// fact is one update in a heartbeat with its version.
 type fact struct {
 	version member.Version
-	card    *member.Card
+	card    *member.Identity
 	claim   *Claim
 }
 
@@ -62,22 +62,22 @@
 func (n *Node) Beat(m *member.Row, now clock.Millis) Heartbeat {
 	b := Heartbeat{Sent: max(now, 1), Introducing: n.Self.Acknowledged == 0 && !n.Self.Founder, Leaving: n.Leaving}
 	if m == nil {
-		b.Card, b.Partial = &n.Self.Card, true
+		b.Identity, b.Partial = &n.Self.Identity, true
 		return b
 	}
 	b.Echo, b.Read, b.Merged, b.Base = m.Sent, m.Read, m.Known, m.Merged
 	b.Acknowledged = m.Acknowledged
 	if m.Merged == 0 {
-		b.Card = &n.Self.Card
+		b.Identity = &n.Self.Identity
 	}
-	n.addNews(&b)
-	for dc := range n.Bids.All() {
+	n.addUpdates(&b)
+	for dc := range n.Pending.All() {
 		b.Claiming = append(b.Claiming, dc)
 	}
 	return b
 }
 
-func (n *Node) addNews(b *Heartbeat) {
+func (n *Node) addUpdates(b *Heartbeat) {
 	b.Version = n.Members.Version()
 	if b.Base >= b.Version {
 		return
@@ -85,7 +85,7 @@
 	var facts []fact
 	for _, m := range n.Members.All() {
 		if m.Version > b.Base && !m.Ended() { // one that has ended claims nothing
-			facts = append(facts, fact{version: m.Version, card: &m.Card})
+			facts = append(facts, fact{version: m.Version, card: &m.Identity})
 		}
 	}
 	for _, r := range n.Tenures.All() {
@@ -93,10 +93,10 @@
 			facts = append(facts, fact{version: r.Version, claim: &r.Claim})
 		}
 	}
-	if len(facts) > maxNews {
+	if len(facts) > maxUpdates {
 		slices.SortFunc(facts, func(x, y fact) int { return cmp.Compare(x.version, y.version) })
-		facts, b.Partial = facts[:maxNews], true
-		b.Version = facts[maxNews-1].version
+		facts, b.Partial = facts[:maxUpdates], true
+		b.Version = facts[maxUpdates-1].version
 	}
 	for _, f := range facts {
 		if f.card != nil {
@@ -112,10 +112,10 @@
 func (n *Node) Receive(from unit.Instance, b *Heartbeat, now clock.Millis) {
 	m := n.Members.Get(from)
 	if m == nil {
-		if b.Card == nil || b.Card.Instance != from {
+		if b.Identity == nil || b.Identity.Instance != from {
 			return
 		}
-		m = n.Members.Learn(*b.Card, now)
+		m = n.Members.Learn(*b.Identity, now)
 	}
 	if !m.Hear(b.Sent, now) {
 		return
@@ -158,7 +158,7 @@
 // the bodies is set.
 type Entry struct {
 	Offset  unit.Offset
-	Join    *member.Card
+	Join    *member.Identity
 	Goodbye *member.Goodbye
 	Claim   *Claim
 }
@@ -210,34 +210,36 @@
 	return true
 }
 
-// Bid starts, drops and completes bids for the data centres and appends the
-// claims that are due to dst. Repeat is the time after which an append without
-// a known outcome is repeated.
-func (n *Node) Bid(dst []Claim, centres []unit.DataCentre, now clock.Millis, repeat clock.Span) []Claim {
+// ClaimDue starts, drops and completes pending claims for the data centres and
+// appends the claims that are due to dst. Repeat is the time after which an
+// append without a known outcome is repeated, even if the owner is heard of
+// again: until a claim of that epoch is known, this process can promise nothing.
+func (n *Node) ClaimDue(dst []Claim, centres []unit.DataCentre, now clock.Millis, repeat clock.Span) []Claim {
 	for _, dc := range centres {
 		row := n.Tenures.Ensure(dc)
-		bid := n.Bids.Get(dc)
-		if bid != nil && row.Epoch >= bid.Epoch {
-			n.Bids.Delete(dc)
-			bid = nil
+		pending := n.Pending.Get(dc)
+		if pending != nil && row.Epoch >= pending.Epoch {
+			n.Pending.Delete(dc)
+			pending = nil
 		}
-		if n.Leaving || !Due(row, dc, &n.Members, &n.Self, now, n.Limits) {
-			if bid != nil && bid.Appended == 0 {
-				n.Bids.Delete(dc)
+		appended := pending != nil && pending.Appended > 0
+		if n.Leaving || !appended && !Due(row, dc, &n.Members, &n.Self, now, n.Limits) {
+			if !appended {
+				n.Pending.Delete(dc)
 			}
 			continue
 		}
-		if bid == nil {
-			bid = n.Bids.Put(dc, Bid{Epoch: row.Epoch + 1, Since: now})
+		if pending == nil {
+			pending = n.Pending.Put(dc, PendingClaim{Epoch: row.Epoch + 1, Since: now})
 		}
-		if bid.Appended > 0 && now.Sub(bid.Appended) < repeat || !bid.Ready(row, &n.Members, &n.Self, now, n.Limits) {
+		if appended && now.Sub(pending.Appended) < repeat || !pending.Ready(row, &n.Members, &n.Self, now, n.Limits) {
 			continue
 		}
-		if bid.Appended > 0 {
-			bid.Unsure++
+		if appended {
+			pending.Unsure++
 		}
-		bid.Appended = max(now, 1)
-		dst = append(dst, Claim{DataCentre: dc, Epoch: bid.Epoch, Instance: n.Self.Instance, Cleared: row.Cleared})
+		pending.Appended = max(now, 1)
+		dst = append(dst, Claim{DataCentre: dc, Epoch: pending.Epoch, Instance: n.Self.Instance, Cleared: row.Cleared})
 	}
 	return dst
 }
--- a/schedule/tenure/bid.go
+++ b/schedule/tenure/pending.go
@@ -7,24 +7,24 @@
 	"mimosadock/schedule/unit"
 )
 
-// Bid is an intended claim. From Since on this process promises nothing for
-// the data centre. An appended bid stays until a claim of its epoch is known,
-// since an append whose answer is lost can still take effect.
-type Bid struct {
+// PendingClaim is an intended claim. From Since on this process promises nothing
+// for the data centre. An appended one stays until a claim of its epoch is
+// known, since an append whose answer is lost can still take effect.
+type PendingClaim struct {
 	Epoch    unit.Epoch
 	Since    clock.Millis
 	Appended clock.Millis // last append; zero before the first
 	Unsure   int          // appends without a known outcome before that one
 }
 
-// Bids holds the bids by data centre. The zero value is empty.
-type Bids struct {
-	table.Table[unit.DataCentre, Bid]
+// PendingClaims holds the pending claims by data centre. The zero value is empty.
+type PendingClaims struct {
+	table.Table[unit.DataCentre, PendingClaim]
 }
 
 // Standing is what a process must know of itself to claim.
 type Standing struct {
-	member.Card
+	member.Identity
 	Acknowledged clock.Millis // when a member acknowledged it; zero if none has
 	Founder      bool         // no member of the journal is left, as proven
 	LastRead     clock.Millis // start of the last complete journal read
@@ -82,7 +82,7 @@
 // Ready reports whether the claim of b may be appended now: the journal was
 // read to its end after the last promise was withheld, and that promise has
 // ended or the owner that counted on it is known to have.
-func (b *Bid) Ready(r *Row, members *member.Table, self *Standing, now clock.Millis, l Limits) bool {
+func (b *PendingClaim) Ready(r *Row, members *member.Table, self *Standing, now clock.Millis, l Limits) bool {
 	if !self.May(now, l) || self.LastRead < b.Since {
 		return false
 	}
--- a/schedule/tenure/takeover.go
+++ b/schedule/tenure/takeover.go
@@ -30,7 +30,7 @@
 			f.Ended = r.Learned
 		case m == nil:
 		case m.Settled >= r.Version:
-			f.Ended, f.Gave = now, true
+			f.Ended, f.GaveWay = now, true
 		case m.Dead:
 			f.Ended = m.DeadAt
 		case m.Gone:
@@ -79,7 +79,7 @@
 	all := formers{given: true, handed: true}
 	for _, f := range r.Formers {
 		all.handed = all.handed && f.Handed
-		all.given = all.given && (f.Gave || f.Handed)
+		all.given = all.given && (f.GaveWay || f.Handed)
 		if f.Ended == 0 {
 			all.ended = clock.Never
 		}
--- a/schedule/tenure/tenure_test.go
+++ b/schedule/tenure/tenure_test.go
@@ -190,16 +190,16 @@
 			is := is.New(t)
 			n := Node{Limits: DefaultLimits()}
 			n.Self = Standing{
-				Card:         member.Card{Instance: "b", DataCentre: "kelso"},
+				Identity:     member.Identity{Instance: "b", DataCentre: "kelso"},
 				Acknowledged: tc.acknowledged, Founder: tc.founder, LastRead: tc.lastRead,
 			}
-			n.Members.Put("a", member.Row{Card: member.Card{Instance: "a", DataCentre: "kelso"}, Dead: tc.ownerDead})
+			n.Members.Put("a", member.Row{Identity: member.Identity{Instance: "a", DataCentre: "kelso"}, Dead: tc.ownerDead})
 			n.Tenures.Learn(claim(1, "a", 0), 1, &n.Members)
-			n.Bid(nil, []unit.DataCentre{"kelso"}, 80_000, clock.Second) // withholds the promise
+			n.ClaimDue(nil, []unit.DataCentre{"kelso"}, 80_000, clock.Second) // withholds the promise
 			beat := n.Beat(n.Members.Get("a"), 80_000)
 			is.Equal(len(beat.Claiming), 1)
-			n.Bids.Get("kelso").Appended = 0
-			got := n.Bid(nil, []unit.DataCentre{"kelso"}, tc.now, clock.Second)
+			n.Pending.Get("kelso").Appended = 0
+			got := n.ClaimDue(nil, []unit.DataCentre{"kelso"}, tc.now, clock.Second)
 			is.Equal(len(got), tc.want)
 			is.True(tc.want == 0 || got[0] == claim(2, "b", 0))
 		})
