--- a/entry/control/membership.go
+++ b/entry/control/membership.go
@@ -29,25 +29,25 @@
 // by reading; see [MembersRead]. A record that certainly was not appended is
 // told by [NotAppended].
 type Records interface {
-	Append(record any) // member.Card (a join), member.Goodbye or tenure.Claim
+	Append(record any) // member.Identity (a join), member.Goodbye or tenure.Claim
 }
 
 // memberState holds the tables of membership.
 type memberState struct {
-	node       tenure.Node
-	hosts      member.Hosts
-	notices    table.Table[string, clock.Millis] // hosts that told that they are leaving
-	checker    Checker
-	checks     []string
-	peers      Peers
-	records    Records
-	seeds      []string // addresses of peers from the settings
-	beats      table.Table[unit.Instance, clock.Millis]
-	pruned     clock.Millis // last removal of members that ended long ago
-	seeded     clock.Millis // last heartbeats to the seeds
-	joining    clock.Millis // last append of the join record; zero before
-	left       chan struct{}
-	farewelled bool
+	node        tenure.Node
+	hosts       member.Hosts
+	notices     table.Table[string, clock.Millis] // hosts that told that they are leaving
+	checker     Checker
+	checks      []string
+	peers       Peers
+	records     Records
+	seeds       []string // addresses of peers from the settings
+	beats       table.Table[unit.Instance, clock.Millis]
+	pruned      clock.Millis // last removal of members that ended long ago
+	seeded      clock.Millis // last heartbeats to the seeds
+	joining     clock.Millis // last append of the join record; zero before
+	leaveDone   chan struct{}
+	goodbyeSent bool
 
 	memberEntries []tenure.Entry // of the batch that is being applied
 }
@@ -59,7 +59,7 @@
 	s := &l.state
 	s.peers, s.records, s.seeds = peers, records, seeds
 	s.node.Limits = limits
-	s.node.Self.Card = member.Card{
+	s.node.Self.Identity = member.Identity{
 		Instance: s.Self.Instance, Address: s.Self.Address, Host: s.Self.Host, DataCentre: s.Self.DataCentre,
 	}
 	s.holder.Self = s.Self.Instance
@@ -88,10 +88,10 @@
 // Apply makes the record due again.
 func (m NotAppended) Apply(s *State, _ clock.Millis) {
 	switch r := m.Record.(type) {
-	case member.Card:
+	case member.Identity:
 		s.joining = 0
 	case tenure.Claim:
-		if b := s.node.Bids.Get(r.DataCentre); b != nil && b.Epoch == r.Epoch && b.Unsure == 0 {
+		if b := s.node.Pending.Get(r.DataCentre); b != nil && b.Epoch == r.Epoch && b.Unsure == 0 {
 			b.Appended = 0
 		}
 	}
@@ -126,14 +126,14 @@
 
 // Apply ends the grants of this process.
 func (m Leave) Apply(s *State, _ clock.Millis) {
-	s.node.Leaving, s.holder.Leaving, s.left = true, true, m.Done
+	s.node.Leaving, s.holder.Leaving, s.leaveDone = true, true, m.Done
 	s.Urge()
 }
 
-// farewell appends the goodbye record once no tenure is left that a live member
+// sayGoodbye appends the goodbye record once no tenure is left that a live member
 // could take over.
-func (s *State) farewell(now clock.Millis) {
-	if !s.node.Leaving || s.farewelled {
+func (s *State) sayGoodbye(now clock.Millis) {
+	if !s.node.Leaving || s.goodbyeSent {
 		return
 	}
 	alone := s.successor(s.Self.DataCentre, now) == ""
@@ -142,10 +142,10 @@
 			return
 		}
 	}
-	s.farewelled = true
+	s.goodbyeSent = true
 	s.records.Append(member.Goodbye{Instance: s.Self.Instance})
-	if s.left != nil {
-		close(s.left)
+	if s.leaveDone != nil {
+		close(s.leaveDone)
 	}
 }
 
@@ -173,7 +173,7 @@
 		s.pruned = now
 		s.node.Prune(now)
 	}
-	s.farewell(now)
+	s.sayGoodbye(now)
 	if s.node.Full() {
 		member.Acknowledge(&s.node.Members, now, tenure.Allow(s.node.Limits.Confirm))
 	}
@@ -234,7 +234,7 @@
 		return
 	}
 	s.joining = max(now, 1)
-	s.records.Append(s.node.Self.Card)
+	s.records.Append(s.node.Self.Identity)
 }
 
 // declareLost applies the data centres that the services text declares lost,
--- a/entry/control/tenurerecords.go
+++ b/entry/control/tenurerecords.go
@@ -28,7 +28,7 @@
 // JoinJournal makes the loop learn members and tenures from the journal, and
 // returns where it appends its own. It is called before Run.
 func (l *Loop) JoinJournal() Records {
-	l.OnRecord(record.Join, noteMember(func(c *member.Card) tenure.Entry { return tenure.Entry{Join: c} }))
+	l.OnRecord(record.Join, noteMember(func(c *member.Identity) tenure.Entry { return tenure.Entry{Join: c} }))
 	l.OnRecord(record.Goodbye, noteMember(func(g *member.Goodbye) tenure.Entry { return tenure.Entry{Goodbye: g} }))
 	l.OnRecord(record.Claim, noteClaim)
 	l.AddSection(Section{Name: membersSection, Common: true, Save: saveMembers, Restore: restoreMembers})
@@ -86,7 +86,7 @@
 
 func (r journalRecords) encode(body any) (record.Record, error) {
 	switch b := body.(type) {
-	case member.Card:
+	case member.Identity:
 		return record.Encode(&r.state.origin, record.Join, b)
 	case member.Goodbye:
 		return record.Encode(&r.state.origin, record.Goodbye, b)
@@ -99,8 +99,8 @@
 
 // savedMember is a member of the journal in a snapshot.
 type savedMember struct {
-	Card   member.Card `cbor:"1,keyasint"`
-	Offset unit.Offset `cbor:"2,keyasint"`
+	Identity member.Identity `cbor:"1,keyasint"`
+	Offset   unit.Offset     `cbor:"2,keyasint"`
 }
 
 // savedMembers is the section of members and tenures. Claims has those of
@@ -114,11 +114,11 @@
 	var saved savedMembers
 	for _, m := range s.node.Members.All() {
 		if m.Joined && !m.Gone {
-			saved.Members = append(saved.Members, savedMember{m.Card, m.Offset})
+			saved.Members = append(saved.Members, savedMember{m.Identity, m.Offset})
 		}
 	}
 	if s.node.JoinedAt > 0 {
-		saved.Members = append(saved.Members, savedMember{s.node.Self.Card, s.node.Offset})
+		saved.Members = append(saved.Members, savedMember{s.node.Self.Identity, s.node.Offset})
 	}
 	for dc, r := range s.node.Tenures.All() {
 		for _, f := range r.Formers {
@@ -138,7 +138,7 @@
 	}
 	for i := range saved.Members {
 		m := &saved.Members[i]
-		s.memberEntries = append(s.memberEntries, tenure.Entry{Offset: m.Offset, Join: &m.Card})
+		s.memberEntries = append(s.memberEntries, tenure.Entry{Offset: m.Offset, Join: &m.Identity})
 	}
 	for i := range saved.Claims {
 		s.memberEntries = append(s.memberEntries, tenure.Entry{Claim: &saved.Claims[i]})
--- a/replay/traffic/peer.go
+++ b/replay/traffic/peer.go
@@ -59,7 +59,7 @@
 func (p *peer) open(w *World, row *processRow) {
 	p.world, p.process = w, row
 	p.node.Limits = tenure.DefaultLimits()
-	p.node.Self.Card = member.Card{
+	p.node.Self.Card = member.Identity{
 		Instance: row.Instance(), Host: row.Host, DataCentre: row.DataCentre,
 		// The platform replaces a host by one with another address.
 		Address: fmt.Sprintf("%s:%d", row.Host, 9000+row.life),
