--- a/bench/journal/journal_test.go
+++ b/bench/journal/journal_test.go
@@ -10,6 +10,7 @@
 
 	"mimosadock/entry/stream"
 	"mimosadock/schedule/clock"
+	"mimosadock/schedule/config"
 	"mimosadock/schedule/group"
 	"mimosadock/schedule/record"
 	"mimosadock/schedule/snapshot"
@@ -129,3 +130,33 @@
 		b.ReportMetric(float64(n), "bytes/s")
 	}
 }
+
+// BenchmarkSnapshots measures how long the control goroutine takes to encode
+// the snapshots of all scopes.
+func BenchmarkSnapshots(b *testing.B) {
+	o := &record.Origin{Writer: "a"}
+	var r config.Register
+	r.Anchor(0)
+	c, err := config.NewChange(0, "morag", 1, Target.text(0))
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.Apply(0, o.NextID(), c)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Target.snapshots(o, &r, 1); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkCheck measures the check of one change of the configuration.
+func BenchmarkCheck(b *testing.B) {
+	c, err := config.NewChange(0, "morag", 1, Target.text(0))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		config.Check(c.Change)
+	}
+}
--- a/schedule/snapshot/schedule.go
+++ b/schedule/snapshot/schedule.go
@@ -20,7 +20,7 @@
 }
 
 // DefaultLimits are for a journal that keeps a day or a million entries.
-var DefaultLimits = Limits{Entries: 1_000_000, Age: 24 * clock.Hour, Tail: 8 << 20, Changes: 64}
+var DefaultLimits = Limits{Entries: 1_000_000, Age: 24 * clock.Hour, Tail: 8 << 20, Changes: 32}
 
 // progress is what has happened since the newest snapshot of a scope.
 type progress struct {
@@ -28,7 +28,7 @@
 	at      unit.Offset // covers everything before
 	from    unit.Offset // first record of the snapshot; of the scope if there is none
 	since   clock.Millis
-	aged    bool // age unknown: found at recovery
+	aged    bool // found at recovery, so that its age is unknown, or fresh
 	tail    unit.Bytes
 	changes int
 	trying  bool
@@ -44,13 +44,15 @@
 }
 
 // Note takes in a complete snapshot that was read at the instant now. One
-// found at recovery is of unknown age, which counts as due.
+// found at recovery is of unknown age, which counts as due. So does a fresh
+// one, since a reader that finds no other has to look through the whole
+// journal.
 func (s *Schedule) Note(f Found, now clock.Millis, recovered bool) {
 	row := s.rows.Get(f.Scope)
 	if row != nil && row.known && f.At < row.at {
 		return
 	}
-	s.rows.Put(f.Scope, progress{known: true, at: f.At, from: f.From, since: now, aged: recovered})
+	s.rows.Put(f.Scope, progress{known: true, at: f.At, from: f.From, since: now, aged: recovered || f.Fresh})
 }
 
 // Touch notes that the scope has records from the offset on, so that readers
--- a/schedule/snapshot/snapshot_test.go
+++ b/schedule/snapshot/snapshot_test.go
@@ -172,6 +172,8 @@
 			is.True(!s.Due(Common, tc.next, tc.now.Add(RetryAfter-1))) // is under way
 			s.Note(Found{Contents: Contents{Scope: Common, At: tc.next}}, tc.now, true)
 			is.True(s.Due(Common, tc.next, tc.now)) // age unknown after a recovery
+			s.Note(Found{Contents: Contents{Scope: Common, At: tc.next, Fresh: true}}, tc.now, false)
+			is.True(s.Due(Common, tc.next, tc.now)) // to be followed by another
 		})
 	}
 	is := is.New(t)
