Wait for an owner before the load run

Cause: the load began before a member could have claimed the data centre. Change: load/run.sh waits 12 s after the start of the processes.

--- a/load/run.sh
+++ b/load/run.sh
@@ -69,6 +69,8 @@
 	targets="$targets --target 127.0.0.1:$((port + 100 + n))"
 done
 
+# Until a member has claimed the data centre nobody may grant slots.
+sleep 12
 began=$(date +%s)
 # shellcheck disable=SC2086
 bin/load send $targets --ready 20s --rate "$rate" --factor 5 --swing-from 6s --swing-to 9s \
