Bring the replay in line with renamed tenure calls and extend the main job

Cause: renamed calls of tenure and slots; a batch task in the main job could end before the urgent task came.

--- a/demo/job.go
+++ b/demo/job.go
@@ -2,166 +2,190 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"io"
-	"net/http"
-	"net/http/httptest"
-	"strings"
-	"sync/atomic"
-	"text/tabwriter"
+	"time"
 
-	"github.com/charmbracelet/log"
-
-	"mimosadock/entry/control"
-	"mimosadock/entry/process"
-	"mimosadock/entry/setting"
+	"mimosadock/entry/admin"
 	"mimosadock/schedule/group"
-	"mimosadock/schedule/service"
-	"mimosadock/standin/upstream"
+	"mimosadock/schedule/unit"
 )
 
-// upstreams is the number of stand-in executors.
-const upstreams = 2
-
-// row is one line of the table that the main job prints.
-type row struct {
-	work string
-	sent int64
-	done int64
-	note string
-	ok   bool
-}
+// reportTasks are as many as the workers hold at once.
+const reportTasks = 4
 
-// run starts the parts, sends the requests and returns what happened.
-func run(ctx context.Context, checks int) ([]row, error) {
-	executors := make([]*upstream.Upstream, upstreams)
-	addresses := make([]string, upstreams)
-	for i := range executors {
-		executors[i] = new(upstream.Upstream)
-		srv := httptest.NewServer(executors[i])
-		defer srv.Close()
-		addresses[i] = srv.Listener.Addr().String()
-	}
-	text, err := service.Parse([]byte(servicesText(addresses)))
+// run starts the site, sends the work and returns what happened.
+func run(ctx context.Context, checks int) (rows []row, err error) {
+	s, err := openSite(ctx)
+	defer func() { err = errors.Join(err, s.close()) }()
 	if err != nil {
 		return nil, err
 	}
-	p, err := process.Open(setting.Settings{Listen: "127.0.0.1:0", Operator: "127.0.0.1:0", DataCentre: "kelso", LogLevel: "warn"}, log.New(io.Discard))
+	inForce, err := s.configure(ctx)
 	if err != nil {
 		return nil, err
 	}
+	rows = append(rows, row{"configuration", 1, 1, fmt.Sprintf("in force in %d processes after %d ms", processes, inForce.Milliseconds()), inForce < 4*time.Second})
+	if err := await(ctx, "slots are granted", func() bool { return send(ctx, s.processes[0], "lookup", "first", 1) == nil }); err != nil {
+		return rows, err
+	}
+	if err := s.fill(ctx); err != nil {
+		return rows, err
+	}
+	requests := make(chan []row, 1)
 	g := group.New(ctx)
-	g.Go("entry", func(ctx context.Context) error { return p.Run(ctx, context.Background()) })
-	if err := p.Loop.Send(ctx, control.SetText{Revision: 1, Text: text}); err != nil {
-		return nil, err
+	g.Go("requests", func(ctx context.Context) error {
+		requests <- s.requests(ctx, checks)
+		return nil
+	})
+	work, err := s.work(ctx)
+	rows = append(rows, work...)
+	_ = g.Wait()
+	return append(rows, <-requests...), err
+}
+
+// configure applies the services text and returns how long it took until it
+// was in force everywhere.
+func (s *site) configure(ctx context.Context) (time.Duration, error) {
+	var last error
+	if err := await(ctx, "the text is accepted", func() bool {
+		var applied struct {
+			Revision unit.Revision `json:"revision"`
+		}
+		last = call(ctx, s.processes[0], "PUT", "/v1/config", admin.Change{Text: servicesText}, &applied)
+		return last == nil
+	}); err != nil {
+		return 0, fmt.Errorf("%w; last answer: %w", err, last)
 	}
-	if err := waitReady(ctx, p); err != nil {
-		return nil, err
+	accepted := time.Now()
+	err := await(ctx, "the text is in force", func() bool {
+		for _, p := range s.processes {
+			if v := p.Loop.View(); v.Revision != 1 || !v.Ready {
+				return false
+			}
+		}
+		return true
+	})
+	return time.Since(accepted), err
+}
+
+// fill submits standing work and a batch job that takes all workers, and waits
+// until the latter has run long enough for a checkpoint.
+func (s *site) fill(ctx context.Context) error {
+	p := s.processes[processes-1] // of another data centre than the workers
+	if err := submit(ctx, p, "farms", admin.Submission{ID: "feed", Kind: "feed", Tasks: 1}); err != nil {
+		return err
+	}
+	if err := submit(ctx, p, "farms", admin.Submission{ID: "reports", Kind: "report", Tasks: reportTasks}); err != nil {
+		return err
 	}
-	rows := traffic(ctx, p.CallerAddress(), checks, executors)
-	g.Stop()
-	return rows, g.Wait()
+	return await(ctx, "all reports have a checkpoint", func() bool {
+		j := show(ctx, p, "reports")
+		saved := 0
+		for _, t := range j.Tasks {
+			if t.Progress > 0 {
+				saved++
+			}
+		}
+		return saved == reportTasks
+	})
 }
 
-func servicesText(addresses []string) string {
-	var members strings.Builder
-	for _, a := range addresses {
-		fmt.Fprintf(&members, "\n      - {address: %q, dataCentre: kelso}", a)
-	}
-	return fmt.Sprintf(`version: 1
-capacity: {cpu: 64000, memory: 65536}
-dataCentres:
-  - {name: kelso, region: lowland}
-teams:
-  - {name: marts, quota: {cpu: 32000, memory: 32768}}
-upstreamSets:
-  - name: weighbook
-    slots: 8
-    members:%s
-services:
-  - {name: lookup, team: marts, class: urgent, upstreamSet: weighbook, deadlineMs: 2000, idempotent: true}
-  - {name: order, team: marts, class: standard, upstreamSet: weighbook, deadlineMs: 4000}
-  - {name: watch, team: marts, class: long, upstreamSet: weighbook, deadlineMs: 60000}
-`, members.String())
+// work submits an urgent task that needs the room of a batch task, and waits
+// for the end of both jobs.
+func (s *site) work(ctx context.Context) ([]row, error) {
+	p := s.processes[0]
+	began := time.Now()
+	if err := submit(ctx, p, "marts", admin.Submission{ID: "ring", Kind: "ring", Tasks: 1}); err != nil {
+		return nil, err
+	}
+	var start time.Duration
+	resumed := make(map[unit.Task]string)
+	err := await(ctx, "the urgent task runs", func() bool {
+		j := show(ctx, p, "ring")
+		start = time.Since(began)
+		return len(j.Tasks) == 1 && j.Tasks[0].Attempt > 0
+	})
+	if err == nil {
+		err = await(ctx, "the jobs have finished", func() bool {
+			s.noteResumed(resumed)
+			return show(ctx, p, "ring").State == "finished" && show(ctx, p, "reports").State == "finished"
+		})
+	}
+	reports, feed := show(ctx, p, "reports"), show(ctx, p, "feed")
+	evicted := 0
+	for _, t := range reports.Tasks {
+		evicted += t.Evicted
+	}
+	running := 0
+	for _, t := range feed.Tasks {
+		if t.State == "running" || t.State == "placed" {
+			running++
+		}
+	}
+	return []row{
+		{"urgent task", 1, done(show(ctx, p, "ring")), fmt.Sprintf("started after %d ms on full workers", start.Milliseconds()), start < 2300*time.Millisecond},
+		{"batch tasks", reportTasks, done(reports), fmt.Sprintf("%d eviction(s), %d resumed from a checkpoint", evicted, len(resumed)), done(reports) == reportTasks && evicted > 0 && len(resumed) > 0},
+		{"standing task", 1, int64(running), "still running", running == 1},
+	}, err
 }
 
-func waitReady(ctx context.Context, p *process.Process) error {
-	for !p.Loop.View().Ready {
-		resp, err := http.Get("http://" + p.CallerAddress() + "/ready")
-		if err != nil {
-			return err
+// noteResumed adds the tasks that run from a checkpoint now, with its name.
+func (s *site) noteResumed(resumed map[unit.Task]string) {
+	for _, w := range s.workers {
+		for _, l := range w.Running(nil) {
+			if l.From != "" {
+				resumed[l.Task] = l.From
+			}
 		}
-		resp.Body.Close()
-		if ctx.Err() != nil {
-			return ctx.Err()
+	}
+}
+
+func done(j admin.Job) int64 {
+	n := int64(0)
+	for _, t := range j.Tasks {
+		if t.State == "finished" {
+			n++
 		}
 	}
-	return nil
+	return n
 }
 
-// traffic sends one long watch, one order and many short checks at once.
-func traffic(ctx context.Context, address string, checks int, executors []*upstream.Upstream) []row {
-	g := group.New(ctx)
-	var watched, ordered, checked atomic.Int64
-	g.Go("watch", func(ctx context.Context) error { return send(ctx, address, "watch", "watch-1", 300, &watched) })
-	g.Go("order", func(ctx context.Context) error { return send(ctx, address, "order", "order-1", 20, &ordered) })
+// requests sends one long watch, one order and many short checks at once.
+func (s *site) requests(ctx context.Context, checks int) []row {
+	g := group.New(context.WithoutCancel(ctx))
+	var watch, order error
+	whole := int64(0)
+	g.Go("watch", func(ctx context.Context) error {
+		watch = send(ctx, s.processes[1], "watch", "watch-1", 3000)
+		return nil
+	})
+	g.Go("order", func(ctx context.Context) error { order = send(ctx, s.processes[2], "order", "order-1", 20); return nil })
 	g.Go("checks", func(ctx context.Context) error {
 		for i := range checks {
-			if err := send(ctx, address, "lookup", fmt.Sprintf("check-%d", i), 1, &checked); err != nil {
-				return err
+			if send(ctx, s.processes[i%processes], "lookup", fmt.Sprintf("check-%d", i), 2) == nil {
+				whole++
 			}
 		}
 		return nil
 	})
-	err := g.Wait()
+	_ = g.Wait()
 	orders, peak := 0, int64(0)
-	for _, e := range executors {
-		orders += e.Ran("order-1")
-		peak = max(peak, e.Peak())
+	for _, u := range s.upstreams {
+		orders += u.Ran("order-1")
+		peak = max(peak, u.Peak())
 	}
 	return []row{
-		{"short checks", int64(checks), checked.Load(), fmt.Sprint("error: ", err), checked.Load() == int64(checks)},
-		{"orders (not idempotent)", 1, ordered.Load(), fmt.Sprintf("ran %d time(s) at the upstreams", orders), orders == 1},
-		{"long watch", 1, watched.Load(), "beside the checks", watched.Load() == 1},
-		{"upstream slots", 8, peak, "most in flight on one upstream", peak <= 8},
+		{"short checks", int64(checks), whole, "whole answers, over three processes", whole == int64(checks)},
+		{"order, not idempotent", 1, one(order), fmt.Sprintf("ran %d time(s)", orders), order == nil && orders == 1},
+		{"long watch", 1, one(watch), "beside the checks", watch == nil},
+		{"upstream slots", slots, peak, "most in flight on one upstream", peak <= slots},
 	}
 }
 
-func send(ctx context.Context, address, service, id string, ms int, done *atomic.Int64) error {
-	url := fmt.Sprintf("http://%s/s/%s/?ms=%d", address, service, ms)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(id))
+func one(err error) int64 {
 	if err != nil {
-		return err
-	}
-	req.Header.Set("Mimosa-Request-Id", id)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK || string(body) != id {
-		return fmt.Errorf("%s: status %d: %s", id, resp.StatusCode, body)
-	}
-	done.Add(1)
-	return nil
-}
-
-// printRows writes the table and reports whether every row is as it should be.
-func printRows(w io.Writer, rows []row) bool {
-	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(tw, "work\tsent\tdone\tresult\tnote")
-	ok := true
-	for _, r := range rows {
-		result := "ok"
-		if !r.ok {
-			result, ok = "SHORT", false
-		}
-		fmt.Fprintf(tw, "%s\t%d\t%d\t%s\t%s\n", r.work, r.sent, r.done, result, r.note)
+		return 0
 	}
-	tw.Flush()
-	return ok
+	return 1
 }
--- a/replay/traffic/peer.go
+++ b/replay/traffic/peer.go
@@ -59,7 +59,7 @@
 func (p *peer) open(w *World, row *processRow) {
 	p.world, p.process = w, row
 	p.node.Limits = tenure.DefaultLimits()
-	p.node.Self.Card = member.Identity{
+	p.node.Self.Identity = member.Identity{
 		Instance: row.Instance(), Host: row.Host, DataCentre: row.DataCentre,
 		// The platform replaces a host by one with another address.
 		Address: fmt.Sprintf("%s:%d", row.Host, 9000+row.life),
@@ -84,7 +84,7 @@
 func (p *peer) membership(now clock.Millis) {
 	if p.node.JoinedAt == 0 && (p.joining == 0 || now.Sub(p.joining) >= joinRepeat) {
 		p.joining = max(now, 1)
-		card := p.node.Self.Card
+		card := p.node.Self.Identity
 		p.world.record(tenure.Entry{Join: &card})
 	}
 	if p.node.Full() {
@@ -114,7 +114,7 @@
 // own confirms and claims tenures and starts the granters of new ones.
 func (p *peer) own(now clock.Millis) {
 	tenure.ConfirmPromises(&p.node.Tenures, &p.node.Members, p.node.Self.Instance, p.node.Limits, now)
-	for _, c := range p.node.Bid(nil, p.world.header.Deployment.DataCentres, now, claimRepeat) {
+	for _, c := range p.node.ClaimDue(nil, p.world.header.Deployment.DataCentres, now, claimRepeat) {
 		p.world.record(tenure.Entry{Claim: &c})
 	}
 	for dc, r := range p.node.Tenures.All() {
@@ -145,7 +145,7 @@
 	g.due = table.Table[unit.Instance, struct{}]{}
 	p.sync(dc, g)
 	if n := len(r.Formers); n > 0 && r.Formers[n-1].Handed {
-		g.Receive(g.handed, now)
+		g.TakeOver(g.handed, now)
 	}
 	g.handed = nil
 }
@@ -219,7 +219,7 @@
 	g.handing = max(now, 1)
 	for id, m := range p.node.Members.All() {
 		if !m.Ended() && !m.Leaving && m.DataCentre == dc {
-			p.post(id, &handover{dc, r.Epoch, g.Hand(now)}, now)
+			p.post(id, &handover{dc, r.Epoch, g.HandOver(now)}, now)
 			return
 		}
 	}
