Add pages for operators and failures; ask for a token for the state dump

Cause: GET /state gave the whole state of a process to anyone who reached the operator port, which teams use too. Change: the dump is /v1/state for operators only, beside SIGUSR1; the test now also demands 401 without a token. Pages operations.md and failures.md; a test compares the table of settings with the flags.

--- a/entry/process/bench_test.go
+++ b/entry/process/bench_test.go
@@ -29,6 +29,9 @@
 	group     *group.Group
 }
 
+// secretHash is the SHA-256 of the token "secret".
+const secretHash = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
+
 // start runs a process with n upstreams of 8 slots until the test ends.
 func start(tb testing.TB, n int, wait time.Duration) *started {
 	s := new(started)
@@ -55,7 +58,7 @@
 	if err != nil {
 		tb.Fatal(err)
 	}
-	s.Process, err = Open(setting.Settings{Listen: "127.0.0.1:0", Operator: "127.0.0.1:0", DataCentre: "kelso", BalancerWait: wait, DrainFor: time.Minute}, log.New(io.Discard))
+	s.Process, err = Open(setting.Settings{Listen: "127.0.0.1:0", Operator: "127.0.0.1:0", DataCentre: "kelso", OperatorToken: secretHash, BalancerWait: wait, DrainFor: time.Minute}, log.New(io.Discard))
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/entry/process/drain_test.go
+++ b/entry/process/drain_test.go
@@ -105,15 +105,15 @@
 	is.NoErr(s.group.Wait())
 }
 
-// Guards against a state dump that lacks a part or has names in another style.
+// Guards against a state dump that lacks a part, has names in another style or
+// needs no token.
 func TestState(t *testing.T) {
 	is := is.New(t)
 	s := start(t, 2, 0)
 	_, _, _, err := s.get("/s/lookup/")
 	is.NoErr(err)
-	resp, err := http.Get("http://" + s.OperatorAddress() + "/state")
-	is.NoErr(err)
-	defer resp.Body.Close()
+	is.Equal(dump(t, s.OperatorAddress(), "").StatusCode, http.StatusUnauthorized)
+	resp := dump(t, s.OperatorAddress(), "secret")
 	var state map[string]any
 	is.NoErr(json.NewDecoder(resp.Body).Decode(&state))
 	is.Equal(len(state["control"].(map[string]any)["upstreams"].([]any)), 2)
@@ -123,6 +123,21 @@
 	checkNames(t, state)
 }
 
+// dump asks for the state with a bearer token.
+func dump(t *testing.T, address, token string) *http.Response {
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/v1/state", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { resp.Body.Close() })
+	return resp
+}
+
 func checkNames(t *testing.T, v any) {
 	switch v := v.(type) {
 	case map[string]any:
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"expvar"
 	"fmt"
@@ -207,14 +206,5 @@
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	api := &admin.Server{Backend: &backend{p}, Clock: clock.System{}, Bootstrap: service.TokenHash(p.settings.OperatorToken)}
 	mux.Handle("/v1/", api.Handler())
-	mux.HandleFunc("GET /state", func(w http.ResponseWriter, r *http.Request) {
-		s, err := p.State(r.Context())
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(s)
-	})
 	return mux
 }
--- a/entry/setting/setting_test.go
+++ b/entry/setting/setting_test.go
@@ -1,10 +1,13 @@
 package setting
 
 import (
+	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/alecthomas/kingpin/v2"
 	"github.com/matryer/is"
 )
 
@@ -44,3 +47,24 @@
 		})
 	}
 }
+
+// Guards against a page for operators that misses a setting or its variable.
+func TestOperationsPageListsEverySetting(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/operations.md")
+	is.NoErr(err)
+	app := kingpin.New("entry", "")
+	new(Settings).Register(app)
+	for _, f := range app.Model().Flags {
+		if f.Envar == "" {
+			continue // of the library: help and completion
+		}
+		row := fmt.Sprintf("| `--%s` | `%s` | ", f.Name, f.Envar)
+		if len(f.Default) > 0 {
+			row += fmt.Sprintf("`%s` |", f.Default[0])
+		}
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/operations.md has no row that begins with %q", row)
+		}
+	}
+}
