Pool the margin of learned sizes and bound the reserve to an eighth

Cause: 2,000 batch tasks waited while a fifth to a half of the processors were idle. A dump of the board each minute (trial) showed two reasons: after one peak half of all room stayed reserved for an hour, and every task kept two spreads of its kind for itself, so that memory was reserved to 95% and used to 52%. Change: n tasks that share a worker spread by the root of n only, so each keeps the mean and two spreads over the root of n; the reserve takes at most an eighth of the room.

--- a/schedule/estimate/demand.go
+++ b/schedule/estimate/demand.go
@@ -11,8 +11,8 @@
 	peakWindows = 6                 // parts that are remembered
 	// reserveShare is the greatest part of the room for batch work that is kept
 	// free, one in so many. A single peak would otherwise keep batch work out
-	// for an hour.
-	reserveShare = 2
+	// for an hour; with half of the room 2,000 tasks waited beside idle workers.
+	reserveShare = 8
 )
 
 // Demand learns the peak of what latency-critical work uses. The zero value has
@@ -35,7 +35,7 @@
 }
 
 // Reserve returns what must stay free now so that demand can rise to its
-// remembered peak: the peak less what is used already, at most half of the
+// remembered peak: the peak less what is used already, at most an eighth of the
 // room that other work than batch leaves.
 func (d *Demand) Reserve(used, room unit.Resources) unit.Resources {
 	var peak unit.Resources
--- a/schedule/estimate/kind.go
+++ b/schedule/estimate/kind.go
@@ -43,13 +43,14 @@
 }
 
 // Size returns the size to reserve for a task: the greater of what is declared
-// and the mean and two spreads of what was measured, once enough samples are
-// known, and never over the given capacity. Accelerators are as declared.
+// and what a task takes that shares the given capacity with others of its kind
+// (see [Moments.High]), once enough samples are known, and never over the
+// capacity. Accelerators are as declared.
 func (k *Kind) Size(declared, capacity unit.Resources) unit.Resources {
 	size := declared
 	if k != nil && k.Known() {
-		size.CPU = min(max(size.CPU, unit.MilliCPU(k.CPU.High())), max(capacity.CPU, declared.CPU))
-		size.Memory = min(max(size.Memory, unit.MiB(k.Memory.High())), max(capacity.Memory, declared.Memory))
+		size.CPU = min(max(size.CPU, unit.MilliCPU(k.CPU.High(float64(capacity.CPU)))), max(capacity.CPU, declared.CPU))
+		size.Memory = min(max(size.Memory, unit.MiB(k.Memory.High(float64(capacity.Memory)))), max(capacity.Memory, declared.Memory))
 	}
 	return size
 }
--- a/schedule/estimate/moments.go
+++ b/schedule/estimate/moments.go
@@ -36,5 +36,14 @@
 	return math.Sqrt(max(0, m.M2) / float64(m.N-1))
 }
 
-// High returns the mean and two spreads.
-func (m *Moments) High() float64 { return m.Mean + 2*m.Spread() }
+// High returns what a sample that shares the given capacity with others of its
+// kind takes, two spreads above the mean: the sum of n independent samples
+// spreads by the root of n only, so each of them has to keep that much less. A
+// capacity that holds one sample gives the mean and two spreads.
+func (m *Moments) High(capacity float64) float64 {
+	if m.Mean <= 0 {
+		return 2 * m.Spread()
+	}
+	n := max(1, math.Floor(capacity/m.Mean))
+	return m.Mean + 2*m.Spread()/math.Sqrt(n)
+}
