--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -18,6 +18,7 @@
 	group   group.Group
 	mu      sync.Mutex
 	http    *http.Server
+	kept    reservation
 }
 
 // Listen returns an upstream that serves on a free loopback port.
@@ -34,6 +35,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.http.Close()
+	s.kept.take(s.address)
 }
 
 // Resume serves again on the same address.
@@ -44,6 +46,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.kept.release()
 	s.address = l.Addr().String()
 	srv := &http.Server{Handler: &s.Upstream}
 	s.http = srv
@@ -59,5 +62,8 @@
 // Close ends the server and waits for it.
 func (s *Server) Close() error {
 	s.Refuse()
+	s.mu.Lock()
+	s.kept.release()
+	s.mu.Unlock()
 	return s.group.Wait()
 }
