--- a/schedule/job/job_test.go
+++ b/schedule/job/job_test.go
@@ -123,6 +123,20 @@
 	})
 }
 
+// Guards against a finished task that runs again: an adopted attempt whose start
+// the journal lacks, and a later start that comes after the end.
+func TestFinishedWithoutItsStart(t *testing.T) {
+	is := is.New(t)
+	var tab Tables
+	tab.Apply(Submitted{Head: Head{Epoch: 1, Job: "a"}, Spec: Spec{ID: "a", Tasks: 1}})
+	h := Head{Epoch: 4, Job: "a", Task: TaskID("a", 0), Attempt: 65544}
+	is.True(tab.Apply(Finished{Head: h}))
+	is.Equal(tab.Jobs.Get("a").State, StateFinished)
+	h.Attempt = 196609
+	is.Equal(tab.Apply(Started{Head: h, Worker: "w"}), false)
+	is.Equal(tab.Tasks.Get(h.Task).State, StateFinished)
+}
+
 // Guards against a move that takes effect twice, or for a writer that was no
 // longer the owner.
 func TestMove(t *testing.T) {
--- a/schedule/job/state.go
+++ b/schedule/job/state.go
@@ -39,10 +39,12 @@
 func (s set) has(st State) bool { return s&(1<<st) != 0 }
 
 // transitions lists for each state the states that may follow it. A placed
-// task goes back to waiting when its start certainly did not run.
+// task goes back to waiting when its start certainly did not run. A waiting task
+// can have finished when the record of its start was fenced or is written later
+// than that of its end.
 var transitions = [states]set{
 	StateSubmitted:     of(StateWaiting, StatePlaced, StateCancelled, StateImpossible),
-	StateWaiting:       of(StatePlaced, StateCancelled, StateImpossible),
+	StateWaiting:       of(StatePlaced, StateFinished, StateCancelled, StateImpossible),
 	StatePlaced:        of(StateWaiting, StateRunning, StateCheckpointing, StateEvicted, StateFinished, StateFailed, StateCancelled),
 	StateRunning:       of(StateCheckpointing, StateEvicted, StateFinished, StateFailed, StateCancelled),
 	StateCheckpointing: of(StateRunning, StateEvicted, StateFinished, StateFailed, StateCancelled),
--- a/standin/worker/board_test.go
+++ b/standin/worker/board_test.go
@@ -35,6 +35,16 @@
 	}
 }
 
+// Guards against the return of faults that only these seeds of many have shown:
+// a finished task whose start the journal lacked was run again.
+func TestSeedsThatFoundFaults(t *testing.T) {
+	for _, seed := range []uint64{3003, 8225, 9965} {
+		if fault := newModel(seed, breaks{}).run(); fault != "" {
+			t.Errorf("seed %d: %s", seed, fault)
+		}
+	}
+}
+
 // Guards against a check of TestInvariants that can't fail: every rule that is
 // broken on purpose must be noticed.
 func TestBrokenRulesAreNoticed(t *testing.T) {
