Look at the running attempts before the urgent task is submitted

Cause: in one of five runs of the main job the evicted task was stopped before the first look, so that its resumption was not seen and the row was SHORT. Ruled out: a missing resumption, since all four tasks had finished after one eviction. Change: the first look is before the submission.

--- a/demo/job.go
+++ b/demo/job.go
@@ -95,13 +95,13 @@
 // for the end of both jobs.
 func (s *site) work(ctx context.Context) ([]row, error) {
 	p := s.processes[0]
+	seen := make(map[unit.Task]resumption)
+	s.noteResumed(seen)
 	began := time.Now()
 	if err := submit(ctx, p, "marts", admin.Submission{ID: "ring", Kind: "ring", Tasks: 1}); err != nil {
 		return nil, err
 	}
 	var start time.Duration
-	seen := make(map[unit.Task]resumption)
-	s.noteResumed(seen)
 	err := await(ctx, "the urgent task runs", func() bool {
 		j := show(ctx, p, "ring")
 		start = time.Since(began)
