--- a/entry/control/jobrecords.go
+++ b/entry/control/jobrecords.go
@@ -27,7 +27,7 @@
 
 // Append hands one record to the journal.
 func (journalJobs) Append(s *State, r job.Record, written Written) {
-	rec, err := encodeJob(&s.origin, r)
+	rec, err := record.Encode(&s.origin, kindOf(r), r)
 	if err == nil {
 		err = s.Submit([]record.Record{rec}, s.clock.Now().Add(jobDeadline), func(s *State, receipt stream.Receipt, now clock.Millis) {
 			written(s, verdict.Of(receipt.Err), now)
@@ -38,26 +38,27 @@
 	}
 }
 
-func encodeJob(o *record.Origin, r job.Record) (record.Record, error) {
-	switch b := r.(type) {
+// kindOf returns the kind of the record that carries r.
+func kindOf(r job.Record) record.Kind {
+	switch r.(type) {
 	case job.Submitted:
-		return record.Encode(o, record.Submitted, b)
+		return record.Submitted
 	case job.Started:
-		return record.Encode(o, record.Started, b)
+		return record.Started
 	case job.Checkpointed:
-		return record.Encode(o, record.Checkpointed, b)
+		return record.Checkpointed
 	case job.Evicted:
-		return record.Encode(o, record.Evicted, b)
+		return record.Evicted
 	case job.Finished:
-		return record.Encode(o, record.Finished, b)
+		return record.Finished
 	case job.Failed:
-		return record.Encode(o, record.Failed, b)
+		return record.Failed
 	case job.Cancelled:
-		return record.Encode(o, record.Cancelled, b)
+		return record.Cancelled
 	case job.Impossible:
-		return record.Encode(o, record.Impossible, b)
+		return record.Impossible
 	case job.Moved:
-		return record.Encode(o, record.Moved, b)
+		return record.Moved
 	default:
 		panic("control: record of an unknown type")
 	}
--- a/entry/control/work.go
+++ b/entry/control/work.go
@@ -131,11 +131,8 @@
 
 // Apply submits the job.
 func (m Submit) Apply(s *State, now clock.Millis) {
-	if _, err := s.Board(m.Home).Submit(now, m.Spec); err != nil {
-		m.Reply <- JobReply{Err: err}
-		return
-	}
-	s.waits = append(s.waits, wait{m.Home, m.Spec.ID, now.Add(replyWithin), m.Reply})
+	_, err := s.Board(m.Home).Submit(now, m.Spec)
+	s.answerDurable(wait{m.Home, m.Spec.ID, now.Add(replyWithin), m.Reply}, err)
 }
 
 // Cancel cancels a job. Reply needs room for one answer; it comes once the
@@ -149,11 +146,18 @@
 // Apply cancels the job. It doesn't run the systems, so that a wave of
 // cancellations leaves starts alone.
 func (m Cancel) Apply(s *State, now clock.Millis) {
-	if _, err := s.Board(m.Home).Cancel(now, m.Job); err != nil {
-		m.Reply <- JobReply{Err: err}
+	_, err := s.Board(m.Home).Cancel(now, m.Job)
+	s.answerDurable(wait{m.Home, m.Job, now.Add(replyWithin), m.Reply}, err)
+}
+
+// answerDurable answers a refusal at once, and anything else when the journal
+// holds the state of the job.
+func (s *State) answerDurable(w wait, err error) {
+	if err != nil {
+		w.reply <- JobReply{Err: err}
 		return
 	}
-	s.waits = append(s.waits, wait{m.Home, m.Job, now.Add(replyWithin), m.Reply})
+	s.waits = append(s.waits, w)
 }
 
 // AskJob asks for the state of a job. Reply needs room for one answer.
