--- /dev/null
+++ b/schedule/dispatch/layout.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"hash/fnv"
+
+	"mimosadock/schedule/unit"
+)
+
+const (
+	// MaxShards is the number of partitions of a topic on the platform.
+	MaxShards = 24
+	// shardExecutors is how many executors a shard is made for. Fewer and larger
+	// shards use the room of a service better; the owner of one with 120
+	// executors and 200 starts a second uses a third of a core.
+	shardExecutors = 130
+	// executorLoad is the processor time that an owner spends for each executor
+	// at two starts a second there.
+	executorLoad unit.MilliCPU = 3
+)
+
+// Layout deals the jobs and executors of a deployment over shards. All
+// processes use the same one; the zero value has no shards.
+type Layout struct {
+	Shards    int `cbor:"1,keyasint"`
+	Executors int `cbor:"2,keyasint"` // that it was made for
+}
+
+// LayoutFor returns the layout for a number of executors.
+func LayoutFor(executors int) Layout {
+	shards := (executors + shardExecutors - 1) / shardExecutors
+	return Layout{Shards: min(max(shards, 1), MaxShards), Executors: executors}
+}
+
+// Agreed reports whether l has shards.
+func (l Layout) Agreed() bool { return l.Shards > 0 }
+
+// Valid reports whether the store has a partition for each shard of l.
+func (l Layout) Valid() bool { return l.Shards > 0 && l.Shards <= MaxShards }
+
+// ShardOf returns the shard that the id of a job or executor belongs to. It
+// panics if l has no shards.
+func (l Layout) ShardOf(id string) unit.Shard {
+	if !l.Agreed() {
+		panic("dispatch: layout has no shards")
+	}
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return unit.Shard(h.Sum32() % uint32(l.Shards))
+}
+
+// OwnerLoad returns the processor time that the owner of one shard needs, in
+// thousandths of a core.
+func (l Layout) OwnerLoad() unit.MilliCPU {
+	if !l.Agreed() {
+		return 0
+	}
+	return executorLoad * unit.MilliCPU(l.Executors/l.Shards)
+}
--- /dev/null
+++ b/schedule/dispatch/layout_test.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/unit"
+)
+
+// Guards against a deployment whose owner is overloaded because too many
+// executors share a shard, and against shards so small that their room is used
+// badly.
+func TestLayoutFollowsTheExecutors(t *testing.T) {
+	for name, c := range map[string]struct {
+		executors int
+		shards    int
+	}{
+		"none":            {0, 1},
+		"one":             {1, 1},
+		"today":           {66, 1},
+		"grown":           {350, 3},
+		"several times":   {490, 4},
+		"two-year target": {1200, 10},
+		"more than parts": {100_000, MaxShards},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := LayoutFor(c.executors)
+			is.Equal(l.Shards, c.shards)
+			is.True(l.Valid())
+			is.Equal(l.OwnerLoad(), executorLoad*unit.MilliCPU(c.executors/c.shards))
+		})
+	}
+}
+
+// Guards against ids that fall on shards that no process owns.
+func TestShardOfStaysWithinTheLayout(t *testing.T) {
+	is := is.New(t)
+	l := Layout{Shards: 3}
+	seen := make(map[unit.Shard]int)
+	for i := range 300 {
+		seen[l.ShardOf(string(rune('a'+i%26))+string(rune('0'+i%10)))]++
+	}
+	is.Equal(len(seen), 3)
+	for s := range seen {
+		is.True(int(s) < l.Shards)
+	}
+}
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"sync/atomic"
 	"time"
 
@@ -65,7 +64,7 @@
 // Settings of the control state.
 type Settings struct {
 	Member unit.Member
-	Shards int        // shards that jobs and executors are dealt over
+	Shards int        // to propose where no layout is agreed on yet; 0 for as many as the executors ask for
 	TTL    clock.Span // after which a silent member loses its shards
 	Limits dispatch.Limits
 }
@@ -89,6 +88,8 @@
 type Control struct {
 	Settings      Settings
 	Store         Store
+	Layouts       Layouts
+	Owners        Owners
 	Executors     Executors
 	Configs       ConfigFeed
 	Registrations func() RegistrationFeed
@@ -101,6 +102,7 @@
 	messages chan any
 	tenures  map[unit.Shard]*tenure
 	config   atomic.Pointer[dispatch.Config]
+	layout   atomic.Pointer[dispatch.Layout]
 	members  membership
 
 	joins        context.Context
@@ -129,13 +131,6 @@
 	with  Reply
 }
 
-// ShardOf returns the shard that an id belongs to.
-func ShardOf(id string, shards int) unit.Shard {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(id)) // never fails
-	return unit.Shard(h.Sum32() % uint32(shards))
-}
-
 // Config returns the configuration in force, or nil before the first.
 func (c *Control) Config() *dispatch.Config { return c.config.Load() }
 
@@ -211,7 +206,7 @@
 	case loadedMessage:
 		c.loaded(m)
 	case releaseMessage:
-		c.releaseAll("process stops")
+		c.releaseAll(m.reason)
 		close(m.done)
 	case dumpMessage:
 		m.reply <- c.dump()
@@ -219,7 +214,8 @@
 }
 
 func (c *Control) mine(s unit.Shard) func(unit.Executor) bool {
-	return func(e unit.Executor) bool { return ShardOf(string(e), c.Settings.Shards) == s }
+	layout := c.Layout()
+	return func(e unit.Executor) bool { return layout.ShardOf(string(e)) == s }
 }
 
 func (c *Control) tenureOf(s unit.Shard, epoch unit.Generation) *tenure {
--- a/scheduler/control/directory.go
+++ b/scheduler/control/directory.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -40,7 +39,6 @@
 	Owners  Owners
 	Peers   Peers
 	Self    unit.Member
-	Shards  int
 	Clock   clock.Clock
 
 	owners   atomic.Pointer[map[unit.Shard]unit.Member]
@@ -145,8 +143,7 @@
 	if owner == d.Self {
 		return d.Control.Ask(ctx, a)
 	}
-	address, _, _ := strings.Cut(string(owner), "/")
-	return d.Peers.Ask(ctx, address, a)
+	return d.Peers.Ask(ctx, addressOf(owner), a)
 }
 
 // KeepProbing calls the owners while they can't be reached, so that readiness
@@ -156,7 +153,7 @@
 		if d.called.Load() && d.failed.Load() == 0 {
 			continue
 		}
-		for s := range d.Shards {
+		for s := range d.Control.Layout().Shards {
 			probe, cancel := context.WithTimeout(ctx, probeTimeout)
 			r := d.Call(probe, &Ask{Kind: Probe, Shard: unit.Shard(s)})
 			cancel()
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
@@ -25,12 +26,21 @@
 	return now.Sub(clock.Millis(m.fresher.Load())) < ttl
 }
 
-// keepMembership joins the owners regularly.
+// keepMembership joins the owners regularly while the process takes part.
 func (c *Control) keepMembership(ctx context.Context) error {
 	defer close(c.joinsStopped)
+	if !c.agree(ctx) {
+		return nil
+	}
+	part := participation{standby: standby{self: c.Settings.Member, layout: c.Layout()}}
 	var last unit.Generation
 	every := (c.Settings.TTL / joinsPerTTL).Duration()
 	for ctx.Err() == nil {
+		if !c.takesPart(ctx, &part) {
+			last = 0
+			sleep(ctx, part.untilLook(c.Clock.Now()))
+			continue
+		}
 		sentAt, bootAt := c.Clock.Now(), c.Boot()
 		generation, shards, err := c.Store.Join(ctx, c.Settings.Member, c.Settings.TTL, last)
 		if err != nil {
@@ -56,6 +66,59 @@
 	return nil
 }
 
+// participation is whether a process takes part in the ownership of shards, and
+// when that is decided next.
+type participation struct {
+	standby
+	member bool // joins are sent
+	lookAt clock.Millis
+}
+
+func (p *participation) untilLook(now clock.Millis) time.Duration {
+	return max(0, p.lookAt.Sub(now)).Duration()
+}
+
+// takesPart decides whether the process takes part. One that no longer does
+// leaves the owners.
+func (c *Control) takesPart(ctx context.Context, p *participation) bool {
+	if p.strong() {
+		return true
+	}
+	now := c.Clock.Now()
+	if now < p.lookAt {
+		return p.member
+	}
+	p.lookAt = now.Add(standbyEvery + p.stagger())
+	owners, err := c.Owners.Owners(ctx)
+	if err != nil {
+		c.Counters.FeedFailures.Add(1)
+		return p.member
+	}
+	needed := p.needed(owners)
+	if needed != p.member {
+		c.Journal.Change("participation", "owns", needed, "abilityMilliCPU", abilityOf(p.self), "ownerLoadMilliCPU", p.layout.OwnerLoad())
+	}
+	if p.member && !needed {
+		c.leaveOwners(ctx, "stronger owners carry all shards")
+	}
+	p.member = needed
+	return needed
+}
+
+// leaveOwners gives up all shards and leaves the group of owners.
+func (c *Control) leaveOwners(ctx context.Context, reason string) {
+	done := make(chan struct{})
+	c.post(ctx, releaseMessage{reason, done})
+	select {
+	case <-done:
+	case <-ctx.Done():
+		return
+	}
+	if err := c.Store.Leave(ctx, c.Settings.Member, 0); err != nil {
+		c.Journal.Change("leave failed", "err", err)
+	}
+}
+
 // joined takes the outcome of a join.
 func (c *Control) joined(m joinedMessage) {
 	released := false
@@ -69,7 +132,7 @@
 	c.members.generation, c.members.confirmed = m.generation, m.sentAt
 	listed := make(map[unit.Shard]bool)
 	for _, s := range m.shards {
-		if int(s) < c.Settings.Shards {
+		if int(s) < c.Layout().Shards {
 			listed[s] = true
 		}
 	}
@@ -186,16 +249,7 @@
 	case <-ctx.Done():
 		return
 	}
-	done := make(chan struct{})
-	c.post(ctx, releaseMessage{done})
-	select {
-	case <-done:
-	case <-ctx.Done():
-		return
-	}
-	if err := c.Store.Leave(ctx, c.Settings.Member, 0); err != nil {
-		c.Journal.Change("leave failed", "err", err)
-	}
+	c.leaveOwners(ctx, "process stops")
 }
 
 // restartFeed starts the feed of registrations anew, so that a shard that has
--- a/scheduler/control/message.go
+++ b/scheduler/control/message.go
@@ -83,8 +83,11 @@
 	}
 	registrationsMessage struct{ registrations dispatch.Registrations }
 	configMessage        struct{ config *dispatch.Config }
-	releaseMessage       struct{ done chan<- struct{} }
-	dumpMessage          struct{ reply chan<- Dump }
+	releaseMessage       struct {
+		reason string
+		done   chan<- struct{}
+	}
+	dumpMessage struct{ reply chan<- Dump }
 )
 
 // Dump is the state of the control goroutine.
--- a/scheduler/front/front.go
+++ b/scheduler/front/front.go
@@ -50,7 +50,7 @@
 	Owner    Owner
 	Format   Format
 	Config   func() *dispatch.Config
-	Shards   int
+	Layout   func() dispatch.Layout
 	Clock    clock.Clock
 	Journal  control.Journal
 	Counters *Counters
@@ -117,7 +117,7 @@
 }
 
 func (f *Front) respond(r *http.Request) answer {
-	cfg := f.Config()
+	cfg, layout := f.Config(), f.Layout()
 	if cfg == nil {
 		return answer{status: http.StatusServiceUnavailable, retryAfter: clock.Second, reason: "no configuration yet"}
 	}
@@ -129,6 +129,9 @@
 	if q == nil {
 		return answer{status: http.StatusNotFound, reason: "no such queue"}
 	}
+	if !layout.Agreed() {
+		return answer{status: http.StatusServiceUnavailable, retryAfter: clock.Second, reason: "no layout yet"}
+	}
 	id := r.URL.Path[len(q.Prefix):]
 	if id == "" && r.Method == http.MethodGet {
 		return f.count(r.Context(), q.Name)
@@ -136,7 +139,7 @@
 	if !validID.MatchString(id) {
 		return answer{status: http.StatusBadRequest, body: []byte(`{"error":"id must be 16 hexadecimal digits"}`), reason: "bad id"}
 	}
-	ask := &control.Ask{Job: unit.Job(id), Shard: control.ShardOf(id, f.Shards)}
+	ask := &control.Ask{Job: unit.Job(id), Shard: layout.ShardOf(id)}
 	switch r.Method {
 	case http.MethodPost:
 		ask.Kind = control.Submit
@@ -215,7 +218,7 @@
 		return answer{status: http.StatusOK, body: f.Format.EncodePending(n)}
 	}
 	n := 0
-	for s := range f.Shards {
+	for s := range f.Layout().Shards {
 		r := f.Owner.Call(ctx, &control.Ask{Kind: control.Pending, Shard: unit.Shard(s), Queue: q})
 		if r.Status != control.Accepted {
 			return answer{status: http.StatusServiceUnavailable, retryAfter: clock.Second, reason: r.Reason}
--- a/scheduler/main.go
+++ b/scheduler/main.go
@@ -21,7 +21,7 @@
 	var ttl, lease time.Duration
 	app := kingpin.New("scheduler", "Scheduler process of mimosadock.")
 	app.Flag("settings", "Path of the platform's settings file.").Envar(platform.SettingsVariable).StringVar(&s.Platform)
-	app.Flag("shards", "Shards that jobs and executors are dealt over; the same in all processes.").Envar("MIMOSA_SHARDS").Default("1").IntVar(&s.Shards)
+	app.Flag("shards", "Shards for a deployment that has no layout yet; 0 for as many as its executors ask for.").Envar("MIMOSA_SHARDS").Default("0").IntVar(&s.Shards)
 	app.Flag("ttl", "Silence after which a process loses its shards.").Envar("MIMOSA_TTL").Default("1200ms").DurationVar(&ttl)
 	app.Flag("lease", "Lease of executors, renewed four times in its length or more.").Envar("MIMOSA_LEASE").Default("6s").DurationVar(&lease)
 	app.Flag("log-level", "Lowest level to log: debug, info, warn or error.").Envar("MIMOSA_LOG_LEVEL").Default("info").StringVar(&s.LogLevel)
--- a/scheduler/process/process.go
+++ b/scheduler/process/process.go
@@ -24,7 +24,6 @@
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
 	"mimosadock/schedule/group"
-	"mimosadock/schedule/unit"
 	"mimosadock/scheduler/control"
 	"mimosadock/scheduler/front"
 	"mimosadock/scheduler/peer"
@@ -34,7 +33,7 @@
 // from its settings file.
 type Settings struct {
 	Platform string     // path of the platform's settings file
-	Shards   int        // that jobs and executors are dealt over, the same in all processes
+	Shards   int        // to propose where the deployment has no layout yet; 0 for as many as its executors ask for
 	TTL      clock.Span // after which a silent process loses its shards
 	Lease    clock.Span // of executors
 	LogLevel string
@@ -45,8 +44,8 @@
 	if s.Platform == "" {
 		return fmt.Errorf("--settings is empty, must be the path of the platform's settings file")
 	}
-	if s.Shards < 1 || s.Shards > 24 {
-		return fmt.Errorf("--shards is %d, must be 1 to 24", s.Shards)
+	if s.Shards < 0 || s.Shards > dispatch.MaxShards {
+		return fmt.Errorf("--shards is %d, must be 0 to %d", s.Shards, dispatch.MaxShards)
 	}
 	if s.TTL < clock.Second || s.TTL > 10*clock.Second {
 		return fmt.Errorf("--ttl is %d ms, must be 1s to 10s", s.TTL)
@@ -102,22 +101,22 @@
 }
 
 func (p *Process) build() {
-	member := unit.Member(p.address(0) + "/" + nonce())
+	member := control.MemberName(p.address(0), nonce(), p.platform.Processor())
 	counters, requests := new(control.Counters), new(front.Counters)
 	p.control = &control.Control{
 		Settings: control.Settings{
 			Member: member, Shards: p.settings.Shards, TTL: max(p.settings.TTL, p.platform.Store.MinTTL), Limits: p.limits(),
 		},
-		Store: p.store, Executors: platform.NewExecutors(), Configs: p.store.Configs(),
+		Store: p.store, Layouts: p.store, Owners: p.store, Executors: platform.NewExecutors(), Configs: p.store.Configs(),
 		Registrations: func() control.RegistrationFeed { return p.store.Registrations() },
 		Clock:         p.clock, Boot: clock.Boot, Journal: p.journal, Counters: counters,
 	}
 	p.peers = new(peer.Client)
 	directory := &control.Directory{
-		Control: p.control, Owners: p.store, Peers: p.peers, Self: member, Shards: p.settings.Shards, Clock: p.clock,
+		Control: p.control, Owners: p.store, Peers: p.peers, Self: member, Clock: p.clock,
 	}
 	p.front = &front.Front{
-		Owner: directory, Format: platform.Format{}, Config: p.control.Config, Shards: p.settings.Shards,
+		Owner: directory, Format: platform.Format{}, Config: p.control.Config, Layout: p.control.Layout,
 		Clock: p.clock, Journal: p.journal, Counters: requests,
 	}
 	p.server = peer.NewServer(p.control)
@@ -168,7 +167,7 @@
 	logs := group.New(context.Background())
 	logs.Go("journal", p.journal.Run)
 	p.journal.Change("start", "host", p.platform.Host, "dataCentre", p.platform.DataCentre, "member", p.control.Settings.Member,
-		"shards", p.settings.Shards, "leaseMs", int64(p.control.Settings.Limits.Lease))
+		"leaseMs", int64(p.control.Settings.Limits.Lease))
 	p.control.Init(g)
 	g.Go("control", p.control.Run)
 	g.Go("probe", p.directory().KeepProbing)
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -123,7 +123,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(keyOf(r))
+	at := r.URL.Query().Get("at")
 	switch {
+	case at != "" && at != strconv.Itoa(len(p.records)):
+		answer(w, http.StatusPreconditionFailed, map[string]int{"end": len(p.records)})
+		return
 	case epoch < p.epoch:
 		answer(w, http.StatusConflict, map[string]string{"reason": "fenced"})
 		return
