--- a/schedule/dispatch/accept.go
+++ b/schedule/dispatch/accept.go
@@ -23,6 +23,7 @@
 	j := s.jobs.Put(spec.ID, Job{Spec: spec, Queue: spec.Queue.Name, State: JobQueued, AcceptedAt: wall})
 	j.due = now.Add(dueSpan(spec))
 	s.open++
+	s.noteAdvice(&spec.Queue)
 	s.mark(spec.ID, j)
 	s.begin(now, wall, spec.ID, j)
 	s.report(Event{What: "accepted", Task: TaskID{Job: spec.ID}, Reason: string(spec.Queue.Name)})
@@ -147,6 +148,7 @@
 	}
 	s.nextEnded = now.Add(expireEvery)
 	s.forget(now)
+	s.forgetAdvice()
 	for len(s.ended) > 0 {
 		id := s.ended[0]
 		j := s.jobs.Get(id)
--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -10,35 +10,36 @@
 // Executor is a row of the table of executors.
 type Executor struct {
 	Registration
-	listed   bool         // has an entry in the platform's list
-	goneAt   clock.Millis // when the entry went away
-	drainAt  clock.Millis // when it was first seen to drain
-	synced   bool         // what runs there is known under the owner's token
-	lives    unit.Token   // lives seen under this id by this owner
-	tasks    map[TaskID]unit.Run
-	used     unit.Resources // by tasks that do not fill
-	fillCPU  unit.MilliCPU  // asked for by tasks that fill
-	serving  int            // tasks with a bound of their tail latency
-	strays   int            // unknown runs in the last list
-	clock    unit.ExecutorMillis
-	clockAt  clock.Millis // when clock was read, 0 if never
-	leaseEnd clock.Millis // when every lease that was sent has ended for certain
-	lastSeen unit.EndNumber
-	noted    unit.EndNumber // becomes lastSeen when stored
-	noting   unit.EndNumber // part of the append in flight
-	told     unit.EndNumber // lastSeen of the last hold that was answered
-	holding  bool           // a hold has no answer yet
-	failing  bool           // the last order had no answer
-	retryAt  clock.Millis
-	retries  int
-	streak   int // failed runs since the last good one
-	suspect  clock.Millis
-	slack    unit.MilliCPU      // processor time reserved by serving tasks
-	standing unit.MilliCPU      // processor time reserved by perpetual tasks
-	over     clock.Millis       // since when a serving task is over its bound, 0 if none
-	look     look               // the last one that was compared
-	services []service          // those on the executor, from the last list
-	images   map[unit.Image]int // serving tasks by image
+	listed    bool         // has an entry in the platform's list
+	goneAt    clock.Millis // when the entry went away
+	drainAt   clock.Millis // when it was first seen to drain
+	evacuated clock.Millis // until when it gets no new runs, as it goes down for upkeep
+	synced    bool         // what runs there is known under the owner's token
+	lives     unit.Token   // lives seen under this id by this owner
+	tasks     map[TaskID]unit.Run
+	used      unit.Resources // by tasks that do not fill
+	fillCPU   unit.MilliCPU  // asked for by tasks that fill
+	serving   int            // tasks with a bound of their tail latency
+	strays    int            // unknown runs in the last list
+	clock     unit.ExecutorMillis
+	clockAt   clock.Millis // when clock was read, 0 if never
+	leaseEnd  clock.Millis // when every lease that was sent has ended for certain
+	lastSeen  unit.EndNumber
+	noted     unit.EndNumber // becomes lastSeen when stored
+	noting    unit.EndNumber // part of the append in flight
+	told      unit.EndNumber // lastSeen of the last hold that was answered
+	holding   bool           // a hold has no answer yet
+	failing   bool           // the last order had no answer
+	retryAt   clock.Millis
+	retries   int
+	streak    int // failed runs since the last good one
+	suspect   clock.Millis
+	slack     unit.MilliCPU      // processor time reserved by serving tasks
+	standing  unit.MilliCPU      // processor time reserved by perpetual tasks
+	over      clock.Millis       // since when a serving task is over its bound, 0 if none
+	look      look               // the last one that was compared
+	services  []service          // those on the executor, from the last list
+	images    map[unit.Image]int // serving tasks by image
 }
 
 // clockDrift is the share by which the steady clock of an executor may be
@@ -68,7 +69,7 @@
 
 // usable reports whether new runs may be placed on e.
 func (e *Executor) usable(now clock.Millis) bool {
-	return (e.listed || now < e.goneAt.Add(returnGrace)) && e.synced && !e.failing && !e.Draining && now >= e.suspect
+	return (e.listed || now < e.goneAt.Add(returnGrace)) && e.synced && !e.failing && !e.Draining && now >= e.suspect && now >= e.evacuated
 }
 
 func (e *Executor) has(l unit.Label) bool { return slices.Contains(e.Labels, l) }
--- a/schedule/dispatch/order.go
+++ b/schedule/dispatch/order.go
@@ -24,13 +24,14 @@
 }
 
 // Order is an order to an executor: a [StartOrder], [StopOrder], [PaceOrder]
-// or [HoldOrder].
+// or [HoldOrder]; or an [AdviseOrder], which goes to no executor.
 type Order struct {
-	To    Target
-	Start *StartOrder
-	Stop  *StopOrder
-	Pace  *PaceOrder
-	Hold  *HoldOrder
+	To     Target
+	Start  *StartOrder
+	Stop   *StopOrder
+	Pace   *PaceOrder
+	Hold   *HoldOrder
+	Advise *AdviseOrder
 }
 
 // StartOrder starts a run.
@@ -41,6 +42,7 @@
 	Deadline   unit.ExecutorMillis
 	Token      unit.Token
 	Checkpoint unit.Checkpoint
+	Ticket     unit.Ticket // empty where the queue needs none
 }
 
 // StopOrder ends a run, or keeps it from starting.
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -187,7 +187,7 @@
 			if tasks[i].State != TaskReady || tasks[i].Run == 0 {
 				continue
 			}
-			if e, ok := best(Apart{}, r.executors, s.want(k, st, &tasks[i], r, s.starved(now, k, j))); ok {
+			if e, ok := best(Apart{}, r.executors, s.want(now, k, j, &tasks[i], r)); ok {
 				r.take(st, e)
 				s.assign(now, TaskID{k.job, k.occurrence, k.step, i}, j, st, &tasks[i], e)
 			}
@@ -195,8 +195,14 @@
 	}
 }
 
-func (s *Shard) want(k stepKey, st *Step, t *Task, r *room, starved bool) wanted {
-	w := wanted{step: st, avoid: t.avoid, admit: func(e *Executor) bool { return s.admits(e, st, r, t.Run > 0, starved) }}
+func (s *Shard) want(now clock.Millis, k stepKey, j *Job, t *Task, r *room) wanted {
+	st, starved, advised := &j.Spec.Steps[k.step], s.starved(now, k, j), s.queue(j).Advice != nil
+	w := wanted{step: st, avoid: t.avoid, admit: func(e *Executor) bool {
+		if advised && s.ticketOf(now.Add(ticketMargin), k, e) == "" {
+			return false
+		}
+		return s.admits(e, st, r, t.Run > 0, starved)
+	}}
 	w.crowding = func(e *Executor) float64 { return s.crowding(e, st) }
 	w.opens = func(e *Executor) bool { return !r.opens(e) }
 	w.here = func(e *Executor) int {
@@ -219,7 +225,7 @@
 		if t.State != TaskReady {
 			continue
 		}
-		w := s.want(k, st, t, r, s.starved(now, k, j))
+		w := s.want(now, k, j, t, r)
 		if st.SameRack {
 			w.rack = s.rackOf(tasks)
 		}
@@ -246,7 +252,7 @@
 	}
 	chosen := make([]*Executor, 0, len(tasks))
 	for i := range tasks {
-		w := s.want(k, st, &tasks[i], r, s.starved(now, k, j))
+		w := s.want(now, k, j, &tasks[i], r)
 		if len(chosen) > 0 && st.SameRack {
 			w.rack = rackLabel(chosen[0])
 		}
--- a/schedule/dispatch/place_test.go
+++ b/schedule/dispatch/place_test.go
@@ -18,6 +18,12 @@
 	runs  map[unit.Executor]map[TaskID]unit.Run
 	tail  int64         // latency that serving tasks report, ms
 	ended unit.Executor // whose address has another life
+
+	allowed map[unit.Executor]bool // that advice names
+	valid   clock.Span             // of a ticket
+	advised int                    // calls for advice
+	silent  bool                   // calls for advice get no answer
+	named   int                    // most executors in a call for advice
 }
 
 func newBench(executors int) *bench {
@@ -50,11 +56,17 @@
 }
 
 func (b *bench) carryOut(o Order) {
+	if o.Advise != nil {
+		b.advise(o.Advise)
+		return
+	}
 	runs := b.runs[o.To.Executor]
 	a := Answer{Outcome: OutcomeDone, Clock: unit.ExecutorMillis(b.now), Born: 1}
 	switch {
 	case o.To.Executor == b.ended:
 		a = Answer{Outcome: OutcomeOtherLife}
+	case o.Start != nil && b.allowed != nil && o.Start.Ticket != b.ticket(o.To.Executor):
+		a.Outcome = OutcomeNoTicket
 	case o.Start != nil:
 		runs[o.Start.Task] = o.Start.Run
 	case o.Stop != nil:
--- a/schedule/dispatch/restore.go
+++ b/schedule/dispatch/restore.go
@@ -24,6 +24,7 @@
 	}
 	row.due = now.Add(dueSpan(spec) - clock.Span(wall-row.AcceptedAt))
 	s.open++
+	s.noteAdvice(&spec.Queue)
 	for k := range row.Occurrences {
 		o := &row.Occurrences[k]
 		for i := range o.Steps {
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -187,6 +187,9 @@
 		if outcome == OutcomeNoRoom {
 			e.suspect = max(e.suspect, now.Add(300*clock.Millisecond))
 		}
+		if outcome == OutcomeNoTicket {
+			s.refuseTicket(o.Task, e)
+		}
 		if outcome == OutcomeBusy {
 			e.suspect = now.Add(clock.Second)
 		}
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -51,6 +51,7 @@
 	reserves  map[unit.Service]*reserve
 	open      int // jobs that have not ended
 	fenced    bool
+	advice    advice
 	timed     []unit.Job // jobs with occurrences still to come
 	ended     []unit.Job // ended jobs, oldest first, from which states are dropped
 	stopping  []unit.Job // ended jobs of which runs may be left
@@ -100,6 +101,7 @@
 	s.queues = make(map[unit.Queue]*Queue, len(c.Queues))
 	for i := range c.Queues {
 		s.queues[c.Queues[i].Name] = &c.Queues[i]
+		s.noteAdvice(&c.Queues[i])
 	}
 }
 
@@ -183,6 +185,7 @@
 	if canStore {
 		s.occur(now, wall)
 		s.place(now)
+		s.advise(now)
 		s.expire(now, wall)
 		changes = s.cut()
 		if len(changes) == 0 {
--- a/schedule/dispatch/spec.go
+++ b/schedule/dispatch/spec.go
@@ -56,6 +56,7 @@
 	MaxAttempts   int          `cbor:"4,keyasint"` // failed runs of one task
 	SlackFactor   float64      `cbor:"5,keyasint"`
 	TargetLatency clock.Span   `cbor:"6,keyasint"`
+	Advice        *Advice      `cbor:"7,keyasint,omitempty"` // nil where all executors may run the tasks
 }
 
 // Config is one version of the platform's configuration.
--- a/schedule/dispatch/start.go
+++ b/schedule/dispatch/start.go
@@ -26,7 +26,7 @@
 	t.sentAt, t.inFlight = now, true
 	s.orders = append(s.orders, Order{To: e.target(), Start: &StartOrder{
 		Task: id, Run: t.Run, Payload: j.Spec.Payload, Deadline: t.deadline,
-		Token: s.token(e), Checkpoint: t.Checkpoint,
+		Token: s.token(e), Checkpoint: t.Checkpoint, Ticket: s.ticketOf(now, stepKey{id.Job, id.Occurrence, id.Step}, e),
 	}})
 }
 
--- a/schedule/unit/dispatch.go
+++ b/schedule/unit/dispatch.go
@@ -13,8 +13,12 @@
 	Shard int
 	// Image names what the tasks of a step run.
 	Image string
+	// Machine names a machine; each of its lives is an executor of its own.
+	Machine string
 	// Label is a property of an executor, such as its rack.
 	Label string
+	// Ticket allows the starts of a step on an executor.
+	Ticket string
 	// Checkpoint is a saved state of a task. Empty is none.
 	Checkpoint string
 )
@@ -30,6 +34,8 @@
 	Generation uint64
 	// EndNumber numbers the ends of runs in one life of an executor, from 1.
 	EndNumber int64
+	// Wave numbers the waves of upkeep.
+	Wave int64
 	// ConfigVersion numbers the configurations of the platform.
 	ConfigVersion int64
 )
--- a/scheduler/control/answer.go
+++ b/scheduler/control/answer.go
@@ -56,6 +56,13 @@
 		t.next = append(t.next, waiter{m.reply, Reply{Status: Accepted}})
 	case State:
 		m.reply <- stateReply(t.shard, m.ask.Job)
+	case Evacuate:
+		left, held, ok := t.shard.Evacuate(now, m.ask.Executor)
+		if !ok {
+			m.reply <- Reply{Status: Unknown}
+			return
+		}
+		m.reply <- Reply{Status: Accepted, Count: left, Held: held}
 	case Pending:
 		m.reply <- Reply{Status: Accepted, Count: t.shard.Pending(m.ask.Queue)}
 	}
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -14,6 +14,7 @@
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
 	"mimosadock/schedule/group"
+	"mimosadock/schedule/maintenance"
 	"mimosadock/schedule/unit"
 )
 
@@ -41,10 +42,15 @@
 	Hold(ctx context.Context, to dispatch.Target, o dispatch.HoldOrder) (dispatch.Answer, error)
 }
 
-// ConfigFeed follows the operator's configuration.
-type ConfigFeed interface {
-	// Next returns a new configuration, or nil if there is none after wait.
-	Next(ctx context.Context, wait clock.Span) (*dispatch.Config, error)
+// Advisor tells which executors may run a step.
+type Advisor interface {
+	Advise(ctx context.Context, o dispatch.AdviseOrder) (dispatch.Advised, error)
+}
+
+// OperatorFeed follows what the operator asks for.
+type OperatorFeed interface {
+	// Next returns what is new, or nothing after wait.
+	Next(ctx context.Context, wait clock.Span) (dispatch.Operations, error)
 }
 
 // RegistrationFeed follows the platform's list of executors.
@@ -74,7 +80,7 @@
 	joinsPerTTL       = 8                       // a shard changes hands within two joins
 	registrationEvery = 400 * time.Millisecond  // a draining executor must be seen within 2 s
 	retryEvery        = 150 * time.Millisecond  // after a failed call to the store
-	configWait        = 600 * clock.Millisecond // of one long poll; a silent connection must be found within 2 s
+	operatorWait      = 600 * clock.Millisecond // of one long poll; a silent connection must be found within 2 s
 	appendEvery       = 8 * clock.Millisecond   // groups changes; 125 appends a second at most
 	learnedEvery      = 2 * clock.Second        // learned weights are stored with an append
 	busyTick          = 25 * time.Millisecond
@@ -91,7 +97,11 @@
 	Layouts       Layouts
 	Owners        Owners
 	Executors     Executors
-	Configs       ConfigFeed
+	Advisor       Advisor
+	Machines      Machines
+	Waves         Waves
+	Shards        ShardCalls
+	Operator      OperatorFeed
 	Registrations func() RegistrationFeed
 	Clock         clock.Clock
 	Boot          func() clock.Millis // a clock that also counts the time for which the host stood still
@@ -104,6 +114,8 @@
 	config   atomic.Pointer[dispatch.Config]
 	layout   atomic.Pointer[dispatch.Layout]
 	members  membership
+	waves    []maintenance.Wave
+	upkeep   *upkeep // nil while another process plans it
 
 	joins        context.Context
 	stopJoins    context.CancelFunc
@@ -146,7 +158,7 @@
 
 // Run runs the control goroutine until ctx ends.
 func (c *Control) Run(ctx context.Context) error {
-	c.group.Go("configs", c.followConfigs)
+	c.group.Go("operator", c.followOperator)
 	c.group.Go("membership", func(context.Context) error { return c.keepMembership(c.joins) })
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
@@ -191,8 +203,18 @@
 		if t := c.tenureOf(m.shard, m.epoch); t != nil {
 			t.shard.Answered(c.Clock.Now(), wallNow(), &m.order, &m.answer, m.err)
 		}
+	case advisedMessage:
+		if t := c.tenureOf(m.shard, m.epoch); t != nil {
+			t.shard.Advised(c.Clock.Now(), &m.order, &m.advised, m.err)
+		}
 	case storedMessage:
 		c.stored(m)
+	case upkeepMessage:
+		if u := c.upkeep; u != nil && u.epoch == m.epoch {
+			m.apply(u, c.Clock.Now())
+		}
+	case wavesMessage:
+		c.addWaves(m.waves)
 	case registrationsMessage:
 		for _, t := range c.tenures {
 			if t.serving {
@@ -243,6 +265,9 @@
 			c.release(t, "an executor has seen a higher token")
 		}
 	}
+	if c.maintain(c.Clock.Now()) {
+		next = min(next, upkeepTick)
+	}
 	return next
 }
 
--- a/scheduler/control/counters.go
+++ b/scheduler/control/counters.go
@@ -16,6 +16,7 @@
 	Stops         atomic.Int64
 	Paces         atomic.Int64
 	Holds         atomic.Int64
+	AdviceCalls   atomic.Int64
 	Gains         atomic.Int64
 	Releases      atomic.Int64
 	JoinFailures  atomic.Int64
@@ -30,7 +31,7 @@
 func (c *Counters) Publish(m *expvar.Map) {
 	for name, v := range map[string]*atomic.Int64{
 		"appends": &c.Appends, "appendRetries": &c.AppendRetries, "appendMillis": &c.AppendMillis,
-		"records": &c.Records, "starts": &c.Starts, "stops": &c.Stops, "paces": &c.Paces, "holds": &c.Holds,
+		"records": &c.Records, "starts": &c.Starts, "stops": &c.Stops, "paces": &c.Paces, "holds": &c.Holds, "adviceCalls": &c.AdviceCalls,
 		"shardGains": &c.Gains, "shardReleases": &c.Releases, "joinFailures": &c.JoinFailures, "feedFailures": &c.FeedFailures,
 	} {
 		m.Set(name, expvar.Func(func() any { return v.Load() }))
--- a/scheduler/control/enums_string.go
+++ b/scheduler/control/enums_string.go
@@ -13,11 +13,12 @@
 	_ = x[State-2]
 	_ = x[Cancel-3]
 	_ = x[Pending-4]
+	_ = x[Evacuate-5]
 }
 
-const _Kind_name = "probesubmitstatecancelpending"
+const _Kind_name = "probesubmitstatecancelpendingevacuate"
 
-var _Kind_index = [...]uint8{0, 5, 11, 16, 22, 29}
+var _Kind_index = [...]uint8{0, 5, 11, 16, 22, 29, 37}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -276,22 +276,29 @@
 	})
 }
 
-// followConfigs follows the operator's configuration.
-func (c *Control) followConfigs(ctx context.Context) error {
+// followOperator follows what the operator asks for.
+func (c *Control) followOperator(ctx context.Context) error {
 	for ctx.Err() == nil {
-		cfg, err := c.Configs.Next(ctx, configWait)
-		switch {
-		case err != nil && ctx.Err() == nil:
+		o, err := c.Operator.Next(ctx, operatorWait)
+		if err != nil && ctx.Err() == nil {
 			c.Counters.FeedFailures.Add(1)
-			c.Journal.Change("configuration can't be read", "err", err)
+			c.Journal.Change("operator's requests can't be read", "err", err)
 			sleep(ctx, retryEvery)
-		case cfg != nil:
+			continue
+		}
+		if o.Foreign > 0 {
+			c.Journal.Change("operator's requests can't be decoded", "count", o.Foreign)
+		}
+		if cfg := o.Config; cfg != nil {
 			if old := c.config.Load(); old == nil || cfg.Version > old.Version {
 				c.config.Store(cfg)
 				c.Journal.Change("configuration in force", "version", cfg.Version, "queues", len(cfg.Queues))
 				c.post(ctx, configMessage{cfg})
 			}
 		}
+		if len(o.Waves) > 0 {
+			c.post(ctx, wavesMessage{o.Waves})
+		}
 	}
 	return nil
 }
--- a/scheduler/control/message.go
+++ b/scheduler/control/message.go
@@ -3,6 +3,7 @@
 import (
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
+	"mimosadock/schedule/maintenance"
 	"mimosadock/schedule/unit"
 	"mimosadock/scheduler/record"
 )
@@ -14,11 +15,12 @@
 
 // The kinds of calls.
 const (
-	Probe   Kind = iota // probe
-	Submit              // submit
-	State               // state
-	Cancel              // cancel
-	Pending             // pending
+	Probe    Kind = iota // probe
+	Submit               // submit
+	State                // state
+	Cancel               // cancel
+	Pending              // pending
+	Evacuate             // evacuate
 )
 
 // Ask is a call about jobs to the owner of a shard.
@@ -28,6 +30,8 @@
 	Job   unit.Job       `cbor:"3,keyasint,omitempty"`
 	Spec  *dispatch.Spec `cbor:"4,keyasint,omitempty"` // of a submission
 	Queue unit.Queue     `cbor:"5,keyasint,omitempty"` // of a count
+
+	Executor unit.Executor `cbor:"6,keyasint,omitempty"` // to be evacuated
 }
 
 // Status is the outcome of a call.
@@ -49,6 +53,7 @@
 	Count      int               `cbor:"3,keyasint,omitempty"`
 	Reason     string            `cbor:"4,keyasint,omitempty"`
 	RetryAfter clock.Span        `cbor:"5,keyasint,omitempty"`
+	Held       int               `cbor:"6,keyasint,omitempty"` // of an evacuation: runs that can't be spared; Count is all that are left
 }
 
 // The messages to the control goroutine.
@@ -81,9 +86,22 @@
 		answer dispatch.Answer
 		err    error
 	}
+	advisedMessage struct {
+		shard   unit.Shard
+		epoch   unit.Generation
+		order   dispatch.AdviseOrder
+		advised dispatch.Advised
+		err     error
+	}
 	registrationsMessage struct{ registrations dispatch.Registrations }
-	configMessage        struct{ config *dispatch.Config }
-	releaseMessage       struct {
+	// upkeepMessage carries an outcome to the plan of the tenure that asked.
+	upkeepMessage struct {
+		epoch unit.Generation
+		apply func(u *upkeep, now clock.Millis)
+	}
+	wavesMessage   struct{ waves []maintenance.Wave }
+	configMessage  struct{ config *dispatch.Config }
+	releaseMessage struct {
 		reason string
 		done   chan<- struct{}
 	}
--- a/scheduler/control/orders.go
+++ b/scheduler/control/orders.go
@@ -10,6 +10,15 @@
 // send carries an order in a goroutine of its own.
 func (c *Control) send(t *tenure, o dispatch.Order) {
 	id, epoch, ctx := t.shard.ID, t.epoch, t.ctx
+	if o.Advise != nil {
+		c.Counters.AdviceCalls.Add(1)
+		c.group.Go("advice", func(context.Context) error {
+			a, err := c.Advisor.Advise(ctx, *o.Advise)
+			c.post(ctx, advisedMessage{id, epoch, *o.Advise, a, err})
+			return nil
+		})
+		return
+	}
 	c.group.Go("order", func(context.Context) error {
 		a, err := c.carry(ctx, o)
 		if ctx.Err() == nil {
--- a/scheduler/process/process.go
+++ b/scheduler/process/process.go
@@ -107,7 +107,9 @@
 		Settings: control.Settings{
 			Member: member, Shards: p.settings.Shards, TTL: max(p.settings.TTL, p.platform.Store.MinTTL), Limits: p.limits(),
 		},
-		Store: p.store, Layouts: p.store, Owners: p.store, Executors: platform.NewExecutors(), Configs: p.store.Configs(),
+		Store: p.store, Layouts: p.store, Owners: p.store, Executors: platform.NewExecutors(),
+		Advisor: platform.NewAdvisor(p.platform.Advisor), Operator: p.store.Operator(),
+		Machines: platform.NewMachines(p.platform.Cloud.Address, p.platform.Host), Waves: p.store,
 		Registrations: func() control.RegistrationFeed { return p.store.Registrations() },
 		Clock:         p.clock, Boot: clock.Boot, Journal: p.journal, Counters: counters,
 	}
@@ -115,6 +117,7 @@
 	directory := &control.Directory{
 		Control: p.control, Owners: p.store, Peers: p.peers, Self: member, Clock: p.clock,
 	}
+	p.control.Shards = directory
 	p.front = &front.Front{
 		Owner: directory, Format: platform.Format{}, Config: p.control.Config, Layout: p.control.Layout,
 		Clock: p.clock, Journal: p.journal, Counters: requests,
--- a/scheduler/process/process_test.go
+++ b/scheduler/process/process_test.go
@@ -24,6 +24,8 @@
 type site struct {
 	t         *testing.T
 	store     *fleet.Store
+	machines  string // address of the machines API
+	advisor   string // address of the service for advice
 	mu        sync.Mutex
 	runs      map[string][]fleet.Run
 	processes []*running
@@ -41,18 +43,23 @@
 	s := &site{t: t, store: fleet.NewStore(), runs: make(map[string][]fleet.Run)}
 	t.Cleanup(s.store.Close)
 	for i := range executors {
-		x := fleet.NewExecutor(s.store, "i-"+strconv.Itoa(i), "s")
-		x.Began = func(r fleet.Run) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.runs[r.Task] = append(s.runs[r.Task], r)
-		}
-		t.Cleanup(x.Close)
+		t.Cleanup(s.executor("i-" + strconv.Itoa(i)).Close)
 	}
 	s.store.Put("keyed.op", "config", fleet.Config(1, "s", "q.example", "/q/"))
 	return s
 }
 
+// executor starts an executor whose runs are noted.
+func (s *site) executor(id string) *fleet.Executor {
+	x := fleet.NewExecutor(s.store, id, "s")
+	x.Began = func(r fleet.Run) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.runs[r.Task] = append(s.runs[r.Task], r)
+	}
+	return x
+}
+
 // freePorts returns n ports in a row that nothing listens on.
 func freePorts(t *testing.T, n int) int {
 	for range 50 {
@@ -87,8 +94,8 @@
 	port := freePorts(s.t, 4)
 	at := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port+i)) }
 	path := filepath.Join(s.t.TempDir(), "node.yaml")
-	text := fmt.Sprintf("node_name: n\nip: 127.0.0.1\nbind_addresses: {frontend: %q, ready: %q}\nport_range: [%d, %d]\nbounds: {max_hold_ms: 6000, grace_s: 2}\nplatform: {address: %q, min_ttl_ms: 1000}\n",
-		at(0), at(1), port+2, port+3, s.store.Address())
+	text := fmt.Sprintf("node_name: n\nip: 127.0.0.1\nbind_addresses: {frontend: %q, ready: %q}\nport_range: [%d, %d]\nbounds: {max_hold_ms: 6000, grace_s: 2}\nplatform: {address: %q, min_ttl_ms: 1000}\ncloud_api: {address: %q}\nadvice: %q\n",
+		at(0), at(1), port+2, port+3, s.store.Address(), s.machines, s.advisor)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -116,9 +123,14 @@
 
 // call makes a call until it is answered with another status than 503.
 func (s *site) call(p *running, method, id, body string) (int, string) {
+	return s.callPath(p, method, "/q/"+id, body)
+}
+
+// callPath is call with a whole path.
+func (s *site) callPath(p *running, method, path, body string) (int, string) {
 	deadline := time.Now().Add(20 * time.Second)
 	for {
-		req, err := http.NewRequest(method, "http://"+p.callers+"/q/"+id, strings.NewReader(body))
+		req, err := http.NewRequest(method, "http://"+p.callers+path, strings.NewReader(body))
 		if err != nil {
 			s.t.Fatal(err)
 		}
@@ -132,7 +144,7 @@
 			}
 		}
 		if time.Now().After(deadline) {
-			s.t.Fatalf("%s %s: no answer, last error %v", method, id, err)
+			s.t.Fatalf("%s %s: no answer, last error %v", method, path, err)
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
--- a/standin/fleet/executor.go
+++ b/standin/fleet/executor.go
@@ -26,6 +26,8 @@
 	Work time.Duration
 	// Began is told of each run; may be nil.
 	Began func(Run)
+	// Tickets makes the executor refuse starts without a ticket.
+	Tickets bool
 
 	id      string
 	store   *Store
@@ -94,6 +96,12 @@
 	time.AfterFunc(Heartbeat, next)
 }
 
+// Leave takes the executor's entry away and ends it.
+func (x *Executor) Leave() {
+	x.Close()
+	x.store.Put("keyed.servers", x.id, nil)
+}
+
 // Close ends the executor and all its runs.
 func (x *Executor) Close() {
 	close(x.stop)
@@ -113,6 +121,7 @@
 	Run      int    `json:"run"`
 	Deadline int64  `json:"deadline_ms"`
 	Token    uint64 `json:"fencing_token"`
+	Ticket   string `json:"ticket"`
 	LastSeen int    `json:"last_seen"`
 	Wait     int64  `json:"wait_ms"`
 }
@@ -145,6 +154,8 @@
 		return http.StatusConflict, "old"
 	case o.Deadline < x.clock():
 		return http.StatusConflict, "late"
+	case x.Tickets && o.Ticket != Ticket:
+		return http.StatusConflict, "ticket"
 	}
 	x.lease, x.highest[o.Task] = max(x.lease, o.Deadline), o.Run
 	x.running[o.Task] = &run{o.Run, time.AfterFunc(x.Work, func() {
@@ -217,8 +228,18 @@
 	})
 }
 
-// Config returns a configuration with one queue on a service.
+// Config returns a configuration with a queue on a service, and one under the
+// prefix "/advised/" whose tasks need tickets.
 func Config(version int, service, host, prefix string) []byte {
-	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"q","host":%q,"path_prefix":%q,"timeout_ms":3000,"target_latency_ms":250,"priority":0,"service":%q,"max_attempts":3,"slack_factor":1.5}],"limits":{"max_body_bytes":262144}}`,
-		version, host, prefix, service)
+	const queue = `{"name":%q,"host":%q,"path_prefix":%q,"timeout_ms":3000,"target_latency_ms":250,"priority":0,"service":%q,"max_attempts":3,"slack_factor":1.5%s}`
+	return fmt.Appendf(nil, `{"version":%d,"routes":[`+queue+`,`+queue+`],"limits":{"max_body_bytes":262144}}`, version,
+		"q", host, prefix, service, "", "advised", host, "/advised/", service, `,"advice":{"decision_ms":5,"per_worker_ms":1,"valid_ms":60000}`)
+}
+
+// Wave returns the operator's request for a wave of upkeep.
+func Wave(number int, machines []string, within time.Duration, most int) []byte {
+	b, _ := json.Marshal(map[string]any{ // plain values can be encoded
+		"wave": number, "machines": machines, "duration_s": within.Seconds(), "maximum": most,
+	})
+	return b
 }
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -81,6 +81,19 @@
 	s.wake()
 }
 
+// Get returns the newest value of a key of a keyed topic, or nil if there is
+// none.
+func (s *Store) Get(topic, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(partKey{topic, 0})
+	i, ok := p.newest[key]
+	if !ok {
+		return nil
+	}
+	return p.records[i][1+len(key):]
+}
+
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -123,11 +136,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(keyOf(r))
-	at := r.URL.Query().Get("at")
+	q := r.URL.Query()
+	at := q.Get("at")
 	switch {
 	case at != "" && at != strconv.Itoa(len(p.records)):
 		answer(w, http.StatusPreconditionFailed, map[string]int{"end": len(p.records)})
 		return
+	case !q.Has("producer_id"): // not numbered
+		epoch, sequence = p.epoch, p.sequence
 	case epoch < p.epoch:
 		answer(w, http.StatusConflict, map[string]string{"reason": "fenced"})
 		return
