--- a/schedule/dispatch/layout.go
+++ b/schedule/dispatch/layout.go
@@ -12,7 +12,7 @@
 	// shardExecutors is how many executors a shard is made for. Fewer and larger
 	// shards use the room of a service better; the owner of one with 120
 	// executors and 200 starts a second uses a third of a core.
-	shardExecutors = 180
+	shardExecutors = 130
 	// executorLoad is the processor time that an owner spends for each executor
 	// at two starts a second there.
 	executorLoad unit.MilliCPU = 3
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -81,7 +81,7 @@
 	registrationEvery = 400 * time.Millisecond  // a draining executor must be seen within 2 s
 	retryEvery        = 150 * time.Millisecond  // after a failed call to the store
 	operatorWait      = 600 * clock.Millisecond // of one long poll; a silent connection must be found within 2 s
-	appendEvery       = 20 * clock.Millisecond   // groups changes; 50 appends a second at most
+	appendEvery       = 20 * clock.Millisecond  // groups changes; 50 appends a second at most
 	learnedEvery      = 2 * clock.Second        // learned weights are stored with an append
 	busyTick          = 25 * time.Millisecond
 	idleTick          = 500 * time.Millisecond
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -14,7 +14,7 @@
 )
 
 // Parts is the number of partitions of a topic.
-const Parts = 4
+const Parts = 24
 
 // Store is a stand-in of the platform's store. Use [NewStore].
 type Store struct {
