--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -14,6 +14,7 @@
 	goneAt    clock.Millis // when the entry went away
 	drainAt   clock.Millis // when it was first seen to drain
 	evacuated clock.Millis // until when it gets no new runs, as it goes down for upkeep
+	listedAt  clock.Millis // when its last list of runs came
 	synced    bool         // what runs there is known under the owner's token
 	lives     unit.Token   // lives seen under this id by this owner
 	tasks     map[TaskID]unit.Run
--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -5,6 +5,9 @@
 	"mimosadock/schedule/unit"
 )
 
+// endsPerList is the most ends that an executor lists at once.
+const endsPerList = 500
+
 // hold asks executors for what runs there, where something does or where that
 // is not known.
 func (s *Shard) hold(now clock.Millis) {
@@ -38,7 +41,7 @@
 		e.retryAt = now.Add(200 * clock.Millisecond)
 		return
 	}
-	e.told = h.LastSeen
+	e.told, e.listedAt = h.LastSeen, now
 	for i := range a.Finished {
 		f := &a.Finished[i]
 		if f.Number > e.noted {
@@ -58,6 +61,10 @@
 	}
 	e.strays = strays
 	s.observe(now, e, &l)
+	if len(a.Finished) >= endsPerList {
+		// The ends of runs that are not listed may stand on the next page.
+		return
+	}
 	s.absent(now, e, h, here)
 	if !e.synced {
 		e.synced = true
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -197,10 +197,17 @@
 	return changes, orders
 }
 
-// cut takes the changes that the next append stores.
+// mostChanges bounds the jobs of one append. A job's records take up to about
+// 8 KB, and the platform takes 2 MB in a call.
+const mostChanges = 200
+
+// cut takes the changes that the next append stores. Starts and ends of runs
+// wait until the records of their jobs are among them.
 func (s *Shard) cut() []Change {
 	var out []Change
-	for _, id := range s.changed {
+	batch := s.changed[:min(len(s.changed), mostChanges)]
+	rest := slices.Clone(s.changed[len(batch):])
+	for _, id := range batch {
 		j := s.jobs.Get(id)
 		if j == nil {
 			out = append(out, Change{ID: id, Drop: true})
@@ -215,10 +222,21 @@
 		}
 		out = append(out, c)
 	}
-	s.storing, s.changed = s.changed, s.storing[:0]
-	s.releasing, s.held = s.held, s.releasing[:0]
+	s.storing, s.changed = append(s.storing[:0], batch...), append(s.changed[:0], rest...)
+	held := s.held
+	s.held, s.releasing = nil, s.releasing[:0]
+	for _, id := range held {
+		if j := s.jobs.Get(id.Job); j != nil && j.changed {
+			s.held = append(s.held, id)
+		} else {
+			s.releasing = append(s.releasing, id)
+		}
+	}
 	for _, e := range s.executors.All() {
-		e.noting = e.noted
+		e.noting = e.lastSeen
+		if len(rest) == 0 {
+			e.noting = e.noted
+		}
 	}
 	return out
 }
--- a/schedule/dispatch/stall.go
+++ b/schedule/dispatch/stall.go
@@ -27,7 +27,7 @@
 			switch {
 			case e.Draining && st.Perpetual, leaves && st.SavesProgress:
 				s.move(id, t, e, "executor drains")
-			case s.stalled(now, st, t, e):
+			case s.stalled(st, t, e):
 				e.suspect = now.Add(suspectFor)
 				s.move(id, t, e, "no progress")
 			}
@@ -35,11 +35,13 @@
 	}
 }
 
-func (s *Shard) stalled(now clock.Millis, st *Step, t *Task, e *Executor) bool {
+func (s *Shard) stalled(st *Step, t *Task, e *Executor) bool {
 	if st.Gang || t.paced < fullPace {
 		return false
 	}
-	still := now.Sub(max(t.progressAt, t.runningAt))
+	// Only lists tell of progress: an owner that gets none, as it is overloaded
+	// or cut off, must not move sound runs.
+	still := e.listedAt.Sub(max(t.progressAt, t.runningAt))
 	if st.Perpetual {
 		return t.progress < 100 && still > workingAfter+s.Limits.Restore
 	}
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -115,7 +115,8 @@
 	layout   atomic.Pointer[dispatch.Layout]
 	members  membership
 	waves    []maintenance.Wave
-	upkeep   *upkeep // nil while another process plans it
+	upkeep   *upkeep                        // nil while another process plans it
+	epochs   map[unit.Shard]unit.Generation // last used for each shard
 
 	joins        context.Context
 	stopJoins    context.CancelFunc
@@ -152,6 +153,7 @@
 	c.group = g
 	c.messages = make(chan any, mailbox)
 	c.tenures = make(map[unit.Shard]*tenure)
+	c.epochs = make(map[unit.Shard]unit.Generation)
 	c.joins, c.stopJoins = context.WithCancel(g.Context())
 	c.joinsStopped = make(chan struct{})
 }
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -48,13 +48,17 @@
 		} else {
 			last = generation
 			c.members.fresher.Store(int64(bootAt))
-			done := make(chan bool, 1)
+			done := make(chan joinOutcome, 1)
 			c.post(ctx, joinedMessage{generation, shards, sentAt, done})
 			// A shard that is no longer listed must be given up before the
 			// next join tells the store so, and that join makes it free.
 			select {
-			case released := <-done:
-				if released {
+			case o := <-done:
+				if o.rejoin {
+					c.leaveOwners(ctx, "shard was given up in this generation")
+					last = 0
+				}
+				if o.released || o.rejoin {
 					continue
 				}
 			case <-ctx.Done():
@@ -121,8 +125,8 @@
 
 // joined takes the outcome of a join.
 func (c *Control) joined(m joinedMessage) {
-	released := false
-	defer func() { m.done <- released }()
+	var outcome joinOutcome
+	defer func() { m.done <- outcome }()
 	// After a silence longer than the TTL, other members may have owned the
 	// shards meanwhile, although they are listed again.
 	lost := c.members.confirmed > 0 && m.sentAt.Sub(c.members.confirmed) > c.Settings.TTL
@@ -139,13 +143,20 @@
 	for id, t := range c.tenures {
 		if !listed[id] {
 			c.release(t, "shard was dealt to another member")
-			released = true
+			outcome.released = true
 		}
 	}
 	for id := range listed {
-		if c.tenures[id] == nil {
-			c.gain(id, m.generation)
+		if c.tenures[id] != nil {
+			continue
+		}
+		// Appends and orders of the former tenure may still be on their way, and
+		// its epoch would not fence them.
+		if c.epochs[id] == m.generation {
+			outcome.rejoin = true
+			continue
 		}
+		c.gain(id, m.generation)
 	}
 }
 
@@ -166,7 +177,7 @@
 		ctx: ctx, cancel: cancel, cutAt: c.Clock.Now(),
 	}
 	t.shard.Report = c.report
-	c.tenures[id] = t
+	c.tenures[id], c.epochs[id] = t, epoch
 	c.Counters.Gains.Add(1)
 	c.Journal.Change("shard gained", "shard", id, "epoch", epoch)
 	c.group.Go("load", func(context.Context) error {
--- a/scheduler/control/message.go
+++ b/scheduler/control/message.go
@@ -56,6 +56,12 @@
 	Held       int               `cbor:"6,keyasint,omitempty"` // of an evacuation: runs that can't be spared; Count is all that are left
 }
 
+// joinOutcome tells what is to be done after a join. The zero value is nothing.
+type joinOutcome struct {
+	released bool // a shard was given up, which the next join tells the store
+	rejoin   bool // a shard can be served under a new generation only
+}
+
 // The messages to the control goroutine.
 type (
 	askMessage struct {
@@ -66,7 +72,7 @@
 		generation unit.Generation
 		shards     []unit.Shard
 		sentAt     clock.Millis
-		done       chan<- bool // whether a shard was given up
+		done       chan<- joinOutcome
 	}
 	loadedMessage struct {
 		shard unit.Shard
