--- a/scheduler/control/directory.go
+++ b/scheduler/control/directory.go
@@ -25,7 +25,7 @@
 const (
 	attemptTimeout = 900 * time.Millisecond   // of one call to an owner; an append takes under 300 ms on a slow store
 	ownerWait      = 700 * clock.Millisecond  // for an owner to be found
-	outcomeWait    = 1500 * clock.Millisecond // for the outcome of a call that may have been taken
+	outcomeWait    = 2600 * clock.Millisecond // for the outcome of a call that may have been taken; a successor answers 1.6 s after its owner is lost
 	lookupEvery    = 150 * clock.Millisecond  // least span between two looks for owners
 	probeEvery     = 400 * time.Millisecond   // while an owner can't be reached
 	probeTimeout   = 600 * time.Millisecond
--- a/scheduler/peer/peer.go
+++ b/scheduler/peer/peer.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
 	"google.golang.org/grpc/keepalive"
@@ -131,12 +132,42 @@
 	}
 }
 
+// connectTimeout bounds the wait for a connection. Above it a SYN was lost or
+// the peer is cut off.
+const connectTimeout = 500 * time.Millisecond
+
+// connected waits until a connection is there. A call that is not sent for want
+// of one has not run, which the caller of a job may be told.
+func connected(ctx context.Context, conn *grpc.ClientConn) bool {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	for {
+		s := conn.GetState()
+		switch s {
+		case connectivity.Ready:
+			return true
+		case connectivity.TransientFailure, connectivity.Shutdown:
+			return false
+		case connectivity.Idle:
+			conn.Connect()
+		case connectivity.Connecting:
+		}
+		if !conn.WaitForStateChange(ctx, s) {
+			return false
+		}
+	}
+}
+
 // Ask calls the process at address. The error carries a verdict.
 func (c *Client) Ask(ctx context.Context, address string, a *control.Ask) (control.Reply, error) {
 	conn, err := c.conn(address)
 	if err != nil {
 		return control.Reply{}, &verdict.Error{Verdict: verdict.DidNotRun, Reason: "no connection", Err: err}
 	}
+	if !connected(ctx, conn) {
+		c.drop(address, conn)
+		return control.Reply{}, &verdict.Error{Verdict: verdict.DidNotRun, Reason: "no connection to " + address}
+	}
 	var r control.Reply
 	if err := conn.Invoke(ctx, askMethod, a, &r); err != nil {
 		if code := status.Code(err); code == codes.Unavailable || code == codes.DeadlineExceeded {
--- /dev/null
+++ b/scheduler/peer/peer_test.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/group"
+	"mimosadock/schedule/verdict"
+	"mimosadock/scheduler/control"
+)
+
+// asked answers calls, or never.
+type asked struct{ silent bool }
+
+func (a asked) Ask(ctx context.Context, _ *control.Ask) (control.Reply, error) {
+	if a.silent {
+		<-ctx.Done()
+	}
+	return control.Reply{Status: control.Accepted}, ctx.Err()
+}
+
+// Guards the verdicts of calls to other processes: a submission is refused only
+// if its owner can't have got it, and a caller is not left without an answer if
+// the call was never sent.
+func TestVerdicts(t *testing.T) {
+	closed, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = closed.Close() // refuses connections from now on
+	mute, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = mute.Close() }) // accepts and never answers
+	serve := func(a asked) string {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, g := NewServer(a), new(group.Group)
+		g.Go("serve", func(context.Context) error { return s.Serve(l) })
+		t.Cleanup(func() {
+			s.Stop()
+			_ = g.Wait() // ends with the server
+		})
+		return l.Addr().String()
+	}
+	for name, c := range map[string]struct {
+		address string
+		want    verdict.Verdict
+	}{
+		"answers":       {serve(asked{}), verdict.Ran},
+		"no answer":     {serve(asked{silent: true}), verdict.MayHaveRun},
+		"refused":       {closed.Addr().String(), verdict.DidNotRun},
+		"never greeted": {mute.Addr().String(), verdict.DidNotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var client Client
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			r, err := client.Ask(ctx, c.address, &control.Ask{Kind: control.Submit})
+			if c.want == verdict.Ran {
+				is.NoErr(err)
+				is.Equal(r.Status, control.Accepted)
+				return
+			}
+			var v *verdict.Error
+			is.True(errors.As(err, &v))
+			is.Equal(v.Verdict, c.want)
+		})
+	}
+}
