--- a/scheduler/control/answer.go
+++ b/scheduler/control/answer.go
@@ -34,6 +34,10 @@
 		m.reply <- Reply{Status: NotOwner, Reason: "shard is not served here"}
 		return
 	}
+	if !c.current(t, m.ask) {
+		m.reply <- Reply{Status: NotOwner, Reason: "membership is not confirmed"}
+		return
+	}
 	now, wall := c.Clock.Now(), wallNow()
 	switch m.ask.Kind {
 	case Probe:
@@ -68,6 +72,20 @@
 	}
 }
 
+// current reports whether the answer to a call can't be out of date. A process
+// that may have been replaced does not know the jobs that its successor has
+// taken in; what it knows to be stored stands, also in an outage of the store.
+func (c *Control) current(t *tenure, a *Ask) bool {
+	if c.members.fresh(c.Boot(), c.Settings.TTL) {
+		return true
+	}
+	if a.Kind != State {
+		return false
+	}
+	_, stored := t.shard.State(a.Job)
+	return stored
+}
+
 func stateReply(s *dispatch.Shard, id unit.Job) Reply {
 	if state, ok := s.State(id); ok {
 		return Reply{Status: Accepted, State: state}
--- a/scheduler/process/process_test.go
+++ b/scheduler/process/process_test.go
@@ -60,38 +60,12 @@
 	return x
 }
 
-// freePorts returns n ports in a row that nothing listens on.
-func freePorts(t *testing.T, n int) int {
-	for range 50 {
-		first, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := first.Addr().(*net.TCPAddr).Port
-		free := true
-		var held []net.Listener
-		for i := 1; i < n; i++ {
-			l, err := net.Listen("tcp4", net.JoinHostPort("127.0.0.1", strconv.Itoa(port+i)))
-			if err != nil {
-				free = false
-				break
-			}
-			held = append(held, l)
-		}
-		for _, l := range append(held, first) {
-			_ = l.Close()
-		}
-		if free {
-			return port
-		}
-	}
-	t.Fatal("no free ports")
-	return 0
-}
-
 // start starts a process.
 func (s *site) start() *running {
-	port := freePorts(s.t, 4)
+	port, err := fleet.FreePorts(4)
+	if err != nil {
+		s.t.Fatal(err)
+	}
 	at := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port+i)) }
 	path := filepath.Join(s.t.TempDir(), "node.yaml")
 	text := fmt.Sprintf("node_name: n\nip: 127.0.0.1\nbind_addresses: {frontend: %q, ready: %q}\nport_range: [%d, %d]\nbounds: {max_hold_ms: 6000, grace_s: 2}\nplatform: {address: %q, min_ttl_ms: 1000}\ncloud_api: {address: %q}\nadvice: %q\n",
