--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Targets: run, test, prove, bench, load, fuzz. See README.md.
 
-MODULES := schedule platform scheduler entry standin ctl replay load demo bench
+MODULES := schedule platform scheduler entry standin ctl replay load soak demo bench
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 FUZZTIME ?= 20s
 
--- /dev/null
+++ b/soak/process_test.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"mimosadock/standin/fleet"
+)
+
+// program is the path of the scheduler, built once.
+var program string
+
+func TestMain(m *testing.M) { os.Exit(build(m)) }
+
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir) //nolint:errcheck // a folder for temporary files
+	program = filepath.Join(dir, "scheduler")
+	out, err := exec.Command("go", "build", "-o", program, "mimosadock/scheduler").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is a scheduler that runs as a program of its own, and is started
+// again after it was stopped.
+type process struct {
+	t        *testing.T
+	name     string
+	settings string // path
+	callers  string // address
+	store    *Proxy // between it and the store
+	client   *http.Client
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	output  bytes.Buffer
+}
+
+// newProcess prepares a process; start starts it.
+func newProcess(t *testing.T, n int, store string) *process {
+	proxy, err := OpenProxy(store)
+	if err != nil {
+		t.Fatal(err)
+	}
+	port, err := fleet.FreePorts(4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port+i)) }
+	p := &process{
+		t: t, name: "p" + strconv.Itoa(n), callers: at(0), store: proxy, settings: filepath.Join(t.TempDir(), "node.yaml"),
+		client: &http.Client{Timeout: 4 * time.Second},
+	}
+	text := fmt.Sprintf("node_name: %q\nip: 127.0.0.1\nbind_addresses: {frontend: %q, ready: %q}\nport_range: [%d, %d]\nbounds: {max_hold_ms: 6000, grace_s: 2}\nplatform: {address: %q, min_ttl_ms: 1000}\n",
+		p.name, at(0), at(1), port+2, port+3, proxy.Address())
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// start starts the program unless it runs.
+func (p *process) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		return
+	}
+	c := exec.Command(program, "--shards", "2", "--lease", "3s")
+	c.Env = append(os.Environ(), "MIMOSADOCK_CONFIG="+p.settings)
+	c.Stdout, c.Stderr = &p.output, &p.output
+	if err := c.Start(); err != nil {
+		p.t.Error(err)
+		return
+	}
+	exited := make(chan struct{})
+	p.command, p.exited = c, exited
+	time.AfterFunc(0, func() {
+		_ = c.Wait() // ended by a signal of the day
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.command == c {
+			p.command = nil
+		}
+		close(exited)
+	})
+}
+
+// signal sends a signal to the program, if it runs.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(s) // it may have just ended
+	}
+}
+
+// end ends the program and waits for it.
+func (p *process) end() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	if exited != nil {
+		<-exited
+	}
+	p.store.Close()
+}
+
+// runs reports whether the program runs.
+func (p *process) runs() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command != nil
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,127 @@
+package soak
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"mimosadock/schedule/group"
+)
+
+// Proxy forwards connections on loopback and can harm them. Use [OpenProxy].
+type Proxy struct {
+	target   string
+	listener net.Listener
+	group    *group.Group
+
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	delay    time.Duration // of each piece of data
+	silent   bool          // nothing gets through, in both directions
+	deafened bool          // answers don't get through
+}
+
+// OpenProxy returns a proxy of a target address.
+func OpenProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{target: target, listener: l, group: new(group.Group), conns: make(map[net.Conn]bool)}
+	p.group.Go("accept", p.accept)
+	return p, nil
+}
+
+// Address returns the address of the proxy.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close() // a second close changes nothing
+	p.Reset()
+	_ = p.group.Wait() // copying ends with the connections
+}
+
+// Delay delays all data, 0 ends it.
+func (p *Proxy) Delay(d time.Duration) { p.set(func() { p.delay = d }) }
+
+// Silence drops all data without a reset.
+func (p *Proxy) Silence(on bool) { p.set(func() { p.silent = on }) }
+
+// CutOneWay drops the answers only.
+func (p *Proxy) CutOneWay(on bool) { p.set(func() { p.deafened = on }) }
+
+// Heal ends all harm. Connections that lost data stay open and silent until
+// they are reset.
+func (p *Proxy) Heal() { p.set(func() { p.delay, p.silent, p.deafened = 0, false, false }) }
+
+func (p *Proxy) set(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f()
+}
+
+// Reset resets all connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0) // makes the close a reset
+		}
+		_ = c.Close() // the other side sees it
+	}
+}
+
+func (p *Proxy) accept(context.Context) error {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return nil
+		}
+		p.group.Go("connection", func(context.Context) error {
+			p.serve(c)
+			return nil
+		})
+	}
+}
+
+func (p *Proxy) serve(in net.Conn) {
+	out, err := net.DialTimeout("tcp4", p.target, time.Second)
+	if err != nil {
+		_ = in.Close() // the caller sees a broken connection
+		return
+	}
+	p.set(func() { p.conns[in], p.conns[out] = true, true })
+	defer p.set(func() { delete(p.conns, in); delete(p.conns, out) })
+	var g group.Group
+	g.Go("requests", func(context.Context) error { p.copy(out, in, false); return nil })
+	g.Go("answers", func(context.Context) error { p.copy(in, out, true); return nil })
+	_ = g.Wait() // copying returns no error
+}
+
+// copy copies until an end closes. Data that is dropped leaves the connection
+// broken: what follows must not be taken for it.
+func (p *Proxy) copy(to, from net.Conn, answers bool) {
+	defer func() { _ = to.Close(); _ = from.Close() }() // both ends are done
+	b := make([]byte, 32<<10)
+	lost := false
+	for {
+		n, err := from.Read(b)
+		var delay time.Duration
+		p.set(func() {
+			delay = p.delay
+			lost = lost || p.silent || p.deafened && answers
+		})
+		time.Sleep(delay)
+		if n > 0 && !lost {
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- a/standin/fleet/executor.go
+++ b/standin/fleet/executor.go
@@ -20,7 +20,34 @@
 	Began    time.Time
 }
 
-// Executor is a stand-in of one executor. Use [NewExecutor].
+// Observer is told what happens on executors, in order for each of them. Its
+// methods must not call the executor.
+type Observer interface {
+	// Began tells that a run has begun.
+	Began(r Run)
+	// Ended tells how a run has ended.
+	Ended(r Run, how string)
+	// Noted tells that the end of a run was forgotten, as its owner has seen it.
+	Noted(r Run, how string)
+	// Lapsed tells that the lease of an executor has ended.
+	Lapsed(executor string)
+	// Crashed tells that an executor has ended with all that it ran.
+	Crashed(executor string)
+}
+
+// Options of an executor. The zero value is that of [NewExecutor].
+type Options struct {
+	// Announce returns the address that is entered in the store; nil for the
+	// executor's own.
+	Announce func(address string) string
+	// Observer may be nil.
+	Observer Observer
+	// Late returns how much later an order is carried out, without an answer;
+	// 0 for at once and answered. It may be nil.
+	Late func() time.Duration
+}
+
+// Executor is a stand-in of one executor. Use [NewExecutor] or [OpenExecutor].
 type Executor struct {
 	// Work is how long a task takes.
 	Work time.Duration
@@ -31,13 +58,16 @@
 
 	id      string
 	store   *Store
+	options Options
 	server  *httptest.Server
 	stop    chan struct{}
 	mu      sync.Mutex
+	closed  bool
 	changed chan struct{}
 	born    time.Time
 	token   uint64
-	lease   int64
+	lease   int64 // instant on the executor's clock
+	expiry  *time.Timer
 	running map[string]*run
 	highest map[string]int
 	ends    []end
@@ -59,8 +89,13 @@
 // NewExecutor starts an executor of a service with room for eight cores and
 // enters it in the store.
 func NewExecutor(store *Store, id, service string) *Executor {
+	return OpenExecutor(store, id, service, Options{})
+}
+
+// OpenExecutor is [NewExecutor] with options.
+func OpenExecutor(store *Store, id, service string, o Options) *Executor {
 	x := &Executor{
-		Work: 50 * time.Millisecond, id: id, store: store, stop: make(chan struct{}), changed: make(chan struct{}),
+		Work: 50 * time.Millisecond, id: id, store: store, options: o, stop: make(chan struct{}), changed: make(chan struct{}),
 		born: time.Now(), running: make(map[string]*run), highest: make(map[string]int),
 	}
 	mux := http.NewServeMux()
@@ -75,9 +110,13 @@
 
 // enter writes the executor's entry and keeps it there until Close.
 func (x *Executor) enter(service string) {
+	address := x.server.Listener.Addr().String()
+	if x.options.Announce != nil {
+		address = x.options.Announce(address)
+	}
 	write := func() {
 		b, _ := json.Marshal(map[string]any{ // plain values can be encoded
-			"service": service, "address": x.server.Listener.Addr().String(), "zone": "a", "state": "ready",
+			"service": service, "address": address, "zone": "a", "state": "ready",
 			"capacity": map[string]int{"cpu": 8000, "mem_mb": 16000}, "labels": []string{"a", "r1"},
 			"born": x.born.UnixMilli(), "clock_ms": x.clock(),
 		})
@@ -106,9 +145,16 @@
 func (x *Executor) Close() {
 	close(x.stop)
 	x.mu.Lock()
+	x.closed = true
 	for _, r := range x.running {
 		r.timer.Stop()
 	}
+	if x.expiry != nil {
+		x.expiry.Stop()
+	}
+	if o := x.options.Observer; o != nil {
+		o.Crashed(x.id)
+	}
 	x.mu.Unlock()
 	x.server.CloseClientConnections()
 	x.server.Close()
@@ -133,15 +179,55 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		x.mu.Lock()
-		status, reason := http.StatusConflict, "fence"
-		if o.Token >= x.token {
-			x.token = o.Token
-			status, reason = f(&o)
+		if x.options.Late != nil {
+			if d := x.options.Late(); d > 0 {
+				time.AfterFunc(d, func() { x.carryOut(f, &o) })
+				panic(http.ErrAbortHandler)
+			}
 		}
-		clock, born := x.clock(), x.born.UnixMilli()
-		x.mu.Unlock()
-		answer(w, status, map[string]any{"clock_ms": clock, "born": born, "reason": reason})
+		status, reason := x.carryOut(f, &o)
+		answer(w, status, map[string]any{"clock_ms": x.clock(), "born": x.born.UnixMilli(), "reason": reason})
+	}
+}
+
+// carryOut carries an order out unless its token is too low or the executor has
+// ended.
+func (x *Executor) carryOut(f func(*order) (int, string), o *order) (int, string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case x.closed:
+		return http.StatusServiceUnavailable, ""
+	case o.Token < x.token:
+		return http.StatusConflict, "fence"
+	}
+	x.token = o.Token
+	return f(o)
+}
+
+// extend extends the lease of all that runs. It is never shortened.
+func (x *Executor) extend(deadline int64) {
+	if deadline <= x.lease {
+		return
+	}
+	x.lease = deadline
+	if x.expiry != nil {
+		x.expiry.Stop()
+	}
+	x.expiry = time.AfterFunc(time.Duration(deadline-x.clock())*time.Millisecond, x.expire)
+}
+
+func (x *Executor) expire() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.closed || x.clock() < x.lease {
+		return
+	}
+	for task, r := range x.running {
+		x.end(task, r.number, "lapsed")
+	}
+	if o := x.options.Observer; o != nil {
+		o.Lapsed(x.id)
 	}
 }
 
@@ -157,14 +243,19 @@
 	case x.Tickets && o.Ticket != Ticket:
 		return http.StatusConflict, "ticket"
 	}
-	x.lease, x.highest[o.Task] = max(x.lease, o.Deadline), o.Run
+	x.extend(o.Deadline)
+	x.highest[o.Task] = o.Run
 	x.running[o.Task] = &run{o.Run, time.AfterFunc(x.Work, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
 		x.end(o.Task, o.Run, "done")
 	})}
+	began := Run{o.Task, o.Run, x.id, time.Now()}
 	if x.Began != nil {
-		x.Began(Run{o.Task, o.Run, x.id, time.Now()})
+		x.Began(began)
+	}
+	if w := x.options.Observer; w != nil {
+		w.Began(began)
 	}
 	return http.StatusOK, ""
 }
@@ -186,6 +277,9 @@
 	x.ends = append(x.ends, end{x.number, task, number, how})
 	close(x.changed)
 	x.changed = make(chan struct{})
+	if w := x.options.Observer; w != nil {
+		w.Ended(Run{task, number, x.id, time.Now()}, how)
+	}
 }
 
 func (x *Executor) serveHold(w http.ResponseWriter, r *http.Request) {
@@ -200,8 +294,12 @@
 		answer(w, http.StatusConflict, map[string]any{"clock_ms": x.clock(), "reason": "fence"})
 		return
 	}
-	x.token, x.lease = o.Token, max(x.lease, o.Deadline)
+	x.token = o.Token
+	x.extend(o.Deadline)
 	for len(x.ends) > 0 && x.ends[0].n <= o.LastSeen {
+		if w := x.options.Observer; w != nil {
+			w.Noted(Run{x.ends[0].task, x.ends[0].run, x.id, time.Now()}, x.ends[0].how)
+		}
 		x.ends = x.ends[1:]
 	}
 	changed, waits := x.changed, len(x.ends) == 0
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -22,6 +22,8 @@
 	Lose atomic.Bool
 	// Down makes every call fail with 503.
 	Down atomic.Bool
+	// Slow delays every call, in nanoseconds.
+	Slow atomic.Int64
 
 	server  *httptest.Server
 	mu      sync.Mutex
@@ -58,6 +60,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		time.Sleep(time.Duration(s.Slow.Load()))
 		mux.ServeHTTP(w, r)
 	}))
 	return s
