--- a/bench/journal/traffic.go
+++ b/bench/journal/traffic.go
@@ -8,8 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"mimosadock/entry/platform"
 	"mimosadock/entry/stream"
+	"mimosadock/platform"
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/group"
 	"mimosadock/schedule/record"
--- a/entry/platform/hosts.go
+++ b/entry/platform/hosts.go
@@ -18,6 +18,12 @@
 // failed one, which leaves the last known set in place.
 const listTimeout = 2 * time.Second
 
+// idleTimeout bounds how long an idle connection is kept.
+const idleTimeout = 30 * time.Second
+
+// maxAnswerBytes bounds an answer of the list.
+const maxAnswerBytes = 16 << 20
+
 // Hosts is a client of the platform's list of hosts over HTTP. Use [NewHosts].
 type Hosts struct {
 	url    string
--- a/entry/process/journal.go
+++ b/entry/process/journal.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"mimosadock/entry/control"
-	"mimosadock/entry/platform"
 	"mimosadock/entry/stream"
+	"mimosadock/platform"
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/config"
 	"mimosadock/schedule/group"
--- a/load/configure.go
+++ b/load/configure.go
@@ -6,8 +6,9 @@
 	"strings"
 	"time"
 
-	"mimosadock/entry/platform"
+	hosts "mimosadock/entry/platform"
 	"mimosadock/load/target"
+	"mimosadock/platform"
 	"mimosadock/schedule/config"
 	"mimosadock/schedule/member"
 	"mimosadock/schedule/record"
@@ -58,7 +59,7 @@
 // list waits until the stand-in lists executors.
 func (c configuration) list(ctx context.Context) ([]member.Listing, error) {
 	const again = 100 * time.Millisecond
-	h := platform.NewHosts(c.hosts)
+	h := hosts.NewHosts(c.hosts)
 	for {
 		rows, err := h.List(ctx)
 		if err == nil && len(rows) > 0 {
--- a/standin/journal/handler.go
+++ b/standin/journal/handler.go
@@ -22,75 +22,81 @@
 	maxWait      = 30 * clock.Second
 )
 
-// EndHeader names the header with the position of the next append.
-const EndHeader = "Mimosa-End"
-
 // bodyTimeout bounds how long a client may take to send an entry.
 const bodyTimeout = 10 * time.Second
 
-// Handler serves m over HTTP:
+// recordHeader is the length of a record, in bytes before it.
+const recordHeader = 4
+
+// Handler serves m as the only topic of the platform's store:
 //
-//	POST /append                          body is the entry; {"offset":N}
-//	GET  /entries?from=N&limit=N&waitMs=N the entries, each behind its length as
-//	                                      an unsigned varint; Mimosa-End: N
-//	GET  /bounds                          {"first":N,"next":N}
+//	POST /-/log-append                    body is one record behind its length;
+//	                                      {"offset":N}
+//	GET  /-/log-read?from=N&wait_ms=N     the end and the first offset, 8 bytes
+//	                                      each, and records behind their lengths
 //
-// Refused calls are answered with 503 and the verdict in Mimosa-Verdict,
-// expired offsets with 410, entries that are too large with 413. A call whose
-// answer is lost ends its connection.
+// Refused calls are answered with 503, expired offsets with 410 and the first
+// offset, entries that are too large with 413. A call whose answer is lost ends
+// its connection.
 func Handler(m *Memory) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /append", func(w http.ResponseWriter, r *http.Request) { serveAppend(m, w, r) })
-	mux.HandleFunc("GET /entries", func(w http.ResponseWriter, r *http.Request) { serveEntries(m, w, r) })
-	mux.HandleFunc("GET /bounds", func(w http.ResponseWriter, r *http.Request) {
-		b, err := m.Bounds(r.Context())
-		respond(w, map[string]unit.Offset{"first": b.First, "next": b.Next}, err)
-	})
+	mux.HandleFunc("POST /-/log-append", func(w http.ResponseWriter, r *http.Request) { serveAppend(m, w, r) })
+	mux.HandleFunc("GET /-/log-read", func(w http.ResponseWriter, r *http.Request) { serveRead(m, w, r) })
 	return mux
 }
 
 func serveAppend(m *Memory, w http.ResponseWriter, r *http.Request) {
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(journal.MaxEntryBytes)))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, recordHeader+int64(journal.MaxEntryBytes)))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		err = journal.ErrTooLarge
 	} else if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if err == nil && (len(data) < recordHeader || len(data)-recordHeader != int(binary.BigEndian.Uint32(data))) {
+		http.Error(w, "body must be one record behind its length", http.StatusBadRequest)
+		return
+	}
 	var offset unit.Offset
 	if err == nil {
 		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-		offset, err = m.Append(r.Context(), data)
+		offset, err = m.Append(r.Context(), data[recordHeader:])
 	}
 	respond(w, map[string]unit.Offset{"offset": offset}, err)
 }
 
-func serveEntries(m *Memory, w http.ResponseWriter, r *http.Request) {
+func serveRead(m *Memory, w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	from, err1 := strconv.ParseUint(q.Get("from"), 10, 64)
-	limit, err2 := strconv.Atoi(q.Get("limit"))
-	wait, err3 := strconv.ParseInt("0"+q.Get("waitMs"), 10, 64)
-	if err := errors.Join(err1, err2, err3); err != nil || limit < 1 {
-		http.Error(w, "from, limit and waitMs must be numbers, limit at least 1", http.StatusBadRequest)
+	wait, err2 := strconv.ParseInt("0"+q.Get("wait_ms"), 10, 64)
+	if err := errors.Join(err1, err2); err != nil {
+		http.Error(w, "from and wait_ms must be numbers", http.StatusBadRequest)
+		return
+	}
+	page, err := m.Follow(r.Context(), unit.Offset(from), maxReadLimit, min(clock.Span(wait), maxWait))
+	bounds, boundsErr := m.Bounds(r.Context())
+	if errors.Is(err, journal.ErrExpired) && boundsErr == nil {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusGone)
+		_ = json.NewEncoder(w).Encode(map[string]unit.Offset{"first_offset": bounds.First}) // the caller may have left
 		return
 	}
-	page, err := m.Follow(r.Context(), unit.Offset(from), min(limit, maxReadLimit), min(clock.Span(wait), maxWait))
-	if err != nil {
+	if err := errors.Join(err, boundsErr); err != nil {
 		respond(w, nil, err)
 		return
 	}
-	var body []byte
+	body := binary.BigEndian.AppendUint64(nil, uint64(page.End))
+	body = binary.BigEndian.AppendUint64(body, uint64(bounds.First))
 	for _, e := range page.Entries {
 		if len(body)+len(e.Data) > maxReadBytes {
 			break
 		}
-		body = binary.AppendUvarint(body, uint64(len(e.Data)))
+		body = binary.BigEndian.AppendUint32(body, uint32(len(e.Data)))
 		body = append(body, e.Data...)
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
-	w.Header().Set(EndHeader, strconv.FormatUint(uint64(page.End), 10))
-	_, _ = w.Write(body)
+	_, _ = w.Write(body) // the caller may have left
 }
 
 // respond writes the answer to a call that ended with err.
@@ -99,12 +105,9 @@
 	case err == nil:
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(answer)
-	case errors.Is(err, journal.ErrExpired):
-		http.Error(w, err.Error(), http.StatusGone)
 	case errors.Is(err, journal.ErrTooLarge):
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 	case verdict.Of(err) == verdict.DidNotRun:
-		w.Header().Set("Mimosa-Verdict", verdict.DidNotRun.String())
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 	default:
 		panic(http.ErrAbortHandler)
