Report why tasks wait and the capacity of each shard

The logs of the incident don't tell why a perpetual task was not placed for 15 s: no room in its shard, room taken by batch tasks, and executors that are not used all look alike.

A step that has waited for 2 s now has a line with the number of executors that are excluded for each reason, and each shard reports its capacity. Both come every 3 s. Rate and the report share the function that names the reason, so they can't differ. Placement does not change.

--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -76,6 +76,12 @@
 	return (e.registered || now < e.unregisteredAt.Add(reregistrationGrace)) && e.reconciled && !e.unresponsive && !e.Draining && now >= e.suspectUntil && now >= e.evacuatingUntil
 }
 
+// accepts reports whether e is usable, can be given deadlines on its clock and
+// has no unknown runs, which use an unknown part of its capacity.
+func (e *Executor) accepts(now clock.Millis) bool {
+	return e.usable(now) && e.clockReadAt > 0 && e.unknownRuns == 0
+}
+
 // hasLabel reports whether e has a label.
 func (e *Executor) hasLabel(label unit.Label) bool { return slices.Contains(e.Labels, label) }
 
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -75,11 +75,7 @@
 // demand of the task or do not admit it.
 func (SeparationPolicy) Rate(e *Executor, request placementRequest) (float64, bool) {
 	step := request.step
-	if !step.demand().Fits(e.Capacity.Sub(e.allocated)) || step.Needs != "" && !e.hasLabel(step.Needs) ||
-		step.MaxPerExecutor > 0 && request.tasksOn(e) >= step.MaxPerExecutor {
-		return 0, false
-	}
-	if !request.admissible(e) {
+	if request.exclusion(e) != NotExcluded {
 		return 0, false
 	}
 	rating := penaltyFailure * float64(e.consecutiveFailures)
@@ -92,9 +88,6 @@
 	unrequestedCPU := float64(e.unrequestedCPU())
 	switch {
 	case step.Fills:
-		if e.availableBestEffortCPU() < step.Size.CPU {
-			return 0, false
-		}
 		if e.servingCount > 0 {
 			rating += penaltyServing * request.headroomShare(e)
 		} else {
@@ -159,6 +152,8 @@
 			delete(s.readySteps, k)
 		}
 	}
+	s.reportWaits(now, pools)
+	s.reportCapacity(now, pools)
 }
 
 // starvationTimeout is how long a job may have no assigned task before its next
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -60,7 +60,7 @@
 	type totals struct{ total, batch unit.MilliCPU }
 	sums := make(map[unit.Service]totals)
 	for _, e := range s.executors.All() {
-		if !e.usable(now) || e.clockReadAt == 0 || e.unknownRuns > 0 {
+		if !e.accepts(now) {
 			continue
 		}
 		pool := pools[e.Service]
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -53,10 +53,12 @@
 	openJobs           int  // jobs that have not ended
 	fenced             bool // an executor has refused an order because it has received a higher fencing token
 	advice             adviceTracker
-	scheduledJobs      []unit.Job   // jobs with occurrences still to start
-	endedJobs          []unit.Job   // ended jobs whose states are kept, oldest first
-	stoppingJobs       []unit.Job   // ended jobs of which runs may be left
-	nextExpiryAt       clock.Millis // next time for expireEndedJobs
+	scheduledJobs      []unit.Job               // jobs with occurrences still to start
+	endedJobs          []unit.Job               // ended jobs whose states are kept, oldest first
+	stoppingJobs       []unit.Job               // ended jobs of which runs may be left
+	nextExpiryAt       clock.Millis             // next time for expireEndedJobs
+	waitReportedAt     map[stepKey]clock.Millis // last report of each step that waits for an executor
+	capacityReportedAt clock.Millis             // last report of the capacity
 }
 
 // stepKey identifies a step of one occurrence of a job in the tables. It has the
--- a/schedule/dispatch/task.go
+++ b/schedule/dispatch/task.go
@@ -9,7 +9,7 @@
 	"mimosadock/schedule/unit"
 )
 
-//go:generate go tool stringer -type=TaskState,JobState,EndKind,Outcome -linecomment -output=enums_string.go
+//go:generate go tool stringer -type=TaskState,JobState,EndKind,Outcome,Exclusion -linecomment -output=enums_string.go
 
 // TaskID identifies a task within a shard.
 type TaskID struct {
