--- a/standin/fleet/group.go
+++ b/standin/fleet/group.go
@@ -138,3 +138,10 @@
 	defer s.mu.Unlock()
 	return slices.Sorted(maps.Keys(s.group.members))
 }
+
+// Owners returns the names of the members that hold the partitions, or "".
+func (s *Store) Owners() [PartitionCount]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.holders
+}
