Confirm a submission only after the append that has its record

An append holds at most 200 jobs. The callers that waited were answered after the next append, also those whose jobs were left for the one after it. If the owner was replaced in between, a confirmed submission was lost (LOST).

The waiters now stay queued until an append has all changes that were there. TestRepliesFollowTheAppendOfTheirJob failed before with 450 jobs: jobs were confirmed that the store did not have.

--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -260,6 +260,10 @@
 	return changes
 }
 
+// HasUncollectedChanges reports whether changes were left for an append after the
+// one that the last [Shard.Tick] returned.
+func (s *Shard) HasUncollectedChanges() bool { return len(s.dirty) > 0 }
+
 // HandleStored records that the changes of the last append are in the store, and
 // orders the starts of the runs in them.
 func (s *Shard) HandleStored(now clock.Millis) {
--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -39,7 +39,10 @@
 	}
 	owned.sequence++
 	owned.appending, owned.lastAppendAt = true, now
-	owned.inFlightWaiters, owned.queuedWaiters = owned.queuedWaiters, nil
+	if !owned.shard.HasUncollectedChanges() {
+		// Otherwise the changes that a waiter depends on may not be in this append.
+		owned.inFlightWaiters, owned.queuedWaiters = owned.queuedWaiters, nil
+	}
 	c.Counters.Appends.Add(1)
 	c.Counters.Records.Add(int64(len(records)))
 	id, epoch, sequence := owned.shard.ID, owned.epoch, owned.sequence
