Lend executors between shards

Cause: jobs and executors are dealt over shards by hash, and a task runs only on executors of the shard of its job. Perpetual tasks take 56 to 91 % of the processors of a shard by chance of the hash. Once executors leave, the fuller shards are at 96 %, with no room of one task on any executor, while another one has executors with all 24 cores free. The same holds for a label, or a service, of which a shard has no executor. The class of the fault: a fixed split of a shared capacity, without a way to even it out.

The home shard of an executor now lends it to a shard with a higher share of perpetual tasks, or with tasks that none of its executors can hold. The home shard stores the loan before the borrower learns of it, and lends only what has no runs, no unacknowledged ends and no hold in flight. Requests carry the epochs of both owners and a rising number, so that a replaced owner or a late message ends no loan, and the base of the fencing tokens goes with the executor. Decisions on jobs stay with one owner.

--- a/schedule/dispatch/accept.go
+++ b/schedule/dispatch/accept.go
@@ -153,13 +153,15 @@
 
 // expireEndedJobs deletes the states of jobs that ended longer ago than the
 // retention and have no runs to stop. It also drops the rows of unregistered
-// executors without runs, and the advisor's responses for ended jobs.
+// executors without runs, the records of loans that are not needed any more, and
+// the advisor's responses for ended jobs.
 func (s *Shard) expireEndedJobs(now clock.Millis, wall unit.UnixMillis) {
 	if now < s.nextExpiryAt {
 		return
 	}
 	s.nextExpiryAt = now.Add(expiryInterval)
 	s.removeUnregistered(now)
+	s.expireLoans(now)
 	s.dropEndedAdvice()
 	for len(s.endedJobs) > 0 {
 		id := s.endedJobs[0]
--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -14,6 +14,7 @@
 	unregisteredAt        clock.Millis        // when the entry was removed
 	drainingSince         clock.Millis        // when the entry first had the draining flag
 	evacuatingUntil       clock.Millis        // gets no new runs before, because of maintenance
+	vacatingUntil         clock.Millis        // gets no new runs before, because it is to be lent to another shard
 	lastListAt            clock.Millis        // when the last run lists came
 	reconciled            bool                // its run lists were reconciled with the tables under the token of this owner
 	restarts              unit.Token          // restarts under this id since the start of the ownership; part of the fencing token
@@ -76,12 +77,17 @@
 	return (e.registered || now < e.unregisteredAt.Add(reregistrationGrace)) && e.reconciled && !e.unresponsive && !e.Draining && now >= e.suspectUntil && now >= e.evacuatingUntil
 }
 
-// accepts reports whether e is usable, can be given deadlines on its clock and
+// serviceable reports whether e is usable, can be given deadlines on its clock and
 // has no unknown runs, which use an unknown part of its capacity.
-func (e *Executor) accepts(now clock.Millis) bool {
+func (e *Executor) serviceable(now clock.Millis) bool {
 	return e.usable(now) && e.clockReadAt > 0 && e.unknownRuns == 0
 }
 
+// accepts reports whether e is serviceable and is not to be lent to another shard.
+func (e *Executor) accepts(now clock.Millis) bool {
+	return e.serviceable(now) && now >= e.vacatingUntil
+}
+
 // hasLabel reports whether e has a label.
 func (e *Executor) hasLabel(label unit.Label) bool { return slices.Contains(e.Labels, label) }
 
--- a/schedule/dispatch/order.go
+++ b/schedule/dispatch/order.go
@@ -25,8 +25,8 @@
 }
 
 // Order is an order to an executor: a [StartOrder], [StopOrder], [PaceOrder]
-// or [HoldOrder]. An [AdviceRequest] goes to the advisor instead and has no
-// target.
+// or [HoldOrder]. An [AdviceRequest] goes to the advisor instead, and a
+// [LoanRequest] to the owner of another shard; they have no target.
 type Order struct {
 	To     Target
 	Start  *StartOrder
@@ -34,6 +34,7 @@
 	Pace   *PaceOrder
 	Hold   *HoldOrder
 	Advise *AdviceRequest
+	Loan   *LoanRequest
 }
 
 // StartOrder starts a run.
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -35,11 +35,12 @@
 }
 
 // ApplyRegistrations applies changes of the platform's list of executors. inShard
-// reports whether an executor belongs to the shard.
+// reports whether the layout assigns an executor to the shard. Executors that are
+// lent to another shard are left out, and borrowed ones included.
 func (s *Shard) ApplyRegistrations(now clock.Millis, r Registrations, inShard func(unit.Executor) bool) {
 	listed := make(map[unit.Executor]bool, len(r.Entries))
 	for i := range r.Entries {
-		if inShard(r.Entries[i].Executor) {
+		if s.uses(r.Entries[i].Executor, inShard) {
 			listed[r.Entries[i].Executor] = true
 			s.applyRegistration(now, r.Entries[i])
 		}
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -34,6 +34,7 @@
 type Shard struct {
 	ID     unit.Shard
 	Epoch  unit.Generation
+	Shards int // number of shards of the layout; with less than 2, no executors are lent
 	Limits Limits
 	Report func(Event) // called for each event; may be nil
 
@@ -59,6 +60,12 @@
 	nextExpiryAt       clock.Millis             // next time for expireEndedJobs
 	waitReportedAt     map[stepKey]clock.Millis // last report of each step that waits for an executor
 	capacityReportedAt clock.Millis             // last report of the capacity
+	loans              table.Table[unit.Executor, homeLoan]
+	borrowed           table.Table[unit.Executor, borrowedExecutor]
+	lenders            map[unit.Shard]*lender
+	loanSessions       map[unit.Shard]loanSession // last request of each borrower
+	gained             []unit.Executor            // executors that may be used since the last call to Gained
+	expiredLoans       []unit.Executor            // records of loans to delete
 }
 
 // stepKey identifies a step of one occurrence of a job in the tables. It has the
@@ -124,12 +131,14 @@
 	return &j.Spec.Queue
 }
 
+// tokensPerEpoch is the number of fencing tokens that an owner has for an executor.
+const tokensPerEpoch unit.Token = 1 << 10
+
 // token returns the fencing token for an executor. It rises with the epoch of
 // the owner and with each restart of the executor, so that orders to an
-// earlier incarnation are refused.
+// earlier incarnation are refused, and with each shard that uses the executor.
 func (s *Shard) token(e *Executor) unit.Token {
-	const tokensPerEpoch = 1 << 10
-	return unit.Token(s.Epoch)*tokensPerEpoch + min(e.restarts, tokensPerEpoch-1)
+	return s.tokenBase(e.Executor) + unit.Token(s.Epoch)*tokensPerEpoch + min(e.restarts, tokensPerEpoch-1)
 }
 
 // target returns the destination of orders to e.
@@ -157,13 +166,14 @@
 	return j, &j.Spec.Steps[id.Step], t
 }
 
-// Change is a job whose record is to be stored. It is valid until the next
-// call to the shard.
+// Change is a job or a loan whose record is to be stored. It is valid until the
+// next call to the shard.
 type Change struct {
+	Loan     *Loan // a loan to store; the fields of a job are not set
 	ID       unit.Job
 	Job      *Job
 	Spec     *Spec // spec to store, nil if the store has it
-	Drop     bool  // delete the job from the store
+	Drop     bool  // delete the job or the loan from the store
 	DropSpec bool  // delete the stored spec, which is no longer needed
 }
 
@@ -204,6 +214,7 @@
 		s.place(now)
 		s.requestAdvice(now)
 		s.expireEndedJobs(now, wall)
+		s.requestLoans(now)
 		changes = s.collectChanges()
 		if len(changes) == 0 {
 			s.HandleStored(now)
@@ -220,8 +231,8 @@
 
 // collectChanges returns the changes for the next append and notes which
 // starts and ends of runs it makes durable. A start waits while the record of
-// its job is left for a later append. Ends are acknowledged only if the append
-// has all dirty jobs.
+// its job is left for a later append. Ends are acknowledged and executors lent
+// only if the append has all dirty jobs, so that the store has no run on them.
 func (s *Shard) collectChanges() []Change {
 	var changes []Change
 	batch := s.dirty[:min(len(s.dirty), maxChangesPerAppend)]
@@ -251,6 +262,9 @@
 			s.storingStarts = append(s.storingStarts, id)
 		}
 	}
+	if len(rest) == 0 {
+		changes = append(changes, s.collectLoans()...)
+	}
 	for _, e := range s.executors.All() {
 		e.storingEndNumber = e.storedEndNumber
 		if len(rest) == 0 {
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -116,15 +116,16 @@
 	EventLog            EventLog
 	Counters            *Counters
 
-	group       *group.Group
-	messages    chan any
-	owned       map[unit.Shard]*ownedShard
-	config      atomic.Pointer[dispatch.Config]
-	layout      atomic.Pointer[dispatch.Layout]
-	membership  membership
-	waves       []maintenance.Wave
-	maintenance *maintenanceState              // nil while another process plans maintenance
-	epochs      map[unit.Shard]unit.Generation // last epoch used for each shard
+	group         *group.Group
+	messages      chan any
+	owned         map[unit.Shard]*ownedShard
+	config        atomic.Pointer[dispatch.Config]
+	layout        atomic.Pointer[dispatch.Layout]
+	membership    membership
+	waves         []maintenance.Wave
+	maintenance   *maintenanceState                       // nil while another process plans maintenance
+	epochs        map[unit.Shard]unit.Generation          // last epoch used for each shard
+	registrations map[unit.Executor]dispatch.Registration // the platform's list of executors
 
 	joinContext          context.Context
 	stopJoins            context.CancelFunc
@@ -163,6 +164,7 @@
 	c.messages = make(chan any, messageQueueSize)
 	c.owned = make(map[unit.Shard]*ownedShard)
 	c.epochs = make(map[unit.Shard]unit.Generation)
+	c.registrations = make(map[unit.Executor]dispatch.Registration)
 	c.joinContext, c.stopJoins = context.WithCancel(g.Context())
 	c.joinsStopped = make(chan struct{})
 }
@@ -229,7 +231,12 @@
 		}
 	case wavesMessage:
 		c.addWaves(m.waves)
+	case loanResultMessage:
+		if owned := c.findOwned(m.shard, m.epoch); owned != nil {
+			owned.shard.HandleLoanReply(c.Clock.Now(), m.request, m.reply)
+		}
 	case registrationsMessage:
+		c.recordRegistrations(m.registrations)
 		for _, owned := range c.owned {
 			if owned.restored {
 				owned.shard.ApplyRegistrations(c.Clock.Now(), m.registrations, c.executorFilter(owned.shard.ID))
@@ -249,8 +256,36 @@
 	}
 }
 
-// executorFilter returns a function that reports whether an executor belongs to
-// shard s.
+// recordRegistrations keeps the platform's list of executors, so that the entry of
+// an executor is at hand when another shard lends or returns it.
+func (c *Control) recordRegistrations(r dispatch.Registrations) {
+	if r.Complete {
+		clear(c.registrations)
+	}
+	for _, entry := range r.Entries {
+		c.registrations[entry.Executor] = entry
+	}
+	for _, id := range r.Removed {
+		delete(c.registrations, id)
+	}
+}
+
+// registerGained passes the entries of executors that a shard may use since the
+// last tick to the shard.
+func (c *Control) registerGained(owned *ownedShard) {
+	var r dispatch.Registrations
+	for _, id := range owned.shard.Gained() {
+		if entry, ok := c.registrations[id]; ok {
+			r.Entries = append(r.Entries, entry)
+		}
+	}
+	if len(r.Entries) > 0 {
+		owned.shard.ApplyRegistrations(c.Clock.Now(), r, c.executorFilter(owned.shard.ID))
+	}
+}
+
+// executorFilter returns a function that reports whether the layout assigns an
+// executor to shard s.
 func (c *Control) executorFilter(s unit.Shard) func(unit.Executor) bool {
 	layout := c.Layout()
 	return func(e unit.Executor) bool { return layout.ShardOf(string(e)) == s }
@@ -291,6 +326,7 @@
 // tickShard runs the systems of a shard, starts an append of the changes and
 // sends the orders.
 func (c *Control) tickShard(owned *ownedShard) {
+	c.registerGained(owned)
 	now := c.Clock.Now()
 	canStore := !owned.appending && now >= owned.lastAppendAt.Add(minAppendInterval)
 	changes, orders := owned.shard.Tick(now, wallNow(), canStore)
--- a/scheduler/control/counters.go
+++ b/scheduler/control/counters.go
@@ -17,6 +17,7 @@
 	Paces         atomic.Int64
 	Holds         atomic.Int64
 	AdviceCalls   atomic.Int64
+	LoanRequests  atomic.Int64
 	Gains         atomic.Int64
 	Releases      atomic.Int64
 	JoinFailures  atomic.Int64
@@ -31,7 +32,7 @@
 func (c *Counters) Publish(m *expvar.Map) {
 	for name, v := range map[string]*atomic.Int64{
 		"appends": &c.Appends, "appendRetries": &c.AppendRetries, "appendMillis": &c.AppendMillis,
-		"records": &c.Records, "starts": &c.Starts, "stops": &c.Stops, "paces": &c.Paces, "holds": &c.Holds, "adviceCalls": &c.AdviceCalls,
+		"records": &c.Records, "starts": &c.Starts, "stops": &c.Stops, "paces": &c.Paces, "holds": &c.Holds, "adviceCalls": &c.AdviceCalls, "loanRequests": &c.LoanRequests,
 		"shardGains": &c.Gains, "shardReleases": &c.Releases, "joinFailures": &c.JoinFailures, "feedFailures": &c.FeedFailures,
 	} {
 		m.Set(name, expvar.Func(func() any { return v.Load() }))
--- a/scheduler/control/enums_string.go
+++ b/scheduler/control/enums_string.go
@@ -14,11 +14,12 @@
 	_ = x[KindCancel-3]
 	_ = x[KindPending-4]
 	_ = x[KindEvacuate-5]
+	_ = x[KindLend-6]
 }
 
-const _Kind_name = "probesubmitstatecancelpendingevacuate"
+const _Kind_name = "probesubmitstatecancelpendingevacuatelend"
 
-var _Kind_index = [...]uint8{0, 5, 11, 16, 22, 29, 37}
+var _Kind_index = [...]uint8{0, 5, 11, 16, 22, 29, 37, 41}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
@@ -36,11 +37,12 @@
 	_ = x[StatusRefused-2]
 	_ = x[StatusNotFound-3]
 	_ = x[StatusNotOwner-4]
+	_ = x[StatusLent-5]
 }
 
-const _Status_name = "unsettledacceptedrefusedunknownnotOwner"
+const _Status_name = "unsettledacceptedrefusedunknownnotOwnerlent"
 
-var _Status_index = [...]uint8{0, 9, 17, 24, 31, 39}
+var _Status_index = [...]uint8{0, 9, 17, 24, 31, 39, 43}
 
 func (i Status) String() string {
 	idx := int(i) - 0
--- a/scheduler/control/maintenance.go
+++ b/scheduler/control/maintenance.go
@@ -162,13 +162,19 @@
 	}
 }
 
-// evacuate requests the evacuation of an executor from the owner of its shard. It
-// returns an error with the reason if the request is refused or its outcome is
-// unknown.
+// evacuate requests the evacuation of an executor from the owner of its shard, or
+// of the shard to which it is lent. It returns an error with the reason if the
+// request is refused or its outcome is unknown.
 func (c *Control) evacuate(ctx context.Context, id unit.Executor) (maintenance.EvacuationStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, evacuateTimeout)
 	defer cancel()
 	r := c.Router.Call(ctx, &Request{Kind: KindEvacuate, Shard: c.Layout().ShardOf(string(id)), Executor: id})
+	if r.Status == StatusLent {
+		r = c.Router.Call(ctx, &Request{Kind: KindEvacuate, Shard: r.Borrower, Executor: id})
+		if r.Status == StatusNotFound {
+			return maintenance.EvacuationStatus{}, errors.New("executor is being lent or returned")
+		}
+	}
 	switch r.Status {
 	case StatusAccepted:
 		return maintenance.EvacuationStatus{Remaining: r.Count, Blocking: r.Held}, nil
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -183,7 +183,7 @@
 func (c *Control) startOwnership(id unit.Shard, epoch unit.Generation) {
 	ctx, cancel := context.WithCancel(c.group.Context())
 	owned := &ownedShard{
-		shard: &dispatch.Shard{ID: id, Epoch: epoch, Limits: c.Settings.Limits}, epoch: epoch,
+		shard: &dispatch.Shard{ID: id, Epoch: epoch, Shards: c.Layout().Shards, Limits: c.Settings.Limits}, epoch: epoch,
 		ctx: ctx, cancel: cancel, lastAppendAt: c.Clock.Now(),
 	}
 	owned.shard.Report = c.logEvent
@@ -235,6 +235,9 @@
 	for _, j := range jobs {
 		owned.shard.Restore(now, wall, j.ID, j.Job, j.Spec)
 	}
+	for _, l := range m.records.Loans {
+		owned.shard.RestoreLoan(l)
+	}
 	owned.shard.RestoreInterferenceModels(now, m.records.InterferenceModels)
 	owned.shard.StartOwnership(now)
 	owned.restored = true
--- a/scheduler/control/message.go
+++ b/scheduler/control/message.go
@@ -14,8 +14,9 @@
 type Kind int
 
 // The kinds of requests. [KindProbe] checks that the owner responds,
-// [KindPending] counts the jobs of a queue that have not started, and
-// [KindEvacuate] moves the runs of an executor elsewhere.
+// [KindPending] counts the jobs of a queue that have not started,
+// [KindEvacuate] moves the runs of an executor elsewhere, and [KindLend] requests
+// executors for another shard.
 const (
 	KindProbe    Kind = iota // probe
 	KindSubmit               // submit
@@ -23,6 +24,7 @@
 	KindCancel               // cancel
 	KindPending              // pending
 	KindEvacuate             // evacuate
+	KindLend                 // lend
 )
 
 // Request is a request to the owner of a shard.
@@ -33,7 +35,8 @@
 	Spec  *dispatch.Spec `cbor:"4,keyasint,omitempty"` // for KindSubmit
 	Queue unit.Queue     `cbor:"5,keyasint,omitempty"` // for KindPending
 
-	Executor unit.Executor `cbor:"6,keyasint,omitempty"` // for KindEvacuate
+	Executor unit.Executor         `cbor:"6,keyasint,omitempty"` // for KindEvacuate
+	Loan     *dispatch.LoanRequest `cbor:"7,keyasint,omitempty"` // for KindLend
 }
 
 // Status is the outcome of a request.
@@ -43,23 +46,27 @@
 // default, means that the request may or may not have been accepted.
 // [StatusNotFound] means that the owner does not have the job or the executor.
 // [StatusNotOwner] means that the process does not serve the shard or that its
-// membership is not confirmed.
+// membership is not confirmed. [StatusLent] means that another shard uses the
+// executor.
 const (
 	StatusUndetermined Status = iota // unsettled
 	StatusAccepted                   // accepted
 	StatusRefused                    // refused
 	StatusNotFound                   // unknown
 	StatusNotOwner                   // notOwner
+	StatusLent                       // lent
 )
 
 // Reply is the reply to a request.
 type Reply struct {
-	Status     Status            `cbor:"1,keyasint"`
-	State      dispatch.JobState `cbor:"2,keyasint,omitempty"`
-	Count      int               `cbor:"3,keyasint,omitempty"`
-	Reason     string            `cbor:"4,keyasint,omitempty"`
-	RetryAfter clock.Span        `cbor:"5,keyasint,omitempty"`
-	Held       int               `cbor:"6,keyasint,omitempty"` // for KindEvacuate: remaining perpetual runs that can't be moved now within the miss budget of their step; Count is the number of all remaining runs
+	Status     Status              `cbor:"1,keyasint"`
+	State      dispatch.JobState   `cbor:"2,keyasint,omitempty"`
+	Count      int                 `cbor:"3,keyasint,omitempty"`
+	Reason     string              `cbor:"4,keyasint,omitempty"`
+	RetryAfter clock.Span          `cbor:"5,keyasint,omitempty"`
+	Loans      *dispatch.LoanReply `cbor:"7,keyasint,omitempty"` // for KindLend
+	Borrower   unit.Shard          `cbor:"8,keyasint,omitempty"` // for StatusLent
+	Held       int                 `cbor:"6,keyasint,omitempty"` // for KindEvacuate: remaining perpetual runs that can't be moved now within the miss budget of their step; Count is the number of all remaining runs
 }
 
 // joinOutcome is the follow-up that a join requires. The zero value requires
@@ -107,6 +114,12 @@
 		response dispatch.AdviceResponse
 		err      error
 	}
+	loanResultMessage struct {
+		shard   unit.Shard
+		epoch   unit.Generation
+		request *dispatch.LoanRequest
+		reply   *dispatch.LoanReply // nil if the request was refused or its outcome is unknown
+	}
 	registrationsMessage struct{ registrations dispatch.Registrations }
 	// maintenanceMessage applies the result of a call to the maintenance plan of
 	// the epoch that made the call.
--- a/scheduler/control/orders.go
+++ b/scheduler/control/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"mimosadock/schedule/dispatch"
 	"mimosadock/schedule/verdict"
@@ -19,6 +20,17 @@
 		})
 		return
 	}
+	if o.Loan != nil {
+		c.Counters.LoanRequests.Add(1)
+		c.group.Go("loan", func(context.Context) error {
+			callCtx, cancel := context.WithTimeout(ctx, loanTimeout)
+			defer cancel()
+			r := c.Router.Call(callCtx, &Request{Kind: KindLend, Shard: o.Loan.Lender, Loan: o.Loan})
+			c.post(ctx, loanResultMessage{id, epoch, o.Loan, r.Loans})
+			return nil
+		})
+		return
+	}
 	c.group.Go("order", func(context.Context) error {
 		a, err := c.deliverOrder(ctx, o)
 		if ctx.Err() == nil {
@@ -28,6 +40,9 @@
 	})
 }
 
+// loanTimeout bounds a request for executors of another shard.
+const loanTimeout = 2 * time.Second
+
 // errUnconfirmed is the result of a start order while the membership is not
 // confirmed: another owner may have replaced this process unnoticed.
 var errUnconfirmed = &verdict.Error{Verdict: verdict.DidNotRun, Reason: "membership is not confirmed"}
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -62,7 +62,22 @@
 		owned.queuedWaiters = append(owned.queuedWaiters, waiter{m.replyTo, Reply{Status: StatusAccepted}})
 	case KindState:
 		m.replyTo <- stateReply(owned.shard, m.request.Job)
+	case KindLend:
+		if m.request.Loan == nil {
+			m.replyTo <- Reply{Status: StatusRefused, Reason: "request has no loan"}
+			return
+		}
+		loans, ok := owned.shard.HandleLoanRequest(now, m.request.Loan)
+		if !ok {
+			m.replyTo <- Reply{Status: StatusRefused, Reason: "a later request was handled before"}
+			return
+		}
+		owned.queuedWaiters = append(owned.queuedWaiters, waiter{m.replyTo, Reply{Status: StatusAccepted, Loans: &loans}})
 	case KindEvacuate:
+		if borrower, lent := owned.shard.Borrower(m.request.Executor); lent {
+			m.replyTo <- Reply{Status: StatusLent, Borrower: borrower}
+			return
+		}
 		remaining, blocking, ok := owned.shard.Evacuate(now, m.request.Executor)
 		if !ok {
 			m.replyTo <- Reply{Status: StatusNotFound}
--- a/scheduler/record/record.go
+++ b/scheduler/record/record.go
@@ -1,5 +1,5 @@
-// Package record encodes the jobs, the interference models and the layout of
-// shards for the store.
+// Package record encodes the jobs, the loans of executors, the interference models
+// and the layout of shards for the store.
 //
 // A job has two keyed records: its spec, which is written once, and its state,
 // which is written after each change. All records are CBOR. The numbers of their
@@ -20,6 +20,7 @@
 const (
 	specPrefix  = "s/"
 	statePrefix = "d/"
+	loanPrefix  = "x/"
 	modelsKey   = "l" // the interference models of the shard
 )
 
@@ -48,6 +49,9 @@
 // Encode appends the records of a change to dst. A record without a value deletes
 // its key.
 func Encode(dst []dispatch.Record, c *dispatch.Change) ([]dispatch.Record, error) {
+	if c.Loan != nil {
+		return encodeLoan(dst, c)
+	}
 	specKey, stateKey := specPrefix+string(c.ID), statePrefix+string(c.ID)
 	if c.Drop {
 		return append(dst, dispatch.Record{Key: stateKey}), nil
@@ -70,6 +74,19 @@
 	return dst, nil
 }
 
+// encodeLoan appends the record of a loan to dst.
+func encodeLoan(dst []dispatch.Record, c *dispatch.Change) ([]dispatch.Record, error) {
+	key := loanPrefix + string(c.Loan.Executor)
+	if c.Drop {
+		return append(dst, dispatch.Record{Key: key}), nil
+	}
+	b, err := cbor.Marshal(c.Loan)
+	if err != nil {
+		return nil, fmt.Errorf("loan of %s: %w", c.Loan.Executor, err)
+	}
+	return append(dst, dispatch.Record{Key: key, Value: b}), nil
+}
+
 // newState returns the record of a job's state. It leaves out the executors and
 // checkpoints of tasks that are done.
 func newState(j *dispatch.Job) *state {
@@ -128,6 +145,7 @@
 // use.
 type Set struct {
 	InterferenceModels map[unit.Image]*dispatch.InterferenceModel
+	Loans              []dispatch.Loan
 
 	jobs map[unit.Job]*SavedJob
 }
@@ -156,6 +174,14 @@
 		s.entry(unit.Job(id)).Spec = spec
 		return nil
 	}
+	if _, ok := strings.CutPrefix(r.Key, loanPrefix); ok {
+		var l dispatch.Loan
+		if err := cbor.Unmarshal(r.Value, &l); err != nil {
+			return fmt.Errorf("record %s: %w", r.Key, err)
+		}
+		s.Loans = append(s.Loans, l)
+		return nil
+	}
 	id, ok := strings.CutPrefix(r.Key, statePrefix)
 	if !ok {
 		return fmt.Errorf("record %s: unknown kind", r.Key)
--- a/scheduler/record/record_test.go
+++ b/scheduler/record/record_test.go
@@ -19,6 +19,23 @@
 	}
 }
 
+// storeAndLoad encodes changes in order and decodes the newest record of each key.
+func storeAndLoad(is *is.I, changes []dispatch.Change) *Set {
+	newest := make(map[string][]byte)
+	for i := range changes {
+		records, err := Encode(nil, &changes[i])
+		is.NoErr(err)
+		for _, r := range records {
+			newest[r.Key] = r.Value
+		}
+	}
+	set := new(Set)
+	for k, v := range newest {
+		is.NoErr(set.Add(dispatch.Record{Key: k, Value: v}))
+	}
+	return set
+}
+
 // TestRoundTrip guards against fields that are lost when a successor decodes the
 // records of an owner.
 func TestRoundTrip(t *testing.T) {
@@ -34,18 +51,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			newest := make(map[string][]byte)
-			for i := range c.changes {
-				records, err := Encode(nil, &c.changes[i])
-				is.NoErr(err)
-				for _, r := range records {
-					newest[r.Key] = r.Value
-				}
-			}
-			var set Set
-			for k, v := range newest {
-				is.NoErr(set.Add(dispatch.Record{Key: k, Value: v}))
-			}
+			set := storeAndLoad(is, c.changes)
 			jobs := set.Jobs()
 			is.Equal(len(jobs), c.jobs)
 			if c.jobs == 0 {
@@ -57,6 +63,27 @@
 	}
 }
 
+// TestLoans guards against a successor that uses an executor which is lent, or
+// whose fencing tokens are below those of a former borrower.
+func TestLoans(t *testing.T) {
+	lent := dispatch.Loan{Executor: "x", TokenBase: 7 << 10, Lent: true, Borrower: 2}
+	returned := dispatch.Loan{Executor: "x", TokenBase: 9 << 10}
+	for name, c := range map[string]struct {
+		changes []dispatch.Change
+		want    []dispatch.Loan
+	}{
+		"lent":     {[]dispatch.Change{{Loan: &lent}}, []dispatch.Loan{lent}},
+		"returned": {[]dispatch.Change{{Loan: &lent}, {Loan: &returned}}, []dispatch.Loan{returned}},
+		"dropped":  {[]dispatch.Change{{Loan: &returned}, {Loan: &returned, Drop: true}}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			set := storeAndLoad(is, c.changes)
+			is.Equal(set.Loans, c.want)
+		})
+	}
+}
+
 // TestInterferenceModels guards against a successor that loses the models of the
 // former owner because it can't decode their record.
 func TestInterferenceModels(t *testing.T) {
