Reserve room for perpetual tasks that wait to run again

When the executors of a service are nearly full, LOST was still reported for one perpetual task after shards lend executors: it waited 11 s, while urgent batch tasks of two cores took each part of an executor that became free, and first runs of other perpetual tasks took the larger ones for good.

Cause: tasks are placed wherever they fit at the moment, and nothing is kept for a task that needs more than what becomes free at once.

Each perpetual task that ran before and fits nowhere now reserves the executor with the most free processor time among those that could hold it without their batch tasks. Restarts ignore reservations, other tasks do not use reserved time. Reservations are made anew in each tick.

--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -36,6 +36,7 @@
 	unansweredHolds       int                 // holds without an answer in a row
 	consecutiveFailures   int                 // failed runs in a row; suspectThreshold-1 once it becomes suspect, 0 after a success or a restart
 	suspectUntil          clock.Millis        // gets no new runs before, because runs failed, stalled or were refused
+	reservedCPU           unit.MilliCPU       // processor time kept for perpetual tasks that wait to run again, see Shard.reserveForRestarts
 	servingCPU            unit.MilliCPU       // processor time allocated to serving tasks
 	perpetualCPU          unit.MilliCPU       // processor time allocated to perpetual tasks
 	overTargetSince       clock.Millis        // since when a serving task exceeds its target, 0 if none does
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -29,6 +29,7 @@
 // executor for it.
 type placementRequest struct {
 	step            *Step
+	restart         bool                    // the task is perpetual and ran before
 	avoidedExecutor unit.Executor           // executor of the last run that failed or was moved
 	tasksOn         func(*Executor) int     // number of tasks of the step on an executor
 	rack            unit.Rack               // rack of the other tasks of the step, "" if it does not matter
@@ -129,6 +130,7 @@
 	pools := s.pools(now)
 	keys := s.sortedReady()
 	s.placeRestarts(now, keys, pools)
+	s.reserveForRestarts(keys, pools)
 	var policy SeparationPolicy
 	for _, k := range keys {
 		j := s.jobs.Get(k.job)
@@ -205,12 +207,41 @@
 	}
 }
 
+// reserveForRestarts reserves processor time for each perpetual task that ran
+// before and fits on no executor now. Otherwise smaller tasks, which fit sooner,
+// would take each part that becomes free. It chooses the executor with the most
+// free processor time among those on which the task fits once the batch tasks
+// there have ended.
+func (s *Shard) reserveForRestarts(keys []stepKey, pools map[unit.Service]*executorPool) {
+	for _, e := range s.executors.All() {
+		e.reservedCPU = 0
+	}
+	for _, k := range keys {
+		j := s.jobs.Get(k.job)
+		if j == nil || j.Spec == nil || j.State.Ended() || !j.Spec.Steps[k.step].Perpetual {
+			continue
+		}
+		pool, step := pools[s.queue(j).Service], &j.Spec.Steps[k.step]
+		if pool == nil {
+			continue
+		}
+		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+		for i := range tasks {
+			if tasks[i].State == TaskReady && tasks[i].Run > 0 {
+				if e := pool.reservable(step); e != nil {
+					e.reservedCPU += step.Size.CPU
+				}
+			}
+		}
+	}
+}
+
 // newPlacementRequest returns the request to place a task of a step. Where the
 // queue has an advice policy, only executors whose ticket stays valid for
 // ticketMargin are admitted.
 func (s *Shard) newPlacementRequest(now clock.Millis, k stepKey, j *Job, t *Task, pool *executorPool) placementRequest {
 	st, starved, advised := &j.Spec.Steps[k.step], s.isStarved(now, k, j), s.queue(j).Advice != nil
-	request := placementRequest{step: st, avoidedExecutor: t.avoidedExecutor, admissible: func(e *Executor) bool {
+	request := placementRequest{step: st, restart: st.Perpetual && t.Run > 0, avoidedExecutor: t.avoidedExecutor, admissible: func(e *Executor) bool {
 		if advised && s.ticketOf(now.Add(ticketMargin), k, e) == "" {
 			return false
 		}
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -98,6 +98,24 @@
 	return e.perpetualCPU > 0 || p.nonPerpetualCPU-e.Capacity.CPU >= p.reserveCPU
 }
 
+// reservable returns the executor with the most free processor time among those
+// on which a task of a step would fit beside the perpetual tasks and the
+// reservations there, or nil if there is none.
+func (p *executorPool) reservable(step *Step) *Executor {
+	var chosen *Executor
+	var mostFree unit.MilliCPU
+	for _, e := range p.executors {
+		if step.Needs != "" && !e.hasLabel(step.Needs) || e.Capacity.CPU-e.perpetualCPU-e.reservedCPU < step.Size.CPU ||
+			e.Capacity.Memory-e.allocated.Memory < step.Size.Memory {
+			continue
+		}
+		if free := e.Capacity.CPU - e.allocated.CPU - e.reservedCPU; chosen == nil || free > mostFree {
+			chosen, mostFree = e, free
+		}
+	}
+	return chosen
+}
+
 // recordPlacement updates the pool after a task of a step was chosen for e and
 // before e counts it.
 func (p *executorPool) recordPlacement(st *Step, e *Executor) {
--- a/schedule/dispatch/wait.go
+++ b/schedule/dispatch/wait.go
@@ -42,6 +42,9 @@
 func (request *placementRequest) exclusion(e *Executor) Exclusion {
 	step := request.step
 	free, demand := e.Capacity.Sub(e.allocated), step.demand()
+	if !request.restart {
+		free.CPU -= e.reservedCPU
+	}
 	switch {
 	case step.Needs != "" && !e.hasLabel(step.Needs):
 		return ExcludedLabel
