Hold silent executors without runs until they answer

An executor that did not answer one order after its last run had ended was never called again: holds went only to executors with runs, ends to acknowledge or unreconciled lists, and only an answer ends the silence. Its capacity was lost until it restarted.

A listed executor that is silent now gets holds until it answers. TestSilentExecutorsAreAskedAgain failed before.

--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -9,14 +9,14 @@
 const maxEndsPerList = 500
 
 // sendHolds sends a hold to each executor that has runs (assigned or unknown),
-// has ends to acknowledge or is not reconciled. No hold is sent while ends of
-// the executor wait to be stored.
+// has ends to acknowledge, is not reconciled, or is listed but did not answer the
+// last order. No hold is sent while ends of the executor wait to be stored.
 func (s *Shard) sendHolds(now clock.Millis) {
 	for _, e := range s.executors.All() {
 		if e.holdInFlight || now < e.holdRetryAt || e.Address == "" || e.processedEndNumber > e.storedEndNumber {
 			continue
 		}
-		if e.reconciled && len(e.runs) == 0 && e.unknownRuns == 0 && e.acknowledgedEndNumber == e.storedEndNumber {
+		if e.reconciled && !(e.unresponsive && e.registered) && len(e.runs) == 0 && e.unknownRuns == 0 && e.acknowledgedEndNumber == e.storedEndNumber {
 			continue
 		}
 		h := &HoldOrder{Token: s.token(e), LastSeen: e.storedEndNumber, Sent: now}
--- a/schedule/dispatch/overload_test.go
+++ b/schedule/dispatch/overload_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 
@@ -35,6 +36,31 @@
 	}
 }
 
+// TestSilentExecutorsAreAskedAgain guards against an executor without runs that is
+// never used again because one order to it had no answer.
+func TestSilentExecutorsAreAskedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		removed bool // the executor's entry is removed
+		used    bool
+	}{
+		"listed":  {false, true},
+		"removed": {true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(1)
+			silent := Order{To: Target{Executor: "x0"}, Stop: &StopOrder{Task: TaskID{Job: "unknown"}, Run: 1}}
+			f.shard.HandleAnswer(f.now, unit.UnixMillis(f.now), &silent, &Answer{}, errors.New("no answer"))
+			if c.removed {
+				f.shard.ApplyRegistrations(f.now, Registrations{Removed: []unit.Executor{"x0"}}, anyExecutor)
+			}
+			f.submit("j", Step{Count: 1, Size: resources(1000)})
+			f.runFor(1500)
+			is.Equal(f.countRuns("j") == 1, c.used)
+		})
+	}
+}
+
 // TestFullListsOfEndsReleaseNoRuns guards against the release of a run whose
 // end is on the next page of a long list of finished runs.
 func TestFullListsOfEndsReleaseNoRuns(t *testing.T) {
