Keep an executor whose entry in the list can't be decoded

An entry that another writer left under the key of an executor in use was missing from the complete list that a process reads when it gains a shard, or after it fell behind: the executor was taken for removed. It got no new runs after 2.5 s, although it worked and answered.

The feed only counted such entries. It now names their keys, and ApplyRegistrations counts these keys as listed. An undecodable entry adds no row, so nothing is held or ordered there, and a removal or a usable entry applies as before.

Before, TestUndecodableEntriesChangeNoExecutor failed in the case complete list: the executor was not usable after the grace.

--- a/schedule/dispatch/order.go
+++ b/schedule/dispatch/order.go
@@ -142,5 +142,12 @@
 	Complete    bool // Entries is the complete list
 	Entries     []Registration
 	Removed     []unit.Executor
-	Undecodable int // entries that can't be decoded
+	Undecodable []UndecodableEntry // no news of the executors that they name
+}
+
+// UndecodableEntry is an entry of the platform's list that does not describe a
+// usable executor.
+type UndecodableEntry struct {
+	Executor unit.Executor // key of the entry, empty if it can't be decoded
+	Reason   string
 }
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -35,7 +35,9 @@
 }
 
 // ApplyRegistrations applies changes of the platform's list of executors. inShard
-// reports whether an executor belongs to the shard.
+// reports whether an executor belongs to the shard. An undecodable entry changes
+// nothing: another writer can leave it under the id of an executor that works, so
+// that executor is not taken for removed either.
 func (s *Shard) ApplyRegistrations(now clock.Millis, r Registrations, inShard func(unit.Executor) bool) {
 	listed := make(map[unit.Executor]bool, len(r.Entries))
 	for i := range r.Entries {
@@ -47,6 +49,9 @@
 	for _, id := range r.Removed {
 		s.unregister(now, id)
 	}
+	for i := range r.Undecodable {
+		listed[r.Undecodable[i].Executor] = true
+	}
 	if r.Complete {
 		for _, id := range s.registeredExecutors() {
 			if !listed[id] {
