Log and count entries of the list of executors that can't be decoded

An operator saw nothing of an odd entry in the list of executors: the control goroutine dropped the number that the feed reported, so a writer that left such entries, or an executor whose registrations this version can't decode, went unnoticed.

The control goroutine now remembers the keys of undecodable entries. An entry that was not there before is counted in undecodableRegistrations and logged with its key and the reason.

--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -122,6 +122,7 @@
 	config      atomic.Pointer[dispatch.Config]
 	layout      atomic.Pointer[dispatch.Layout]
 	membership  membership
+	undecodable undecodableEntries
 	waves       []maintenance.Wave
 	maintenance *maintenanceState              // nil while another process plans maintenance
 	epochs      map[unit.Shard]unit.Generation // last epoch used for each shard
@@ -230,6 +231,7 @@
 	case wavesMessage:
 		c.addWaves(m.waves)
 	case registrationsMessage:
+		c.reportUndecodable(&m.registrations)
 		for _, owned := range c.owned {
 			if owned.restored {
 				owned.shard.ApplyRegistrations(c.Clock.Now(), m.registrations, c.executorFilter(owned.shard.ID))
--- a/scheduler/control/counters.go
+++ b/scheduler/control/counters.go
@@ -21,7 +21,11 @@
 	Releases      atomic.Int64
 	JoinFailures  atomic.Int64
 	FeedFailures  atomic.Int64
-	events        expvar.Map
+	// UndecodableRegistrations counts the entries of the list of executors that
+	// were found undecodable, once for as long as they stay so.
+	UndecodableRegistrations atomic.Int64
+
+	events expvar.Map
 }
 
 // Event counts one event of a shard by its kind.
@@ -33,6 +37,7 @@
 		"appends": &c.Appends, "appendRetries": &c.AppendRetries, "appendMillis": &c.AppendMillis,
 		"records": &c.Records, "starts": &c.Starts, "stops": &c.Stops, "paces": &c.Paces, "holds": &c.Holds, "adviceCalls": &c.AdviceCalls,
 		"shardGains": &c.Gains, "shardReleases": &c.Releases, "joinFailures": &c.JoinFailures, "feedFailures": &c.FeedFailures,
+		"undecodableRegistrations": &c.UndecodableRegistrations,
 	} {
 		m.Set(name, expvar.Func(func() any { return v.Load() }))
 	}
