--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -84,6 +84,16 @@
 	s.notifyReaders()
 }
 
+// PutMalformed appends a record to a keyed topic that need not have a key. It
+// appears in reads only.
+func (s *Store) PutMalformed(topic string, record []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(partitionKey{topic, 0})
+	p.records = append(p.records, record)
+	s.notifyReaders()
+}
+
 // Get returns the newest value of a key of a keyed topic, or nil if the key has
 // none.
 func (s *Store) Get(topic, key string) []byte {
