Send no holds to executors of a service that no queue names

An entry of another writer can look like that of an executor in a service that is not in the configuration. Each owner called its address at least once a second for as long as the entry stood. So were executors of pools that no queue uses.

A hold of an executor that has no runs and is not reconciled yet only prepares it for new runs. It is now sent if a queue, or a job with tasks to place whose queue was dropped, names the service; before the first configuration it is sent to all, as before. A configuration that names the service later leads to a hold in the next tick. Executors with runs are held whatever the configuration says.

The number of executors for the layout still includes such entries: the layout is for good, and a pool may get its queue later.

Before, TestOnlyExecutorsOfNamedServicesAreHeld failed in the cases named by no queue, no queues and queue of a job has moved.

--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -9,8 +9,8 @@
 const maxEndsPerList = 500
 
 // sendHolds sends a hold to each executor that has runs (assigned or unknown),
-// has ends to acknowledge or is not reconciled. No hold is sent while ends of
-// the executor wait to be stored.
+// has ends to acknowledge, or is not reconciled and in a service that is needed.
+// No hold is sent while ends of the executor wait to be stored.
 func (s *Shard) sendHolds(now clock.Millis) {
 	for _, e := range s.executors.All() {
 		if e.holdInFlight || now < e.holdRetryAt || e.Address == "" || e.processedEndNumber > e.storedEndNumber {
@@ -19,6 +19,9 @@
 		if e.reconciled && len(e.runs) == 0 && e.unknownRuns == 0 && e.acknowledgedEndNumber == e.storedEndNumber {
 			continue
 		}
+		if !e.reconciled && len(e.runs) == 0 && !s.needsService(e.Service) {
+			continue
+		}
 		h := &HoldOrder{Token: s.token(e), LastSeen: e.storedEndNumber, Sent: now}
 		// Does not renew the lease of an executor that does not answer, so that
 		// the time by which the lease expires stays fixed.
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -69,6 +69,20 @@
 	}
 }
 
+// needsService reports whether a queue or a job with tasks to place names a
+// service. It returns true before the first configuration.
+func (s *Shard) needsService(service unit.Service) bool {
+	if s.config == nil || s.config.names(service) {
+		return true
+	}
+	for k := range s.readySteps {
+		if j := s.jobs.Get(k.job); j != nil && j.Spec != nil && s.queue(j).Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // removeUnregistered drops the rows of executors that have no entry, no runs
 // and no hold in flight, after the grace period.
 func (s *Shard) removeUnregistered(now clock.Millis) {
--- a/schedule/dispatch/settle_test.go
+++ b/schedule/dispatch/settle_test.go
@@ -42,3 +42,44 @@
 		})
 	}
 }
+
+// Guards against calls to an executor of a service that no queue names, such as
+// one in an entry of another writer, and against an executor that a queue or an
+// accepted job needs and that is not held.
+func TestOnlyExecutorsOfNamedServicesAreHeld(t *testing.T) {
+	for name, c := range map[string]struct {
+		config  *Config // nil before the first one is known
+		service unit.Service
+		job     unit.Service // of the queue of an accepted job, empty if there is no job
+		held    bool
+	}{
+		"named by a queue":          {&Config{Version: 1, Queues: []Queue{{Name: "q", Service: "s"}}}, "s", "", true},
+		"named by no queue":         {&Config{Version: 1, Queues: []Queue{{Name: "q", Service: "s"}}}, "other", "", false},
+		"no queues":                 {&Config{Version: 1}, "s", "", false},
+		"no configuration":          {nil, "s", "", true},
+		"queue of a job is dropped": {&Config{Version: 1, Queues: []Queue{{Name: "q", Service: "s"}}}, "other", "other", true},
+		"queue of a job has moved":  {&Config{Version: 1, Queues: []Queue{{Name: "dropped", Service: "s"}}}, "other", "other", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(0)
+			if c.job != "" {
+				is.NoErr(f.shard.Submit(f.now, unit.UnixMillis(f.now), &Spec{
+					ID: "j", Queue: Queue{Name: "dropped", Service: c.job, MaxAttempts: 1, SlackFactor: 1},
+					Steps: []Step{{Count: 1, Size: resources(100)}},
+				}))
+			}
+			f.shard.Configure(c.config)
+			f.shard.ApplyRegistrations(f.now, Registrations{Entries: []Registration{
+				{Executor: "x0", Service: c.service, Address: "a", Incarnation: 1, Capacity: unit.Resources{CPU: 8000, Memory: 16000}},
+			}}, anyExecutor)
+			_, orders := f.shard.Tick(f.now, unit.UnixMillis(f.now), false)
+			is.Equal(len(orders) == 1 && orders[0].Hold != nil, c.held)
+			is.Equal(len(orders) > 0, c.held)
+			// An executor is held as soon as a queue names its service.
+			f.shard.Configure(&Config{Version: 2, Queues: []Queue{{Name: "q", Service: c.service}}})
+			_, more := f.shard.Tick(f.now, unit.UnixMillis(f.now), false)
+			is.Equal(len(more) > 0, !c.held)
+		})
+	}
+}
--- a/schedule/dispatch/spec.go
+++ b/schedule/dispatch/spec.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
@@ -80,6 +81,11 @@
 	return best
 }
 
+// names reports whether a queue has the given service.
+func (c *Config) names(service unit.Service) bool {
+	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Service == service })
+}
+
 // Check returns an error that says which bound s exceeds and what is allowed,
 // or nil if s is valid.
 func (s *Spec) Check() error {
