--- a/schedule/dispatch/operations.go
+++ b/schedule/dispatch/operations.go
@@ -6,5 +6,6 @@
 type Operations struct {
 	Config      *Config // nil if there is no new version
 	Waves       []maintenance.Wave
-	Undecodable int // requests that can't be decoded
+	Undecodable int    // requests that can't be decoded
+	Reason      string // why the last of them can't be decoded
 }
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -313,7 +313,7 @@
 			continue
 		}
 		if o.Undecodable > 0 {
-			c.EventLog.LogChange("operator's requests can't be decoded", "count", o.Undecodable)
+			c.EventLog.LogChange("operator's requests can't be decoded", "count", o.Undecodable, "reason", truncate(o.Reason, maxLoggedReasonBytes))
 		}
 		if cfg := o.Config; cfg != nil {
 			if old := c.config.Load(); old == nil || cfg.Version > old.Version {
