Refuse submissions with numbers that end a process or overflow

A submission with a repeat_count of 2^63-1, and no interval or a start long past, made the owner of its shard create occurrences without end in one tick, until the process had no memory; the caller's retry would have reached the next owner. A huge interval_ms or start_at_ms overflowed to a time long past, so that all occurrences started at once, and huge sizes of best-effort tasks overflowed the sums of an executor.

Check bounds the occurrences, the tasks of all occurrences, times, sizes and estimates. The bounds are far above any job of the sites; a job that is larger than any executor but within them is accepted as before and waits.

That the owner runs out of memory was read in startDueOccurrences and not run.

--- a/schedule/dispatch/spec.go
+++ b/schedule/dispatch/spec.go
@@ -14,6 +14,12 @@
 	maxPayload = 4000 // bytes; the platform refuses starts with more
 	maxSteps   = 64
 	maxTasks   = 10_000 // in one occurrence
+
+	maxOccurrences = 10_000
+	maxTasksOfJob  = 200_000 // in all occurrences, which can be due at once
+	maxSize        = 1 << 40 // of a task, in the unit of the resource; keeps sums from overflow
+	maxSpan        = 365 * 24 * clock.Hour
+	maxStartAt     = unit.UnixMillis(1 << 53)
 )
 
 // Spec is a submitted job.
@@ -98,6 +104,12 @@
 	if s.Repeat < 0 || s.Interval < 0 {
 		return errors.New("number of occurrences and interval between them must not be negative")
 	}
+	if s.Repeat > maxOccurrences {
+		return fmt.Errorf("job has %d occurrences, at most %d are allowed", s.Repeat, maxOccurrences)
+	}
+	if s.Interval > maxSpan || s.StartAt < 0 || s.StartAt > maxStartAt {
+		return errors.New("start or interval is out of range")
+	}
 	total := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].check(i); err != nil {
@@ -108,6 +120,9 @@
 	if total > maxTasks {
 		return fmt.Errorf("job has %d tasks, at most %d are allowed", total, maxTasks)
 	}
+	if total*s.occurrenceCount() > maxTasksOfJob {
+		return fmt.Errorf("job has %d tasks in all occurrences, at most %d are allowed", total*s.occurrenceCount(), maxTasksOfJob)
+	}
 	return nil
 }
 
@@ -120,6 +135,9 @@
 	if s.Size.CPU < 0 || s.Size.Memory < 0 || s.Size.Accelerators < 0 || s.Estimate < 0 {
 		return errors.New("sizes and estimates must not be negative")
 	}
+	if s.Size.CPU > maxSize || s.Size.Memory > maxSize || s.Size.Accelerators > maxSize || s.Estimate > maxSpan {
+		return errors.New("size or estimate is out of range")
+	}
 	for _, predecessor := range s.After {
 		if predecessor < 0 || predecessor >= index {
 			return fmt.Errorf("comes after step %d, must name an earlier step", predecessor)
