--- a/scheduler/control/undecodable_test.go
+++ b/scheduler/control/undecodable_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"testing"
@@ -73,3 +74,27 @@
 		})
 	}
 }
+
+// fixedList is a list of executors that does not change.
+type fixedList struct{ registrations dispatch.Registrations }
+
+func (f fixedList) Next(context.Context) (dispatch.Registrations, error) { return f.registrations, nil }
+
+// Guards against odd entries that add shards to the layout, which is for good.
+func TestUndecodableEntriesAreNotCountedForTheLayout(t *testing.T) {
+	odd := make([]dispatch.UndecodableEntry, 10_000)
+	for name, c := range map[string]struct {
+		list dispatch.Registrations
+		want int
+	}{
+		"none":      {dispatch.Registrations{Complete: true}, 0},
+		"only odd":  {dispatch.Registrations{Complete: true, Undecodable: odd}, 0},
+		"odd, good": {dispatch.Registrations{Complete: true, Undecodable: odd, Entries: make([]dispatch.Registration, 3)}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			control := Control{EventLog: new(lineRecorder), Counters: new(Counters), NewRegistrationFeed: func() RegistrationFeed { return fixedList{c.list} }}
+			is.Equal(control.countExecutors(t.Context()), c.want)
+		})
+	}
+}
