--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -36,7 +36,9 @@
 
 // ApplyRegistrations applies changes of the platform's list of executors. inShard
 // reports whether the layout assigns an executor to the shard. Executors that are
-// lent to another shard are left out, and borrowed ones included.
+// lent to another shard are left out, and borrowed ones included. An undecodable
+// entry changes nothing: another writer can leave it under the id of an executor
+// that works, so that executor is not taken for removed either.
 func (s *Shard) ApplyRegistrations(now clock.Millis, r Registrations, inShard func(unit.Executor) bool) {
 	listed := make(map[unit.Executor]bool, len(r.Entries))
 	for i := range r.Entries {
@@ -48,6 +50,9 @@
 	for _, id := range r.Removed {
 		s.unregister(now, id)
 	}
+	for i := range r.Undecodable {
+		listed[r.Undecodable[i].Executor] = true
+	}
 	if r.Complete {
 		for _, id := range s.registeredExecutors() {
 			if !listed[id] {
@@ -65,6 +70,20 @@
 	}
 }
 
+// needsService reports whether a queue or a job with tasks to place names a
+// service. It returns true before the first configuration.
+func (s *Shard) needsService(service unit.Service) bool {
+	if s.config == nil || s.config.names(service) {
+		return true
+	}
+	for k := range s.readySteps {
+		if j := s.jobs.Get(k.job); j != nil && j.Spec != nil && s.queue(j).Service == service {
+			return true
+		}
+	}
+	return false
+}
+
 // removeUnregistered drops the rows of executors that have no entry, no runs
 // and no hold in flight, after the grace period.
 func (s *Shard) removeUnregistered(now clock.Millis) {
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -122,6 +124,7 @@
 	config        atomic.Pointer[dispatch.Config]
 	layout        atomic.Pointer[dispatch.Layout]
 	membership    membership
+	undecodable   undecodableEntries
 	waves         []maintenance.Wave
 	maintenance   *maintenanceState                       // nil while another process plans maintenance
 	epochs        map[unit.Shard]unit.Generation          // last epoch used for each shard
@@ -164,7 +167,6 @@
 	c.messages = make(chan any, messageQueueSize)
 	c.owned = make(map[unit.Shard]*ownedShard)
 	c.epochs = make(map[unit.Shard]unit.Generation)
-	c.registrations = make(map[unit.Executor]dispatch.Registration)
 	c.joinContext, c.stopJoins = context.WithCancel(g.Context())
 	c.joinsStopped = make(chan struct{})
 }
@@ -237,6 +239,7 @@
 		}
 	case registrationsMessage:
 		c.recordRegistrations(m.registrations)
+		c.reportUndecodable(&m.registrations)
 		for _, owned := range c.owned {
 			if owned.restored {
 				owned.shard.ApplyRegistrations(c.Clock.Now(), m.registrations, c.executorFilter(owned.shard.ID))
@@ -257,10 +260,16 @@
 }
 
 // recordRegistrations keeps the platform's list of executors, so that the entry of
-// an executor is at hand when another shard lends or returns it.
+// an executor is at hand when another shard lends or returns it. An undecodable
+// entry leaves the last good one in place.
 func (c *Control) recordRegistrations(r dispatch.Registrations) {
 	if r.Complete {
-		clear(c.registrations)
+		maps.DeleteFunc(c.registrations, func(id unit.Executor, _ dispatch.Registration) bool {
+			return !slices.ContainsFunc(r.Undecodable, func(e dispatch.UndecodableEntry) bool { return e.Executor == id })
+		})
+	}
+	if c.registrations == nil {
+		c.registrations = make(map[unit.Executor]dispatch.Registration)
 	}
 	for _, entry := range r.Entries {
 		c.registrations[entry.Executor] = entry
