Use a returned executor only once its return is stored

The home shard used an executor again as soon as its borrower returned it, in the tick that stored the return. If the owners of both shards were replaced before that append, the successor of the borrower got the executor from the home shard's list again, with fencing tokens below those that the home shard had just used, and its shard would have been released as fenced, again and again. Found by reading; no run shows it.

The executor now counts as used by nobody until the append is acknowledged.

--- a/schedule/dispatch/loan.go
+++ b/schedule/dispatch/loan.go
@@ -51,6 +51,8 @@
 type homeLoan struct {
 	Loan
 	dirty       bool         // differs from the store
+	returning   bool         // returned, but the store still has it as lent
+	storing     bool         // the return is in the append in flight
 	absentSince clock.Millis // since when a returned executor has no row, 0 if it has one
 }
 
@@ -133,7 +135,7 @@
 	if s.borrowed.Get(id) != nil {
 		return true
 	}
-	if l := s.loans.Get(id); l != nil && l.Lent {
+	if l := s.loans.Get(id); l != nil && (l.Lent || l.returning) {
 		return false
 	}
 	return inShard(id)
@@ -390,14 +392,15 @@
 	return reply, true
 }
 
-// takeBack ends a loan.
+// takeBack ends a loan. The executor is not used before this is stored: otherwise,
+// after a takeover of both shards, the borrower would use it again, with fencing
+// tokens below those of this owner.
 func (s *Shard) takeBack(borrower unit.Shard, r Loan) {
 	l := s.loans.Get(r.Executor)
 	if l == nil || !l.Lent || l.Borrower != borrower {
 		return
 	}
-	l.Lent, l.TokenBase, l.dirty = false, r.TokenBase, true
-	s.gained = append(s.gained, r.Executor)
+	l.Lent, l.TokenBase, l.dirty, l.returning = false, r.TokenBase, true, true
 }
 
 // lend lends executors to the borrower of a request, or returns some that were
@@ -496,7 +499,7 @@
 	var changes []Change
 	for _, l := range s.loans.All() {
 		if l.dirty {
-			l.dirty = false
+			l.dirty, l.storing = false, l.returning
 			changes = append(changes, Change{Loan: &l.Loan})
 		}
 	}
@@ -507,12 +510,22 @@
 	return changes
 }
 
+// handleStoredLoans makes the executors usable whose return is stored.
+func (s *Shard) handleStoredLoans() {
+	for id, l := range s.loans.All() {
+		if l.storing {
+			l.storing, l.returning = false, false
+			s.gained = append(s.gained, id)
+		}
+	}
+}
+
 // expireLoans drops the records of executors that were returned and have had no
 // entry for loanRetention.
 func (s *Shard) expireLoans(now clock.Millis) {
 	s.loans.DeleteFunc(func(id unit.Executor, l *homeLoan) bool {
 		switch {
-		case l.Lent || l.dirty || s.executors.Get(id) != nil:
+		case l.Lent || l.dirty || l.returning || s.executors.Get(id) != nil:
 			l.absentSince = 0
 		case l.absentSince == 0:
 			l.absentSince = now
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -287,6 +287,7 @@
 		}
 	}
 	s.storingJobs = s.storingJobs[:0]
+	s.handleStoredLoans()
 	for _, e := range s.executors.All() {
 		e.storedEndNumber = e.storingEndNumber
 	}
