Reserve room only on executors that suit the waiting task

Room was reserved on executors with room enough but without the step's label or a ticket, or with as many tasks of the step as it allows. The waiting task could not be placed there, and kept other tasks from it for as long as it waited.

The reservation and the placement share the check of these constraints. TestReservationsNeedAnExecutorThatSuits failed in both cases before.

--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -130,7 +130,7 @@
 	pools := s.pools(now)
 	keys := s.sortedReady()
 	s.placeRestarts(now, keys, pools)
-	s.reserveForRestarts(keys, pools)
+	s.reserveForRestarts(now, keys, pools)
 	var policy SeparationPolicy
 	for _, k := range keys {
 		j := s.jobs.Get(k.job)
@@ -212,7 +212,7 @@
 // would take each part that becomes free. It chooses the executor with the most
 // free processor time among those on which the task fits once the batch tasks
 // there have ended.
-func (s *Shard) reserveForRestarts(keys []stepKey, pools map[unit.Service]*executorPool) {
+func (s *Shard) reserveForRestarts(now clock.Millis, keys []stepKey, pools map[unit.Service]*executorPool) {
 	for _, e := range s.executors.All() {
 		e.reservedCPU = 0
 	}
@@ -221,15 +221,15 @@
 		if j == nil || j.Spec == nil || j.State.Ended() || !j.Spec.Steps[k.step].Perpetual {
 			continue
 		}
-		pool, step := pools[s.queue(j).Service], &j.Spec.Steps[k.step]
+		pool := pools[s.queue(j).Service]
 		if pool == nil {
 			continue
 		}
 		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
 		for i := range tasks {
 			if tasks[i].State == TaskReady && tasks[i].Run > 0 {
-				if e := pool.reservable(step); e != nil {
-					e.reservedCPU += step.Size.CPU
+				if e := pool.reservable(s.newPlacementRequest(now, k, j, &tasks[i], pool)); e != nil {
+					e.reservedCPU += j.Spec.Steps[k.step].Size.CPU
 				}
 			}
 		}
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -99,14 +99,15 @@
 }
 
 // reservable returns the executor with the most free processor time among those
-// on which a task of a step would fit beside the perpetual tasks and the
+// on which the requested task could be placed beside the perpetual tasks and the
 // reservations there, or nil if there is none.
-func (p *executorPool) reservable(step *Step) *Executor {
+func (p *executorPool) reservable(request placementRequest) *Executor {
+	step := request.step
 	var chosen *Executor
 	var mostFree unit.MilliCPU
 	for _, e := range p.executors {
-		if step.Needs != "" && !e.hasLabel(step.Needs) || e.Capacity.CPU-e.perpetualCPU-e.reservedCPU < step.Size.CPU ||
-			e.Capacity.Memory-e.allocated.Memory < step.Size.Memory {
+		if e.Capacity.CPU-e.perpetualCPU-e.reservedCPU < step.Size.CPU || e.Capacity.Memory-e.allocated.Memory < step.Size.Memory ||
+			request.constraintExclusion(e) != NotExcluded {
 			continue
 		}
 		if free := e.Capacity.CPU - e.allocated.CPU - e.reservedCPU; chosen == nil || free > mostFree {
--- a/schedule/dispatch/reserve_test.go
+++ b/schedule/dispatch/reserve_test.go
@@ -66,6 +66,29 @@
 	}
 }
 
+// TestReservationsNeedAnExecutorThatSuits guards against room that is reserved on
+// an executor where the waiting task can't be placed, for as long as it waits.
+func TestReservationsNeedAnExecutorThatSuits(t *testing.T) {
+	for name, step := range map[string]Step{
+		"spread": {Count: 2, Size: resources(3000), Perpetual: true, MaxPerExecutor: 1},
+		"label":  {Count: 1, Size: resources(6000), Perpetual: true, Needs: "r0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(2)
+			f.submit("service", step)
+			f.runFor(peakHalfLife + 3000) // until the reserve for batch tasks is released
+			is.Equal(f.countRuns("service"), step.Count)
+			f.replacedExecutor = "x0"
+			clear(f.runs["x0"])
+			f.runFor(500)
+			f.submit("batch", Step{Count: 1, Size: resources(4000)})
+			f.runFor(100)
+			is.Equal(f.runsByExecutor("batch")["x1"], 1)
+		})
+	}
+}
+
 // TestReservationsLeaveRoomForOthers guards against waiting perpetual tasks that
 // keep other tasks from executors with room for both, or from all executors.
 func TestReservationsLeaveRoomForOthers(t *testing.T) {
--- a/schedule/dispatch/wait.go
+++ b/schedule/dispatch/wait.go
@@ -40,24 +40,41 @@
 
 // exclusion returns the first reason why the requested task can't be placed on e.
 func (request *placementRequest) exclusion(e *Executor) Exclusion {
+	if x := request.capacityExclusion(e); x != NotExcluded {
+		return x
+	}
+	return request.constraintExclusion(e)
+}
+
+// constraintExclusion returns the first reason, apart from the capacity, why the
+// requested task can't be placed on e.
+func (request *placementRequest) constraintExclusion(e *Executor) Exclusion {
+	step := request.step
+	switch {
+	case step.Needs != "" && !e.hasLabel(step.Needs):
+		return ExcludedLabel
+	case step.MaxPerExecutor > 0 && request.tasksOn(e) >= step.MaxPerExecutor:
+		return ExcludedSpread
+	case !request.admissible(e):
+		return ExcludedAdmission
+	}
+	return NotExcluded
+}
+
+// capacityExclusion returns the resource that e lacks for the requested task.
+func (request *placementRequest) capacityExclusion(e *Executor) Exclusion {
 	step := request.step
 	free, demand := e.Capacity.Sub(e.allocated), step.demand()
 	if !request.restart {
 		free.CPU -= e.reservedCPU
 	}
 	switch {
-	case step.Needs != "" && !e.hasLabel(step.Needs):
-		return ExcludedLabel
 	case demand.CPU > free.CPU, step.Fills && e.availableBestEffortCPU() < step.Size.CPU:
 		return ExcludedCPU
 	case demand.Memory > free.Memory:
 		return ExcludedMemory
 	case demand.Accelerators > free.Accelerators:
 		return ExcludedAccelerators
-	case step.MaxPerExecutor > 0 && request.tasksOn(e) >= step.MaxPerExecutor:
-		return ExcludedSpread
-	case !request.admissible(e):
-		return ExcludedAdmission
 	}
 	return NotExcluded
 }
