Keep a process ready when requests for executors are unanswered

Owners of the version before do not answer requests for executors of other shards, so that new processes would have left the balancer's rotation while old ones own shards. The result of such a request no longer counts.

--- a/scheduler/control/directory.go
+++ b/scheduler/control/directory.go
@@ -58,8 +58,13 @@
 	return d.hasResponded.Load() && (since == 0 || d.Clock.Now().Sub(since) < unreachableTimeout)
 }
 
-// recordResult records whether a call to an owner succeeded.
-func (d *Directory) recordResult(ok bool) {
+// recordResult records whether a call to an owner succeeded. It ignores requests
+// for executors of other shards, which an owner of an earlier version does not
+// answer: they say nothing about the service for callers.
+func (d *Directory) recordResult(kind Kind, ok bool) {
+	if kind == KindLend {
+		return
+	}
 	if ok {
 		d.hasResponded.Store(true)
 		d.failingSince.Store(0)
@@ -106,7 +111,7 @@
 		r, err := d.attempt(ctx, request)
 		switch {
 		case err == nil && r.Status != StatusNotOwner && r.Status != StatusUndetermined:
-			d.recordResult(true)
+			d.recordResult(request.Kind, true)
 			if r.Status == StatusRefused && mayBeAccepted && request.Kind == KindSubmit {
 				// A former owner may have accepted an earlier attempt.
 				r.Status = StatusUndetermined
@@ -121,7 +126,7 @@
 				mayBeAccepted = true
 			}
 			last.Reason = err.Error()
-			d.recordResult(false)
+			d.recordResult(request.Kind, false)
 		}
 		d.refreshOwners(ctx)
 		wait := ownerTimeout
@@ -167,7 +172,7 @@
 			r := d.Call(probe, &Request{Kind: KindProbe, Shard: unit.Shard(s)})
 			cancel()
 			if r.Status != StatusAccepted {
-				d.recordResult(false)
+				d.recordResult(KindProbe, false)
 				break
 			}
 		}
--- /dev/null
+++ b/scheduler/control/directory_test.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
+)
+
+// fixedOwners is an [Owners] with one owner of shard 0.
+type fixedOwners unit.Member
+
+// Owners implements [Owners].
+func (o fixedOwners) Owners(context.Context) (map[unit.Shard]unit.Member, error) {
+	return map[unit.Shard]unit.Member{0: unit.Member(o)}, nil
+}
+
+// kindPeers is a [Peers] that answers requests of some kinds only.
+type kindPeers map[Kind]bool
+
+// Request implements [Peers].
+func (p kindPeers) Request(_ context.Context, _ string, request *Request) (Reply, error) {
+	if p[request.Kind] {
+		return Reply{Status: StatusAccepted}, nil
+	}
+	return Reply{}, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "no answer"}
+}
+
+// TestReachableWithoutAnswersToLendRequests guards against a process that is not
+// ready because an owner of an earlier version does not answer requests for
+// executors.
+func TestReachableWithoutAnswersToLendRequests(t *testing.T) {
+	for name, c := range map[string]struct {
+		unanswered Kind
+		reachable  bool
+	}{
+		"state": {KindState, false},
+		"lend":  {KindLend, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := new(clock.Manual)
+			now.Advance(clock.Second)
+			d := &Directory{Owners: fixedOwners("10.0.0.1:1/a/800"), Peers: kindPeers{KindProbe: true}, Clock: now}
+			is.Equal(d.Call(context.Background(), &Request{Kind: KindProbe}).Status, StatusAccepted)
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			is.Equal(d.Call(ctx, &Request{Kind: c.unanswered}).Status, StatusUndetermined)
+			now.Advance(2 * unreachableTimeout)
+			is.Equal(d.Reachable(), c.reachable)
+		})
+	}
+}
