--- a/schedule/dispatch/summary.go
+++ b/schedule/dispatch/summary.go
@@ -7,6 +7,9 @@
 	Jobs      map[string]int  `json:"jobs"`  // number of jobs by state
 	Tasks     map[string]int  `json:"tasks"` // number of tasks by state, of jobs that have a spec
 	Executors []ExecutorState `json:"executors"`
+
+	Lent     map[unit.Executor]unit.Shard `json:"lent"`     // borrower of each executor that is lent to another shard
+	Borrowed map[unit.Executor]unit.Shard `json:"borrowed"` // lender of each executor that is borrowed from another shard
 }
 
 // ExecutorState is the state of an executor in the tables of the owner.
@@ -23,7 +26,18 @@
 
 // Summarize counts the rows of s.
 func (s *Shard) Summarize() Summary {
-	out := Summary{Jobs: make(map[string]int), Tasks: make(map[string]int)}
+	out := Summary{
+		Jobs: make(map[string]int), Tasks: make(map[string]int),
+		Lent: make(map[unit.Executor]unit.Shard), Borrowed: make(map[unit.Executor]unit.Shard),
+	}
+	for id, l := range s.loans.All() {
+		if l.Lent {
+			out.Lent[id] = l.Borrower
+		}
+	}
+	for id, b := range s.borrowed.All() {
+		out.Borrowed[id] = b.lender
+	}
 	for id, j := range s.jobs.All() {
 		out.Jobs[j.State.String()]++
 		if j.Spec != nil {
