Stop to renew leases 2 s after the last join

The soak reports LOST for perpetual tasks whose executor left while their owner was replaced: they ran again 9.2 s after the takeover with the soak's lease of 3 s, 12.3 s with the usual one of 6 s.

Cause: an owner renewed leases for 6 s after its last successful join, so a successor had to add 6 s to the lease of an executor that it can't reach. The list of executors can't shorten this: an entry also disappears when an executor is cut off and still runs its tasks.

An owner now stops to renew 2 s after its last join, by the clock that includes suspensions, checked when the hold is sent; its deadline is a fixed time on the executor's clock, so a late hold adds nothing. The successor waits 2 s and a lease, 8.3 s. Tasks now survive an outage of the whole store of 8 s instead of 12 s. An owner still keeps its shards for 6 s.

TestRunsOfAnExecutorThatLeftStartAgain failed before.

--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -148,7 +148,7 @@
 			// added 5 % cover the drift of the executor's clock, which is at most
 			// maxClockDrift. An executor that has restarted under this owner does not
 			// get this later lease end.
-			leaseEnd = max(leaseEnd, s.ownershipStartedAt.Add(s.Limits.OwnershipTimeout+s.Limits.Lease+s.Limits.Lease/20))
+			leaseEnd = max(leaseEnd, s.ownershipStartedAt.Add(s.Limits.RenewalTimeout+s.Limits.Lease+s.Limits.Lease/20))
 		}
 		if !e.unresponsive && e.reconciled || now < leaseEnd {
 			continue
--- a/schedule/dispatch/place_test.go
+++ b/schedule/dispatch/place_test.go
@@ -292,6 +292,32 @@
 	is.Equal(task.State, TaskRunning)
 }
 
+// TestRunsOfAnExecutorThatLeftStartAgain guards against a perpetual task that waits
+// too long if its executor left while the owner was replaced: the new owner can't
+// reach the executor and knows of no end.
+func TestRunsOfAnExecutorThatLeftStartAgain(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	f.submit("j", Step{Count: 1, Size: resources(1000), Perpetual: true})
+	f.runFor(3000)
+	_, _, task := f.shard.findTask(TaskID{Job: "j"})
+	stored, spec := cloneJob(&Change{Job: f.shard.jobs.Get("j")}), f.shard.jobs.Get("j").Spec
+	entries := Registrations{Complete: true}
+	for id, e := range f.shard.executors.All() {
+		if id != task.Executor {
+			entries.Entries = append(entries.Entries, e.Registration)
+		}
+	}
+	clear(f.runs[task.Executor])
+	next := Shard{Epoch: 2, Limits: DefaultLimits}
+	next.Restore(f.now, unit.UnixMillis(f.now), "j", stored, spec)
+	next.ApplyRegistrations(f.now, entries, anyExecutor)
+	next.StartOwnership(f.now)
+	f.shard = next
+	f.runFor(restartBound)
+	is.Equal(f.countRuns("j"), 1)
+}
+
 // TestRefusedStartIsStoppedFirst guards against a late copy of a start order:
 // a run whose start order once had no answer must be stopped at its executor
 // before its task is placed again.
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -13,7 +13,8 @@
 type Limits struct {
 	Lease             clock.Span // of an executor; each hold renews it
 	HoldWait          clock.Span // longest time that a hold waits for the end of a run
-	OwnershipTimeout  clock.Span // time after its last join at which an owner releases its shards; a new owner adds it to the lease of an executor that is not reconciled
+	OwnershipTimeout  clock.Span // time after its last join at which an owner releases its shards
+	RenewalTimeout    clock.Span // time after its last join at which an owner stops to renew leases; a new owner adds it to the lease of an executor that is not reconciled
 	StatusRetention   clock.Span // retention of the state of an ended job
 	CheckpointRestore clock.Span // time that a start from a checkpoint takes
 	MaxOverTarget     clock.Span // longest time that a serving task may exceed its target for the tail latency
@@ -22,10 +23,12 @@
 
 // DefaultLimits apply unless settings override them. Spans without a unit are in
 // milliseconds. The lease must be longer than the replacement of an owner during
-// an outage of the store, which takes about 5 s. Restarts of executors are
-// detected sooner, by their start time.
+// an outage of the store, which takes about 5 s. A perpetual task must run again
+// within 9 s, also if its executor left while its owner was replaced, so that
+// RenewalTimeout and the lease must be below that together. Restarts of executors
+// are detected sooner, by their start time.
 var DefaultLimits = Limits{
-	Lease: 6000, HoldWait: 700, OwnershipTimeout: 6000, StatusRetention: 2 * clock.Minute,
+	Lease: 6000, HoldWait: 700, OwnershipTimeout: 6000, RenewalTimeout: 2000, StatusRetention: 2 * clock.Minute,
 	CheckpointRestore: 600, MaxOverTarget: 4000, MaxJobs: 4000,
 }
 
--- a/scheduler/control/orders.go
+++ b/scheduler/control/orders.go
@@ -65,6 +65,11 @@
 		return c.Executors.Pace(ctx, o.To, *o.Pace)
 	default:
 		c.Counters.Holds.Add(1)
-		return c.Executors.Hold(ctx, o.To, *o.Hold)
+		hold := *o.Hold
+		if !c.membership.isConfirmed(c.BootClock(), c.Settings.Limits.RenewalTimeout) {
+			// A successor takes leases for expired that were last renewed this long ago.
+			hold.Deadline = 0
+		}
+		return c.Executors.Hold(ctx, o.To, hold)
 	}
 }
--- a/scheduler/control/orders_test.go
+++ b/scheduler/control/orders_test.go
@@ -13,7 +13,7 @@
 )
 
 // countingExecutors counts the orders that are sent.
-type countingExecutors struct{ starts, stops, holds int }
+type countingExecutors struct{ starts, stops, holds, renewals int }
 
 func (x *countingExecutors) Start(context.Context, dispatch.Target, dispatch.StartOrder) (dispatch.Answer, error) {
 	x.starts++
@@ -29,8 +29,11 @@
 	return dispatch.Answer{}, nil
 }
 
-func (x *countingExecutors) Hold(context.Context, dispatch.Target, dispatch.HoldOrder) (dispatch.Answer, error) {
+func (x *countingExecutors) Hold(_ context.Context, _ dispatch.Target, o dispatch.HoldOrder) (dispatch.Answer, error) {
 	x.holds++
+	if o.Deadline > 0 {
+		x.renewals++
+	}
 	return dispatch.Answer{}, nil
 }
 
@@ -69,3 +72,31 @@
 		})
 	}
 }
+
+// TestLeasesAreRenewedWhileConfirmed guards against a replaced owner that renews
+// the lease of an executor after its successor takes it for expired.
+func TestLeasesAreRenewedWhileConfirmed(t *testing.T) {
+	limits := dispatch.DefaultLimits
+	for name, c := range map[string]struct {
+		age     clock.Span // time since the membership was confirmed
+		renewed bool
+	}{
+		"confirmed":         {100, true},
+		"store just failed": {limits.RenewalTimeout - 1, true},
+		"store away":        {limits.RenewalTimeout, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			boot := clock.Millis(50_000)
+			x := new(countingExecutors)
+			control := &Control{
+				Settings: Settings{TTL: 1200, Limits: limits}, Executors: x, Counters: new(Counters), BootClock: func() clock.Millis { return boot },
+			}
+			control.membership.confirmedBootAt.Store(int64(boot.Add(-c.age)))
+			_, err := control.deliverOrder(context.Background(), dispatch.Order{Hold: &dispatch.HoldOrder{Deadline: 1000}})
+			is.NoErr(err)
+			is.Equal(x.holds, 1)
+			is.Equal(x.renewals == 1, c.renewed)
+		})
+	}
+}
