Keep an owner from being fenced by its own past

Two sequences let an executor refuse an order of the current owner, which then gave the shard up although nobody had replaced it, again and again:

An executor restarts under its id, which raises its fencing token by one; its entry is missing for 2.5 s without runs, so that its row is dropped; it comes back, and the new row counts restarts from 0. The restarts of dropped rows are kept now.

A pace or stop order is in flight when an executor is lent, used elsewhere and returned; the late answer says that the token is too low, which it is. An answer to an order with a token below the present one no longer counts.

--- a/schedule/dispatch/order.go
+++ b/schedule/dispatch/order.go
@@ -37,6 +37,21 @@
 	Loan   *LoanRequest
 }
 
+// token returns the fencing token of an order to an executor.
+func (o *Order) token() unit.Token {
+	switch {
+	case o.Start != nil:
+		return o.Start.Token
+	case o.Stop != nil:
+		return o.Stop.Token
+	case o.Pace != nil:
+		return o.Pace.Token
+	case o.Hold != nil:
+		return o.Hold.Token
+	}
+	return 0
+}
+
 // StartOrder starts a run.
 type StartOrder struct {
 	Task       TaskID
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -18,7 +18,7 @@
 func (s *Shard) applyRegistration(now clock.Millis, r Registration) {
 	e := s.executors.Get(r.Executor)
 	if e == nil {
-		e = s.executors.Put(r.Executor, Executor{})
+		e = s.executors.Put(r.Executor, Executor{restarts: s.removedRestarts[r.Executor]})
 	}
 	if r.Draining && !e.Draining {
 		e.drainingSince = now
@@ -85,10 +85,20 @@
 }
 
 // removeUnregistered drops the rows of executors that have no entry, no runs
-// and no hold in flight, after the grace period.
+// and no hold in flight, after the grace period. It keeps the number of their
+// restarts: an executor whose entry comes back remembers its highest token.
 func (s *Shard) removeUnregistered(now clock.Millis) {
-	s.executors.DeleteFunc(func(_ unit.Executor, e *Executor) bool {
-		return !e.registered && len(e.runs) == 0 && !e.holdInFlight && now >= e.unregisteredAt.Add(reregistrationGrace)
+	s.executors.DeleteFunc(func(id unit.Executor, e *Executor) bool {
+		if e.registered || len(e.runs) > 0 || e.holdInFlight || now < e.unregisteredAt.Add(reregistrationGrace) {
+			return false
+		}
+		if e.restarts > 0 {
+			if s.removedRestarts == nil {
+				s.removedRestarts = make(map[unit.Executor]unit.Token)
+			}
+			s.removedRestarts[id] = e.restarts
+		}
+		return true
 	})
 }
 
@@ -128,6 +138,10 @@
 		return
 	}
 	if a.Outcome == OutcomeFenced {
+		if o.token() < s.token(e) {
+			s.orderUndetermined(o) // sent before the executor restarted or was lent
+			return
+		}
 		s.fenced = true
 		s.report(Event{Kind: "fenced", Executor: e.Executor})
 		return
@@ -185,10 +199,16 @@
 		e.unresponsive = true
 		s.report(Event{Kind: "executorSilent", Executor: e.Executor})
 	}
-	switch {
-	case o.Hold != nil:
+	if o.Hold != nil {
 		e.unansweredHolds++
 		e.holdRetryAt = now.Add(min(clock.Second, 100*clock.Millisecond*clock.Span(e.unansweredHolds)))
+	}
+	s.orderUndetermined(o)
+}
+
+// orderUndetermined lets a later tick repeat a start or stop order.
+func (s *Shard) orderUndetermined(o *Order) {
+	switch {
 	case o.Start != nil:
 		if _, _, t := s.findTask(o.Start.Task); t != nil && t.Run == o.Start.Run {
 			t.inFlight, t.startUncertain = false, true
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -66,9 +66,10 @@
 	loans              table.Table[unit.Executor, homeLoan]
 	borrowed           table.Table[unit.Executor, borrowedExecutor]
 	lenders            map[unit.Shard]*lender
-	loanSessions       map[unit.Shard]loanSession // last request of each borrower
-	gained             []unit.Executor            // executors that may be used since the last call to Gained
-	expiredLoans       []unit.Executor            // records of loans to delete
+	loanSessions       map[unit.Shard]loanSession   // last request of each borrower
+	gained             []unit.Executor              // executors that may be used since the last call to Gained
+	removedRestarts    map[unit.Executor]unit.Token // restarts of executors whose rows were dropped
+	expiredLoans       []unit.Executor              // records of loans to delete
 }
 
 // stepKey identifies a step of one occurrence of a job in the tables. It has the
