Confirm submissions in the order of the backlog

Each waiting request now has its position in the backlog of changes and is answered after the append that reaches it. Changes of loans are in each append, so that requests for executors need not wait for the backlog.

--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -69,6 +69,7 @@
 	loanSessions       map[unit.Shard]loanSession   // last request of each borrower
 	gained             []unit.Executor              // executors that may be used since the last call to Gained
 	removedRestarts    map[unit.Executor]unit.Token // restarts of executors whose rows were dropped
+	collected          int64                        // jobs in all appends so far
 	expiredLoans       []unit.Executor              // records of loans to delete
 }
 
@@ -235,8 +236,8 @@
 
 // collectChanges returns the changes for the next append and notes which
 // starts and ends of runs it makes durable. A start waits while the record of
-// its job is left for a later append. Ends are acknowledged and executors lent
-// only if the append has all dirty jobs, so that the store has no run on them.
+// its job is left for a later append. Ends are acknowledged only if the append
+// has all dirty jobs. Each append has all changes of loans.
 func (s *Shard) collectChanges() []Change {
 	var changes []Change
 	batch := s.dirty[:min(len(s.dirty), maxChangesPerAppend)]
@@ -266,9 +267,8 @@
 			s.storingStarts = append(s.storingStarts, id)
 		}
 	}
-	if len(rest) == 0 {
-		changes = append(changes, s.collectLoans()...)
-	}
+	changes = append(changes, s.collectLoans()...)
+	s.collected += int64(len(batch))
 	for _, e := range s.executors.All() {
 		e.storingEndNumber = e.storedEndNumber
 		if len(rest) == 0 {
@@ -278,9 +278,14 @@
 	return changes
 }
 
-// HasUncollectedChanges reports whether changes were left for an append after the
-// one that the last [Shard.Tick] returned.
-func (s *Shard) HasUncollectedChanges() bool { return len(s.dirty) > 0 }
+// QueuedChanges returns the number of changes of jobs since the start of the
+// ownership. The changes so far are collected once [Shard.CollectedChanges] has
+// reached it.
+func (s *Shard) QueuedChanges() int64 { return s.collected + int64(len(s.dirty)) }
+
+// CollectedChanges returns the number of changes of jobs that [Shard.Tick] has
+// returned since the start of the ownership.
+func (s *Shard) CollectedChanges() int64 { return s.collected }
 
 // HandleStored records that the changes of the last append are in the store, and
 // orders the starts of the runs in them.
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -153,6 +153,7 @@
 
 // waiter is a request whose reply is sent after an append.
 type waiter struct {
+	changes int64 // number of changes of the shard that must be stored before
 	replyTo chan<- Reply
 	reply   Reply
 }
--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"mimosadock/schedule/clock"
@@ -39,10 +41,11 @@
 	}
 	owned.sequence++
 	owned.appending, owned.lastAppendAt = true, now
-	if !owned.shard.HasUncollectedChanges() {
-		// Otherwise the changes that a waiter depends on may not be in this append.
-		owned.inFlightWaiters, owned.queuedWaiters = owned.queuedWaiters, nil
-	}
+	// The changes that later waiters depend on are left for another append.
+	n, _ := slices.BinarySearchFunc(owned.queuedWaiters, owned.shard.CollectedChanges()+1, func(w waiter, changes int64) int {
+		return cmp.Compare(w.changes, changes)
+	})
+	owned.inFlightWaiters, owned.queuedWaiters = owned.queuedWaiters[:n:n], owned.queuedWaiters[n:]
 	c.Counters.Appends.Add(1)
 	c.Counters.Records.Add(int64(len(records)))
 	id, epoch, sequence := owned.shard.ID, owned.epoch, owned.sequence
