Correct the loans of executors after their model test and review

The loan records the epoch of the borrower's owner, which a successor of the home shard restores, and a process without a confirmed membership sends no requests. A reply of an earlier epoch is ignored. - A perpetual step that fits on no executor raised the load of its shard, so that it took the others' executors, and one want hid the others. - Executors were vacated without end for runs that can't move, also while a perpetual task of the shard waited to run again. Vacating ends after 5 s, or when such a task waits; members of gangs are not moved for it.

--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -38,7 +38,9 @@
 	suspectUntil          clock.Millis        // gets no new runs before, because runs failed, stalled or were refused
 	reservedCPU           unit.MilliCPU       // processor time kept for perpetual tasks that wait to run again, see Shard.reserveForRestarts
 	servingCPU            unit.MilliCPU       // processor time allocated to serving tasks
-	perpetualCPU          unit.MilliCPU       // processor time allocated to perpetual tasks
+	perpetual             unit.Resources      // part of allocated that perpetual tasks have
+	vacatingSince         clock.Millis        // when it was first kept free of new runs to be lent
+	notLentBefore         clock.Millis        // is not lent before, because it could not be vacated in time
 	overTargetSince       clock.Millis        // since when a serving task exceeds its target, 0 if none does
 	lastSample            interferenceSample  // last one used for training
 	servingTasks          []servingTask       // from the last run list
@@ -109,6 +111,17 @@
 	return e.unrequestedCPU() + unit.MilliCPU((1-servingUtilization)*float64(e.servingCPU))
 }
 
+// countRuns returns the number of runs of a step that are assigned to e.
+func (e *Executor) countRuns(k stepKey) int {
+	n := 0
+	for id := range e.runs {
+		if id.Job == k.job && id.Occurrence == k.occurrence && id.Step == k.step {
+			n++
+		}
+	}
+	return n
+}
+
 // addRun assigns a run of a task to e and counts the task if it is new there.
 func (e *Executor) addRun(id TaskID, run unit.Run, step *Step) {
 	if _, ok := e.runs[id]; ok {
@@ -133,17 +146,17 @@
 // updateTotals adds n tasks of a step to the totals of e. n is 1 or -1.
 func (e *Executor) updateTotals(step *Step, n int) {
 	demand := step.demand()
-	if n > 0 {
-		e.allocated = e.allocated.Add(demand)
-	} else {
-		e.allocated = e.allocated.Sub(demand)
+	add := unit.Resources.Add
+	if n < 0 {
+		add = unit.Resources.Sub
+	}
+	e.allocated = add(e.allocated, demand)
+	if step.Perpetual {
+		e.perpetual = add(e.perpetual, demand)
 	}
 	if step.Fills {
 		e.bestEffortCPU += unit.MilliCPU(n) * step.Size.CPU
 	}
-	if step.Perpetual {
-		e.perpetualCPU += unit.MilliCPU(n) * demand.CPU
-	}
 	if step.TailTarget > 0 {
 		e.servingCount += n
 		if e.servingImages == nil {
--- a/schedule/dispatch/executor_sim_test.go
+++ b/schedule/dispatch/executor_sim_test.go
@@ -22,6 +22,9 @@
 	finished         []FinishedRun
 	lastEnd          unit.EndNumber // number of the last end
 	partitionedUntil clock.Millis
+	leavesAt         clock.Millis // when it leaves for good, 0 if it does not drain
+	user             simulatedUse // last use by a current owner
+	usedAt           clock.Millis // when exactly one current owner used it
 	capacity         unit.Resources
 }
 
@@ -136,6 +139,10 @@
 	}
 	sim.checkStart(x, o, spec)
 	x.highestRuns[o.Task] = o.Run
-	x.running[o.Task] = &simulatedRun{run: o.Run, size: step.Size, endsAt: sim.now.Add(clock.Span(100 + sim.random.Intn(1500)))}
+	r := &simulatedRun{run: o.Run, size: step.Size, endsAt: sim.now.Add(clock.Span(100 + sim.random.Intn(1500)))}
+	if step.Perpetual {
+		r.endsAt = clock.Never
+	}
+	x.running[o.Task] = r
 	return OutcomeDone
 }
--- a/schedule/dispatch/loan.go
+++ b/schedule/dispatch/loan.go
@@ -18,6 +18,19 @@
 	// loanWaitTimeout is how long a task waits before executors are requested for
 	// it, whatever the loads of the shards.
 	loanWaitTimeout = clock.Second
+	// maxVacateTime is how long an executor is kept free of new runs for a loan. A
+	// longer run there would keep it idle for others.
+	maxVacateTime = 5 * clock.Second
+	// vacateRetryDelay is the delay after which an executor is chosen again that
+	// could not be vacated within maxVacateTime.
+	vacateRetryDelay = 10 * clock.Second
+	// minLoanTime is how long a borrowed executor is kept, so that it is there for
+	// the tasks for which it was requested.
+	minLoanTime = 5 * clock.Second
+	// maxWants bounds the wants in a request.
+	maxWants = 8
+	// loadAge is the age up to which computed loads are used again.
+	loadAge = 100 * clock.Millisecond
 	// vacatePeriod is how long an executor that is to be lent gets no new runs
 	// after the last request for it.
 	vacatePeriod = 3 * clock.Second
@@ -44,6 +57,11 @@
 	TokenBase unit.Token    `cbor:"2,keyasint,omitempty"` // added to the fencing tokens of the shard that uses the executor; above all tokens of the shard that used it before
 	Lent      bool          `cbor:"3,keyasint,omitempty"` // false if the home shard may use the executor
 	Borrower  unit.Shard    `cbor:"4,keyasint,omitempty"`
+
+	// BorrowerEpoch is the highest epoch of the owners of the borrower that may know
+	// of the loan. Requests of earlier owners, which may still return the executor,
+	// are refused, also by a later owner of the home shard.
+	BorrowerEpoch unit.Generation `cbor:"5,keyasint,omitempty"`
 }
 
 // homeLoan is a row of the table of executors of this shard that are lent or
@@ -51,8 +69,7 @@
 type homeLoan struct {
 	Loan
 	dirty       bool         // differs from the store
-	returning   bool         // returned, but the store still has it as lent
-	storing     bool         // the return is in the append in flight
+	storing     bool         // is in the append in flight
 	absentSince clock.Millis // since when a returned executor has no row, 0 if it has one
 }
 
@@ -79,6 +96,11 @@
 	sequence int64
 }
 
+// before reports whether s is of an earlier epoch or request than t.
+func (s loanSession) before(t loanSession) bool {
+	return s.epoch < t.epoch || s.epoch == t.epoch && s.sequence < t.sequence
+}
+
 // ServiceLoad is the load of the executors of a service in one shard.
 type ServiceLoad struct {
 	Service  unit.Service  `cbor:"1,keyasint"`
@@ -100,12 +122,14 @@
 	return float64(l.Demand) / float64(capacity)
 }
 
-// LoanWant describes tasks that have waited for loanWaitTimeout and would not fit
-// on the executors of their shard without the batch tasks there.
+// LoanWant describes tasks that have waited for loanWaitTimeout, and that would not
+// fit on the executors of their shard without the batch tasks there, or of whose
+// job no task runs.
 type LoanWant struct {
 	Service unit.Service   `cbor:"1,keyasint"`
 	Size    unit.Resources `cbor:"2,keyasint"` // of one task
 	Needs   unit.Label     `cbor:"3,keyasint,omitempty"`
+	Count   int            `cbor:"4,keyasint,omitempty"` // executors that would be enough
 }
 
 // LoanRequest is sent by the owner of one shard to the owner of another, the
@@ -135,7 +159,10 @@
 	if s.borrowed.Get(id) != nil {
 		return true
 	}
-	if l := s.loans.Get(id); l != nil && (l.Lent || l.returning) {
+	// A returned executor is used only once the return is stored. Otherwise, after a
+	// takeover of both shards, the borrower would use it again, with fencing tokens
+	// below those of this owner.
+	if l := s.loans.Get(id); l != nil && (l.Lent || l.dirty || l.storing) {
 		return false
 	}
 	return inShard(id)
@@ -161,7 +188,20 @@
 
 // RestoreLoan adds the record of an executor that is lent or was lent before. All
 // loans must be restored before [Shard.StartOwnership].
-func (s *Shard) RestoreLoan(l Loan) { s.loans.Put(l.Executor, homeLoan{Loan: l}) }
+func (s *Shard) RestoreLoan(l Loan) {
+	s.loans.Put(l.Executor, homeLoan{Loan: l})
+	if l.Lent && l.BorrowerEpoch > s.loanSessions[l.Borrower].epoch {
+		s.setLoanSession(l.Borrower, loanSession{epoch: l.BorrowerEpoch})
+	}
+}
+
+// setLoanSession sets the last request of a borrower.
+func (s *Shard) setLoanSession(borrower unit.Shard, session loanSession) {
+	if s.loanSessions == nil {
+		s.loanSessions = make(map[unit.Shard]loanSession)
+	}
+	s.loanSessions[borrower] = session
+}
 
 // Gained returns the executors that the shard may use since the last call. Their
 // entries have to be passed to [Shard.ApplyRegistrations].
@@ -180,9 +220,17 @@
 	return 0, false
 }
 
-// serviceLoads returns the load of each service, and the tasks that have waited
-// for loanWaitTimeout, at most one for each service and label.
-func (s *Shard) serviceLoads(now clock.Millis) (loads []ServiceLoad, wants []LoanWant) {
+// serviceLoads returns the load of each service, and the tasks for which executors
+// of other shards are needed.
+func (s *Shard) serviceLoads(now clock.Millis) ([]ServiceLoad, []LoanWant) {
+	if s.loadsAt == 0 || now >= s.loadsAt.Add(loadAge) {
+		s.loads, s.wants = s.computeLoads(now)
+		s.loadsAt = now
+	}
+	return s.loads, s.wants
+}
+
+func (s *Shard) computeLoads(now clock.Millis) (loads []ServiceLoad, wants []LoanWant) {
 	index := make(map[unit.Service]int)
 	load := func(service unit.Service) *ServiceLoad {
 		i, ok := index[service]
@@ -196,7 +244,7 @@
 		if e.serviceable(now) {
 			l := load(e.Service)
 			l.Capacity += e.Capacity.CPU
-			l.Demand += e.perpetualCPU
+			l.Demand += e.perpetual.CPU
 		}
 	}
 	for k, since := range s.readySteps {
@@ -205,9 +253,10 @@
 			continue
 		}
 		step := &j.Spec.Steps[k.step]
+		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
 		ready := 0
-		for i := range j.Occurrences[k.occurrence].Steps[k.step].Tasks {
-			if j.Occurrences[k.occurrence].Steps[k.step].Tasks[i].State == TaskReady {
+		for i := range tasks {
+			if tasks[i].State == TaskReady {
 				ready++
 			}
 		}
@@ -215,37 +264,54 @@
 			continue
 		}
 		l := load(s.queue(j).Service)
-		if step.Perpetual {
+		if step.Perpetual && s.suits(now, l.Service, step) {
 			l.Demand += unit.MilliCPU(ready) * step.Size.CPU
 		}
-		if now.Sub(since) < loanWaitTimeout || s.canHold(now, l.Service, step) {
-			continue
+		age := now.Sub(since)
+		if age < loanWaitTimeout || s.canHold(now, k, l.Service, step) && !s.isStarved(now, k, j) && !(step.Perpetual && age >= starvationTimeout) {
+			continue // batch tasks end, but a perpetual one may wait for the reserve for batch tasks forever
 		}
-		i := slices.IndexFunc(wants, func(w LoanWant) bool { return w.Service == l.Service && w.Needs == step.Needs })
-		if i < 0 {
-			wants = append(wants, LoanWant{l.Service, step.Size, step.Needs})
-		} else if step.Size.CPU > wants[i].Size.CPU {
-			wants[i].Size = step.Size
+		want := LoanWant{Service: l.Service, Size: step.Size, Needs: step.Needs, Count: 1}
+		if step.Gang {
+			want.Count = step.Count
+		}
+		if len(wants) < maxWants && !slices.Contains(wants, want) {
+			wants = append(wants, want)
 		}
 	}
 	return loads, wants
 }
 
+// suits reports whether an executor of a service could hold a task of a step if
+// it had no other tasks.
+func (s *Shard) suits(now clock.Millis, service unit.Service, step *Step) bool {
+	for _, e := range s.executors.All() {
+		if e.Service == service && e.serviceable(now) && step.Size.Fits(e.Capacity) && (step.Needs == "" || e.hasLabel(step.Needs)) {
+			return true
+		}
+	}
+	return false
+}
+
 // canHold reports whether a task of a step, or all tasks of a gang, would fit on
 // the executors of a service without the tasks there that are not perpetual.
-func (s *Shard) canHold(now clock.Millis, service unit.Service, step *Step) bool {
+func (s *Shard) canHold(now clock.Millis, k stepKey, service unit.Service, step *Step) bool {
 	missing := 1
 	if step.Gang {
 		missing = step.Count
 	}
+	demand := step.demand()
 	for _, e := range s.executors.All() {
 		if e.Service != service || !e.serviceable(now) || step.Needs != "" && !e.hasLabel(step.Needs) {
 			continue
 		}
-		free := e.Capacity
-		free.CPU -= e.perpetualCPU
-		for demand := step.demand(); missing > 0 && demand.Fits(free); missing-- {
+		allowed := missing
+		if step.MaxPerExecutor > 0 {
+			allowed = min(allowed, step.MaxPerExecutor-e.countRuns(k))
+		}
+		for free := e.Capacity.Sub(e.perpetual); allowed > 0 && demand.Fits(free); allowed-- {
 			free = free.Sub(demand)
+			missing--
 		}
 		if missing == 0 {
 			return true
@@ -316,6 +382,7 @@
 	s.report(Event{Kind: "executorReturned", Executor: id})
 	s.borrowed.Delete(id)
 	s.executors.Delete(id)
+	s.loadsAt = 0
 }
 
 // HandleLoanReply applies the reply to a request of [Shard.Tick]. reply is nil if
@@ -326,7 +393,7 @@
 		return
 	}
 	l.inFlight, l.nextAt = false, now.Add(loanInterval)
-	if reply == nil {
+	if reply == nil || reply.Epoch < l.epoch {
 		return
 	}
 	l.epoch = reply.Epoch
@@ -365,14 +432,11 @@
 // be sent once the changes of the next tick are stored. It returns false if a
 // later request of the borrower was handled before.
 func (s *Shard) HandleLoanRequest(now clock.Millis, request *LoanRequest) (LoanReply, bool) {
-	last := s.loanSessions[request.Borrower]
-	if request.BorrowerEpoch < last.epoch || request.BorrowerEpoch == last.epoch && request.Sequence <= last.sequence {
+	session, last := loanSession{request.BorrowerEpoch, request.Sequence}, s.loanSessions[request.Borrower]
+	if !last.before(session) {
 		return LoanReply{}, false
 	}
-	if s.loanSessions == nil {
-		s.loanSessions = make(map[unit.Shard]loanSession)
-	}
-	s.loanSessions[request.Borrower] = loanSession{request.BorrowerEpoch, request.Sequence}
+	s.setLoanSession(request.Borrower, session)
 	// A borrower that names another epoch has not seen a reply of this owner. A
 	// former owner of the borrower may have sent the request, and a later one may
 	// use the executors that it returns.
@@ -386,71 +450,102 @@
 	reply.Loads, _ = s.serviceLoads(now)
 	for _, l := range s.loans.All() {
 		if l.Lent && l.Borrower == request.Borrower {
+			// The reply to a new owner of the borrower thus follows an append, which fails
+			// if this owner was replaced and its list is outdated.
+			if l.BorrowerEpoch != request.BorrowerEpoch {
+				l.BorrowerEpoch, l.dirty = request.BorrowerEpoch, true
+			}
 			reply.Loans = append(reply.Loans, l.Loan)
 		}
 	}
 	return reply, true
 }
 
-// takeBack ends a loan. The executor is not used before this is stored: otherwise,
-// after a takeover of both shards, the borrower would use it again, with fencing
-// tokens below those of this owner.
+// takeBack ends a loan.
 func (s *Shard) takeBack(borrower unit.Shard, r Loan) {
 	l := s.loans.Get(r.Executor)
 	if l == nil || !l.Lent || l.Borrower != borrower {
 		return
 	}
-	l.Lent, l.TokenBase, l.dirty, l.returning = false, r.TokenBase, true, true
+	// A repeated return may be older than the loan, so its base may be lower.
+	l.Lent, l.TokenBase, l.dirty = false, max(l.TokenBase, r.TokenBase), true
+	s.loadsAt = 0
 }
 
-// lend lends executors to the borrower of a request, or returns some that were
-// borrowed from it. Those with runs are vacated first, for a later request.
+// lend lends executors to the borrower of a request. Borrowed executors go back to
+// their home shard, which may lend them to the borrower. Those with runs are
+// vacated first, for a later request.
 func (s *Shard) lend(now clock.Millis, request *LoanRequest) {
-	own, ownWants := s.serviceLoads(now)
-	for i := range request.Loads {
-		theirs := request.Loads[i]
-		k := slices.IndexFunc(own, func(l ServiceLoad) bool { return l.Service == theirs.Service })
-		if k < 0 {
+	loads, _ := s.serviceLoads(now)
+	own := slices.Clone(loads)
+	for _, theirs := range request.Loads {
+		i := slices.IndexFunc(own, func(l ServiceLoad) bool { return l.Service == theirs.Service })
+		if i < 0 {
 			continue
 		}
-		mine := own[k]
 		wants := slices.DeleteFunc(slices.Clone(request.Wants), func(w LoanWant) bool { return w.Service != theirs.Service })
-		balancing := theirs.share(0) > mine.share(0)+minImbalance
-		waiting := slices.ContainsFunc(ownWants, func(w LoanWant) bool { return w.Service == theirs.Service })
-		granted := 0
-		for _, id := range s.lendable(now, theirs.Service, request.Borrower) {
-			if granted == maxLoansPerReply {
-				break
-			}
-			e := s.executors.Get(id)
-			c := e.Capacity.CPU
-			if !balancing || theirs.share(c) < mine.share(-c) {
-				w := slices.IndexFunc(wants, func(w LoanWant) bool {
-					return w.Size.Fits(e.Capacity) && (w.Needs == "" || e.hasLabel(w.Needs))
-				})
-				if w < 0 || waiting || mine.share(-c) > maxLenderLoad {
-					continue
-				}
-				wants = slices.Delete(wants, w, w+1)
+		s.lendOfService(now, request, own[i], theirs, wants)
+	}
+}
+
+// lendOfService lends executors of one service as long as that levels the loads of
+// both shards, and for the wants of the borrower.
+func (s *Shard) lendOfService(now clock.Millis, request *LoanRequest, own, theirs ServiceLoad, wants []LoanWant) {
+	withBatch := own // batch tasks are not levelled, so their share stays here
+	if r := s.reserves[own.Service]; r != nil {
+		withBatch.Demand += r.peak
+	}
+	balancing := theirs.share(0) > withBatch.share(0)+minImbalance
+	granted := 0
+	for _, id := range s.lendable(now, theirs.Service) {
+		if granted == maxLoansPerReply {
+			return
+		}
+		if slices.ContainsFunc(request.Returns, func(r Loan) bool { return r.Executor == id }) {
+			continue // the borrower would return it again until a reply without it arrives
+		}
+		e := s.executors.Get(id)
+		c := e.Capacity.CPU
+		// Without executors, batch jobs here would request one back.
+		needed := own.Capacity <= c && s.hasOpenJobs(theirs.Service)
+		if !balancing || needed || theirs.share(c) < withBatch.share(-c) {
+			w := slices.IndexFunc(wants, func(w LoanWant) bool {
+				return w.Count > 0 && w.Size.Fits(e.Capacity) && (w.Needs == "" || e.hasLabel(w.Needs))
+			})
+			if w < 0 || own.share(-c) > maxLenderLoad {
+				continue
 			}
-			mine.Capacity, theirs.Capacity = mine.Capacity-c, theirs.Capacity+c
+			wants[w].Count--
+		}
+		if s.lendOrVacate(now, id, request) {
+			own.Capacity, theirs.Capacity = own.Capacity-c, theirs.Capacity+c
+			withBatch.Capacity = own.Capacity
 			granted++
-			s.lendOrVacate(now, id, request.Borrower)
 		}
 	}
 }
 
-// lendable returns the executors of a service that may be lent to a shard:
-// serviceable ones without perpetual tasks whose home is this shard or the
-// borrower. Those come first that are vacated already, then those with the least
-// processor time in use.
-func (s *Shard) lendable(now clock.Millis, service unit.Service, borrower unit.Shard) []unit.Executor {
+// hasOpenJobs reports whether there are open jobs whose tasks run on executors of
+// a service.
+func (s *Shard) hasOpenJobs(service unit.Service) bool {
+	for _, j := range s.jobs.All() {
+		if !j.State.Ended() && s.queue(j).Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// lendable returns the executors of a service that may be lent or given back:
+// serviceable ones without perpetual tasks and reservations. Those come first that
+// are vacated already, then those with the least processor time in use.
+func (s *Shard) lendable(now clock.Millis, service unit.Service) []unit.Executor {
 	var candidates []*Executor
 	for id, e := range s.executors.All() {
-		if b := s.borrowed.Get(id); b != nil && b.lender != borrower {
+		if b := s.borrowed.Get(id); b != nil && now < b.borrowedAt.Add(minLoanTime) {
 			continue
 		}
-		if e.Service == service && e.registered && e.serviceable(now) && e.perpetualCPU == 0 {
+		if e.Service == service && e.registered && e.serviceable(now) && e.perpetual.CPU == 0 && e.reservedCPU == 0 && now >= e.notLentBefore {
 			candidates = append(candidates, e)
 		}
 	}
@@ -471,52 +566,80 @@
 }
 
 // lendOrVacate lends an executor that has no runs, no unacknowledged ends and no
-// hold in flight. Otherwise it keeps new runs from it and moves those that can
-// continue elsewhere from a checkpoint.
-func (s *Shard) lendOrVacate(now clock.Millis, id unit.Executor, borrower unit.Shard) {
+// hold in flight, or returns it if it is borrowed. Any other is vacated. It returns
+// false if that took too long before.
+func (s *Shard) lendOrVacate(now clock.Millis, id unit.Executor, request *LoanRequest) bool {
 	e := s.executors.Get(id)
 	if len(e.runs) > 0 || e.holdInFlight || e.acknowledgedEndNumber != e.processedEndNumber {
-		e.vacatingUntil = now.Add(vacatePeriod)
-		for tid := range e.runs {
-			_, st, t := s.findTask(tid)
-			if t != nil && t.State == TaskRunning && t.confirmedAt > 0 && st.SavesProgress && t.Checkpoint != "" {
-				s.moveRun(tid, t, e, "executor is lent")
-			}
-		}
-		return
+		return s.vacate(now, e)
 	}
+	s.loadsAt = 0
 	if s.borrowed.Get(id) != nil {
 		s.giveBack(now, id)
-		return
+		return true
 	}
-	s.loans.Put(id, homeLoan{Loan: Loan{Executor: id, TokenBase: s.nextTokenBase(id), Lent: true, Borrower: borrower}, dirty: true})
+	s.loans.Put(id, homeLoan{dirty: true, Loan: Loan{
+		Executor: id, TokenBase: s.nextTokenBase(id), Lent: true, Borrower: request.Borrower, BorrowerEpoch: request.BorrowerEpoch,
+	}})
 	s.executors.Delete(id)
 	s.report(Event{Kind: "executorLent", Executor: id})
+	return true
+}
+
+// vacate keeps new runs from an executor and moves those that can continue
+// elsewhere from a checkpoint. It returns false and gives up after maxVacateTime.
+func (s *Shard) vacate(now clock.Millis, e *Executor) bool {
+	if now >= e.vacatingUntil {
+		e.vacatingSince = now
+	}
+	if now >= e.vacatingSince.Add(maxVacateTime) {
+		e.vacatingUntil, e.notLentBefore = 0, now.Add(vacateRetryDelay)
+		return false
+	}
+	e.vacatingUntil = now.Add(vacatePeriod)
+	for id := range e.runs {
+		_, st, t := s.findTask(id)
+		if t != nil && t.State == TaskRunning && t.confirmedAt > 0 && st.SavesProgress && !st.Gang && t.Checkpoint != "" {
+			s.moveRun(id, t, e, "executor is lent")
+		}
+	}
+	return true
 }
 
 // collectLoans returns the changes of loans for the next append.
 func (s *Shard) collectLoans() []Change {
 	var changes []Change
+	for _, id := range s.expiredLoans {
+		changes = append(changes, Change{Loan: &Loan{Executor: id}, Drop: true})
+	}
+	s.expiredLoans = nil
 	for _, l := range s.loans.All() {
 		if l.dirty {
-			l.dirty, l.storing = false, l.returning
+			l.dirty, l.storing = false, true
 			changes = append(changes, Change{Loan: &l.Loan})
 		}
 	}
-	for _, id := range s.expiredLoans {
-		changes = append(changes, Change{Loan: &Loan{Executor: id}, Drop: true})
-	}
-	s.expiredLoans = nil
 	return changes
 }
 
-// handleStoredLoans makes the executors usable whose return is stored.
-func (s *Shard) handleStoredLoans() {
+// hasLoansToStore reports whether the store lacks changes of loans.
+func (s *Shard) hasLoansToStore() bool {
+	for _, l := range s.loans.All() {
+		if l.dirty {
+			return true
+		}
+	}
+	return len(s.expiredLoans) > 0
+}
+
+// handleLoansStored records that the loans of the last append are in the store.
+// Executors that were returned may now be used.
+func (s *Shard) handleLoansStored() {
 	for id, l := range s.loans.All() {
-		if l.storing {
-			l.storing, l.returning = false, false
+		if l.storing && !l.Lent && !l.dirty {
 			s.gained = append(s.gained, id)
 		}
+		l.storing = false
 	}
 }
 
@@ -525,7 +648,7 @@
 func (s *Shard) expireLoans(now clock.Millis) {
 	s.loans.DeleteFunc(func(id unit.Executor, l *homeLoan) bool {
 		switch {
-		case l.Lent || l.dirty || l.returning || s.executors.Get(id) != nil:
+		case l.Lent || l.dirty || l.storing || s.executors.Get(id) != nil:
 			l.absentSince = 0
 		case l.absentSince == 0:
 			l.absentSince = now
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -221,13 +221,14 @@
 		if j == nil || j.Spec == nil || j.State.Ended() || !j.Spec.Steps[k.step].Perpetual {
 			continue
 		}
-		pool := pools[s.queue(j).Service]
-		if pool == nil {
-			continue
-		}
+		service := s.queue(j).Service
 		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
 		for i := range tasks {
-			if tasks[i].State == TaskReady && tasks[i].Run > 0 {
+			if tasks[i].State != TaskReady || tasks[i].Run == 0 {
+				continue
+			}
+			s.stopVacating(service)
+			if pool := pools[service]; pool != nil {
 				if e := pool.reservable(s.newPlacementRequest(now, k, j, &tasks[i], pool)); e != nil {
 					e.reservedCPU += j.Spec.Steps[k.step].Size.CPU
 				}
@@ -236,6 +237,15 @@
 	}
 }
 
+// stopVacating lets executors of a service get new runs that were to be lent.
+func (s *Shard) stopVacating(service unit.Service) {
+	for _, e := range s.executors.All() {
+		if e.Service == service {
+			e.vacatingUntil = 0
+		}
+	}
+}
+
 // newPlacementRequest returns the request to place a task of a step. Where the
 // queue has an advice policy, only executors whose ticket stays valid for
 // ticketMargin are admitted.
@@ -249,15 +259,7 @@
 	}}
 	request.headroomShare = func(e *Executor) float64 { return s.headroomShare(e, st) }
 	request.usesReserve = func(e *Executor) bool { return !pool.allowsPerpetual(e) }
-	request.tasksOn = func(e *Executor) int {
-		n := 0
-		for id := range e.runs {
-			if id.Job == k.job && id.Occurrence == k.occurrence && id.Step == k.step {
-				n++
-			}
-		}
-		return n
-	}
+	request.tasksOn = func(e *Executor) int { return e.countRuns(k) }
 	return request
 }
 
--- a/schedule/dispatch/place_test.go
+++ b/schedule/dispatch/place_test.go
@@ -28,6 +28,8 @@
 	adviceCalls       int  // number of calls to the advisor
 	adviceUnanswered  bool // calls to the advisor get no response
 	largestAdviceCall int  // largest number of executors in a call to the advisor
+
+	loanRequests []*LoanRequest // sent and not delivered
 }
 
 // newFixture returns a fixture with the given number of executors, on two
@@ -69,6 +71,10 @@
 		f.answerAdvice(o.Advise)
 		return
 	}
+	if o.Loan != nil {
+		f.loanRequests = append(f.loanRequests, o.Loan)
+		return
+	}
 	runs := f.runs[o.To.Executor]
 	a := Answer{Outcome: OutcomeDone, Clock: unit.ExecutorMillis(f.now), Incarnation: 1}
 	if f.holdsUnanswered && o.Hold != nil {
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -69,12 +69,12 @@
 			pools[e.Service] = pool
 		}
 		pool.executors = append(pool.executors, e)
-		if e.perpetualCPU == 0 {
+		if e.perpetual.CPU == 0 {
 			pool.nonPerpetualCPU += e.Capacity.CPU
 		}
 		t := sums[e.Service]
 		t.total += e.Capacity.CPU
-		t.batch += e.allocated.CPU - e.perpetualCPU
+		t.batch += e.allocated.CPU - e.perpetual.CPU
 		sums[e.Service] = t
 	}
 	for name, pool := range pools {
@@ -95,7 +95,7 @@
 // allowsPerpetual reports whether a perpetual task may be placed on e without
 // using the reserve for batch tasks.
 func (p *executorPool) allowsPerpetual(e *Executor) bool {
-	return e.perpetualCPU > 0 || p.nonPerpetualCPU-e.Capacity.CPU >= p.reserveCPU
+	return e.perpetual.CPU > 0 || p.nonPerpetualCPU-e.Capacity.CPU >= p.reserveCPU
 }
 
 // reservable returns the executor with the most free processor time among those
@@ -106,12 +106,14 @@
 	var chosen *Executor
 	var mostFree unit.MilliCPU
 	for _, e := range p.executors {
-		if e.Capacity.CPU-e.perpetualCPU-e.reservedCPU < step.Size.CPU || e.Capacity.Memory-e.allocated.Memory < step.Size.Memory ||
+		free := e.Capacity.Sub(e.perpetual)
+		free.CPU -= e.reservedCPU
+		if !step.demand().Fits(free) ||
 			request.constraintExclusion(e) != NotExcluded {
 			continue
 		}
-		if free := e.Capacity.CPU - e.allocated.CPU - e.reservedCPU; chosen == nil || free > mostFree {
-			chosen, mostFree = e, free
+		if cpu := e.Capacity.CPU - e.allocated.CPU - e.reservedCPU; chosen == nil || cpu > mostFree {
+			chosen, mostFree = e, cpu
 		}
 	}
 	return chosen
@@ -120,7 +122,7 @@
 // recordPlacement updates the pool after a task of a step was chosen for e and
 // before e counts it.
 func (p *executorPool) recordPlacement(st *Step, e *Executor) {
-	if st.Perpetual && e.perpetualCPU == 0 {
+	if st.Perpetual && e.perpetual.CPU == 0 {
 		p.nonPerpetualCPU -= e.Capacity.CPU
 	}
 }
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -68,9 +68,12 @@
 	lenders            map[unit.Shard]*lender
 	loanSessions       map[unit.Shard]loanSession   // last request of each borrower
 	gained             []unit.Executor              // executors that may be used since the last call to Gained
+	loads              []ServiceLoad                // computed at loadsAt
+	wants              []LoanWant                   // computed at loadsAt
+	loadsAt            clock.Millis                 // 0 if the loads have to be computed
+	expiredLoans       []unit.Executor              // records of loans to delete
 	removedRestarts    map[unit.Executor]unit.Token // restarts of executors whose rows were dropped
 	collected          int64                        // jobs in all appends so far
-	expiredLoans       []unit.Executor              // records of loans to delete
 }
 
 // stepKey identifies a step of one occurrence of a job in the tables. It has the
@@ -296,7 +299,7 @@
 		}
 	}
 	s.storingJobs = s.storingJobs[:0]
-	s.handleStoredLoans()
+	s.handleLoansStored()
 	for _, e := range s.executors.All() {
 		e.storedEndNumber = e.storingEndNumber
 	}
@@ -309,7 +312,7 @@
 // Idle reports whether the shard needs no regular ticks: it has no open jobs,
 // nothing to store and no runs to stop.
 func (s *Shard) Idle() bool {
-	return s.openJobs == 0 && len(s.dirty) == 0 && len(s.stoppingJobs) == 0
+	return s.openJobs == 0 && len(s.dirty) == 0 && len(s.stoppingJobs) == 0 && !s.hasLoansToStore()
 }
 
 // sortedReady returns the ready steps, most urgent first: by priority of the
--- a/schedule/dispatch/simulation_test.go
+++ b/schedule/dispatch/simulation_test.go
@@ -20,34 +20,48 @@
 // executor carries out, it checks the invariants of dispatch, which must hold
 // under message loss, delays and crashes.
 type simulation struct {
-	random      *rand.Rand
-	now         clock.Millis
-	executors   map[unit.Executor]*simulatedExecutor
-	store       map[unit.Job]stored
-	epoch       unit.Generation
-	owner       *Shard
-	formerOwner *Shard       // was replaced without notice and continues
-	storing     []Change     // changes of the append in flight
-	storedAt    clock.Millis // when the append in flight is stored
-	messages    []message
-	done        map[TaskID]bool // tasks with a successful run on an executor
-	storedEnds  map[TaskID]bool // tasks whose end is stored
-	failures    map[TaskID]int
-	jobs        []*Spec
-	faults      faults
-	violations  error
+	random     *rand.Rand
+	now        clock.Millis
+	executors  map[unit.Executor]*simulatedExecutor
+	store      map[unit.Job]stored
+	epoch      unit.Generation
+	shards     []*simulatedShard
+	loans      loanSimulation // state of the simulation of several shards
+	messages   []message
+	done       map[TaskID]bool // tasks with a successful run on an executor
+	storedEnds map[TaskID]bool // tasks whose end is stored
+	failures   map[TaskID]int
+	jobs       []*Spec
+	faults     faults
+	violations error
+}
+
+// simulatedShard is a shard of the simulation: its owners and the append in
+// flight.
+type simulatedShard struct {
+	id           unit.Shard
+	owner        *Shard
+	formerOwner  *Shard       // was replaced without notice and continues
+	storing      []Change     // changes of the append in flight
+	storedAt     clock.Millis // when the append in flight is stored
+	storedLoans  map[unit.Executor]Loan
+	loanRequests simulatedLoanRequests
 }
 
 // faults holds the probability of each fault, for each order or tick of the
 // simulation.
 type faults struct {
 	lost, late, crash, partition, replaceOwner float64
+
+	// Only simulated with several shards.
+	lostLoan, lateLoan, duplicateLoan, staleRoute, lostAppend, drain, join float64
 }
 
 // stored is the record of a job in the store.
 type stored struct {
-	job  Job
-	spec *Spec
+	shard unit.Shard
+	job   Job
+	spec  *Spec
 }
 
 // message is an order in transit. A message with the target address "timeout"
@@ -60,32 +74,52 @@
 	answerArrives bool // the answer reaches the sender
 }
 
-// newSimulation returns a simulation with four executors and an owner.
+// newSimulation returns a simulation with four executors and one shard.
 func newSimulation(seed int64, f faults) *simulation {
+	sim := newSimulationOf(seed, f, 1)
+	for i := range 4 {
+		sim.addExecutor(i)
+	}
+	sim.takeOver(sim.shards[0])
+	return sim
+}
+
+// newSimulationOf returns a simulation without executors and owners.
+func newSimulationOf(seed int64, f faults, shards int) *simulation {
 	sim := &simulation{
 		random: rand.New(rand.NewSource(seed)), now: 1000, executors: make(map[unit.Executor]*simulatedExecutor),
 		store: make(map[unit.Job]stored), done: make(map[TaskID]bool), storedEnds: make(map[TaskID]bool),
 		failures: make(map[TaskID]int), faults: f,
 	}
-	for i := range 4 {
-		id := unit.Executor("x" + strconv.Itoa(i))
-		sim.executors[id] = &simulatedExecutor{
-			id: id, address: string(id), incarnation: unit.UnixMillis(1 + i), startedAt: sim.now, clockRate: 0.98 + 0.02*sim.random.Float64(),
-			capacity: unit.Resources{CPU: 4000, Memory: 4000},
-		}
-		sim.executors[id].reset()
+	for i := range shards {
+		sim.shards = append(sim.shards, &simulatedShard{id: unit.Shard(i), storedLoans: make(map[unit.Executor]Loan)})
 	}
-	sim.takeOver()
 	return sim
 }
 
+// addExecutor adds executor n.
+func (sim *simulation) addExecutor(n int) *simulatedExecutor {
+	id := unit.Executor("x" + strconv.Itoa(n))
+	x := &simulatedExecutor{
+		id: id, address: string(id), incarnation: unit.UnixMillis(1 + n), startedAt: sim.now, clockRate: 0.98 + 0.02*sim.random.Float64(),
+		capacity: unit.Resources{CPU: 4000, Memory: 4000},
+	}
+	x.reset()
+	sim.executors[id] = x
+	return x
+}
+
 // registrations returns the complete list of executors.
 func (sim *simulation) registrations() Registrations {
 	r := Registrations{Complete: true}
 	for _, id := range slices.Sorted(maps.Keys(sim.executors)) {
 		x := sim.executors[id]
+		if len(sim.shards) > 1 && x.partitionedUntil.Sub(sim.now) > unlistedPeriod {
+			continue
+		}
 		r.Entries = append(r.Entries, Registration{
 			Executor: x.id, Service: "s", Address: x.address, Capacity: x.capacity, Incarnation: x.incarnation,
+			Draining: x.leavesAt > 0, TimeLeft: max(0, x.leavesAt.Sub(sim.now)),
 		})
 	}
 	return r
@@ -94,17 +128,23 @@
 // anyExecutor reports every executor as part of the shard.
 func anyExecutor(unit.Executor) bool { return true }
 
-// takeOver replaces the owner by one that has only the stored state.
-func (sim *simulation) takeOver() {
-	sim.formerOwner, sim.storing = sim.owner, nil
+// takeOver replaces the owner of a shard by one that has only the stored state.
+func (sim *simulation) takeOver(sh *simulatedShard) {
+	sim.interruptAppend(sh)
+	sh.formerOwner, sh.storing = sh.owner, nil
 	sim.epoch++
-	sim.owner = &Shard{Epoch: sim.epoch, Limits: DefaultLimits}
-	sim.owner.Configure(&Config{Version: 1, Queues: []Queue{{Name: "q", Service: "s", MaxAttempts: 3}}})
+	sh.owner = &Shard{ID: sh.id, Epoch: sim.epoch, Shards: len(sim.shards), Limits: DefaultLimits}
+	sh.owner.Configure(&Config{Version: 1, Queues: []Queue{{Name: "q", Service: "s", MaxAttempts: 3}}})
 	for _, id := range slices.Sorted(maps.Keys(sim.store)) {
-		sim.owner.Restore(sim.now, sim.wall(), id, cloneJob(&Change{Job: ptr(sim.store[id].job)}), sim.store[id].spec)
+		if sim.store[id].shard == sh.id {
+			sh.owner.Restore(sim.now, sim.wall(), id, cloneJob(&Change{Job: ptr(sim.store[id].job)}), sim.store[id].spec)
+		}
 	}
-	sim.owner.ApplyRegistrations(sim.now, sim.registrations(), anyExecutor)
-	sim.owner.StartOwnership(sim.now)
+	for _, id := range slices.Sorted(maps.Keys(sh.storedLoans)) {
+		sh.owner.RestoreLoan(sh.storedLoans[id])
+	}
+	sh.owner.ApplyRegistrations(sim.now, sim.registrations(), sim.homeOf(sh))
+	sh.owner.StartOwnership(sim.now)
 }
 
 func ptr[T any](v T) *T { return &v }
@@ -143,15 +183,22 @@
 		sim.advance(sim.executors[id])
 	}
 	sim.deliver()
-	if sim.now%400 == 0 {
-		sim.owner.ApplyRegistrations(sim.now, sim.registrations(), anyExecutor)
-	}
-	if sim.chance(sim.faults.replaceOwner) {
-		sim.takeOver()
+	sim.deliverLoans()
+	for _, sh := range sim.shards {
+		if sim.now%400 == 0 {
+			sh.owner.ApplyRegistrations(sim.now, sim.registrations(), sim.homeOf(sh))
+		}
+		if sim.chance(sim.faults.replaceOwner) {
+			sim.takeOver(sh)
+		}
+		sim.tickOwner(sh, sh.owner, true)
+		if sh.formerOwner != nil {
+			sim.tickOwner(sh, sh.formerOwner, false)
+		}
 	}
-	sim.tickOwner(sim.owner, true)
-	if sim.formerOwner != nil {
-		sim.tickOwner(sim.formerOwner, false)
+	if len(sim.shards) > 1 {
+		sim.changeExecutors()
+		sim.checkUsers()
 	}
 }
 
@@ -159,45 +206,58 @@
 func (sim *simulation) chance(p float64) bool { return sim.random.Float64() < p }
 
 // tickOwner runs a tick of an owner. The store refuses appends of a former one.
-func (sim *simulation) tickOwner(s *Shard, current bool) {
+func (sim *simulation) tickOwner(sh *simulatedShard, s *Shard, current bool) {
 	if s.Fenced() {
 		if current {
-			sim.reportViolation("the current owner is fenced")
+			sim.reportViolation("the current owner of shard %d is fenced", sh.id)
 		}
-		sim.formerOwner = nil
+		sh.formerOwner = nil
 		return
 	}
-	canStore := current && sim.storing == nil
-	if current && sim.storing != nil && sim.now >= sim.storedAt {
-		sim.storing = nil
+	canStore := current && sh.storing == nil
+	if current && sh.storing != nil && sim.now >= sh.storedAt {
+		sh.storing = nil
 		s.HandleStored(sim.now)
+		sim.acknowledgeAppend(sh)
 		canStore = true
 	}
+	sim.registerGained(sh, s)
 	if !current {
 		// A process starts no runs while its membership is unconfirmed. It
-		// continues to send holds and stops.
-		_, orders := s.Tick(sim.now, sim.wall(), false)
+		// continues to send holds, stops and requests for loans.
+		changes, orders := s.Tick(sim.now, sim.wall(), len(sim.shards) > 1 && !sh.loanRequests.formerStores)
+		sh.loanRequests.formerStores = sh.loanRequests.formerStores || len(changes) > 0
 		sim.send(s, slices.DeleteFunc(orders, func(o Order) bool { return o.Start != nil }))
 		return
 	}
 	changes, orders := s.Tick(sim.now, sim.wall(), canStore)
 	sim.send(s, orders)
 	for i := range changes {
-		sim.storeChange(&changes[i])
+		sim.storeChange(sh, &changes[i])
+	}
+	if canStore {
+		sh.loanRequests.storing, sh.loanRequests.queued = sh.loanRequests.queued, nil
 	}
 	if len(changes) > 0 {
-		sim.storing, sim.storedAt = changes, sim.now.Add(clock.Span(10*sim.random.Intn(4)))
+		sh.storing, sh.storedAt = changes, sim.now.Add(clock.Span(10*sim.random.Intn(4)))
+	} else if canStore {
+		sim.acknowledgeAppend(sh)
 	}
 }
 
 // storeChange applies a change to the store.
-func (sim *simulation) storeChange(c *Change) {
+func (sim *simulation) storeChange(sh *simulatedShard, c *Change) {
+	sim.saveForUndo(sh, c)
+	if c.Loan != nil {
+		sh.storeLoan(c)
+		return
+	}
 	if c.Drop {
 		delete(sim.store, c.ID)
 		return
 	}
 	row := sim.store[c.ID]
-	row.job = cloneJob(c)
+	row.shard, row.job = sh.id, cloneJob(c)
 	if c.Spec != nil {
 		row.spec = c.Spec
 	}
@@ -219,6 +279,10 @@
 // send puts orders in transit, some of them lost or late.
 func (sim *simulation) send(from *Shard, orders []Order) {
 	for _, o := range orders {
+		if o.Loan != nil {
+			sim.sendLoanRequest(from, o.Loan)
+			continue
+		}
 		m := message{sentAt: sim.now, deliverAt: sim.now.Add(clock.Span(1 + sim.random.Intn(15))), order: o, from: from, answerArrives: true}
 		switch {
 		case sim.chance(sim.faults.lost):
@@ -253,7 +317,7 @@
 	sim.messages = remaining
 	for _, m := range due {
 		x := sim.executors[m.order.To.Executor]
-		if m.order.To.Address == "timeout" || sim.now < x.partitionedUntil {
+		if m.order.To.Address == "timeout" || m.order.To.Address == "" || x == nil || sim.now < x.partitionedUntil {
 			if m.answerArrives || m.order.To.Address == "timeout" {
 				m.from.HandleAnswer(sim.now, sim.wall(), &m.order, &Answer{}, errors.New("no answer"))
 			}
@@ -306,17 +370,26 @@
 	}
 }
 
-// submit submits a job of two steps with random counts of tasks.
+// submit submits a batch job to the first shard.
 func (sim *simulation) submit(n int) {
-	s := &Spec{
-		ID: unit.Job("j" + strconv.Itoa(n)), Queue: Queue{Name: "q", Service: "s", MaxAttempts: 3, SlackFactor: 1.5},
+	sim.submitTo(sim.shards[0], sim.batchSpec(unit.Job("j"+strconv.Itoa(n))))
+}
+
+// batchSpec returns a job of two steps with random counts of tasks.
+func (sim *simulation) batchSpec(id unit.Job) *Spec {
+	return &Spec{
+		ID: id, Queue: Queue{Name: "q", Service: "s", MaxAttempts: 3, SlackFactor: 1.5},
 		Steps: []Step{
 			{Count: 1 + sim.random.Intn(5), Size: unit.Resources{CPU: 1000, Memory: 500}, Estimate: 500},
 			{Count: 1 + sim.random.Intn(3), Size: unit.Resources{CPU: 1500, Memory: 500}, Estimate: 500, After: []int{0}, SavesProgress: true},
 		},
 	}
+}
+
+// submitTo submits a job to a shard.
+func (sim *simulation) submitTo(sh *simulatedShard, s *Spec) {
 	sim.jobs = append(sim.jobs, s)
-	_ = sim.owner.Submit(sim.now, sim.wall(), s) // refused if the shard is full
+	_ = sh.owner.Submit(sim.now, sim.wall(), s) // refused if the shard is full
 }
 
 // run advances time by a number of ticks. It submits jobs in the first half.
@@ -375,7 +448,7 @@
 		sim := newSimulation(seed, faults{})
 		sim.run(3000)
 		for _, s := range sim.jobs {
-			state, ok := sim.owner.State(s.ID)
+			state, ok := sim.shards[0].owner.State(s.ID)
 			is.True(ok)            // the job is known
 			is.True(state.Ended()) // the job has ended
 		}
@@ -398,7 +471,7 @@
 			if _, kept := sim.store[s.ID]; !kept {
 				continue // the submission was never confirmed
 			}
-			state, ok := sim.owner.State(s.ID)
+			state, ok := sim.shards[0].owner.State(s.ID)
 			if !ok || !state.Ended() {
 				t.Logf("seed %d: %s is %s", seed, s.ID, state)
 			}
--- a/schedule/dispatch/start.go
+++ b/schedule/dispatch/start.go
@@ -41,7 +41,7 @@
 	for _, e := range s.executors.All() {
 		for id := range e.runs {
 			j, _, t := s.findTask(id)
-			if t == nil || t.inFlight || now < t.lastActionAt.Add(resendInterval) || t.Incarnation != e.Incarnation && e.Incarnation != 0 {
+			if t == nil || e.Address == "" || t.inFlight || now < t.lastActionAt.Add(resendInterval) || t.Incarnation != e.Incarnation && e.Incarnation != 0 {
 				continue
 			}
 			switch {
--- a/schedule/dispatch/wait.go
+++ b/schedule/dispatch/wait.go
@@ -125,7 +125,7 @@
 		request := s.newPlacementRequest(now, k, j, t, pool)
 		for _, e := range pool.executors {
 			counts[request.exclusion(e)]++
-			if e.Capacity.CPU-e.perpetualCPU >= step.Size.CPU {
+			if e.Capacity.CPU-e.perpetual.CPU >= step.Size.CPU {
 				withoutBatch++
 			}
 		}
@@ -162,8 +162,8 @@
 		var total, perpetual, batch, largest unit.MilliCPU
 		for _, e := range pool.executors {
 			total += e.Capacity.CPU
-			perpetual += e.perpetualCPU
-			batch += e.allocated.CPU - e.perpetualCPU
+			perpetual += e.perpetual.CPU
+			batch += e.allocated.CPU - e.perpetual.CPU
 			largest = max(largest, e.Capacity.CPU-e.allocated.CPU)
 		}
 		s.report(Event{Kind: "capacity", Reason: fmt.Sprintf("service=%s executors=%d cpu=%d perpetualCPU=%d batchCPU=%d largestFreeCPU=%d waitingPerpetual=%d",
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -259,6 +259,7 @@
 	if len(c.owned) == 0 && c.stopRegistrationFeed != nil {
 		c.stopRegistrationFeed()
 		c.stopRegistrationFeed = nil
+		clear(c.registrations)
 	}
 }
 
--- a/scheduler/control/orders.go
+++ b/scheduler/control/orders.go
@@ -23,6 +23,12 @@
 	if o.Loan != nil {
 		c.Counters.LoanRequests.Add(1)
 		c.group.Go("loan", func(context.Context) error {
+			if !c.membership.isConfirmed(c.BootClock(), c.Settings.TTL) {
+				// Another owner may have replaced this one and use what it would return.
+				sleep(ctx, retryInterval)
+				c.post(ctx, loanResultMessage{id, epoch, o.Loan, nil})
+				return nil
+			}
 			callCtx, cancel := context.WithTimeout(ctx, loanTimeout)
 			defer cancel()
 			r := c.Router.Call(callCtx, &Request{Kind: KindLend, Shard: o.Loan.Lender, Loan: o.Loan})
