Keep batch tasks from reserved room only after 3 s

Room was reserved for a waiting perpetual task at once, also from batch tasks, and so most of it was kept empty while other shards were about to lend executors. Urgent batch jobs lost by it.

First runs of other perpetual tasks, which take the room for good, are still kept out at once; all others once the task has waited for 3 s.

--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -36,7 +36,8 @@
 	unansweredHolds       int                 // holds without an answer in a row
 	consecutiveFailures   int                 // failed runs in a row; suspectThreshold-1 once it becomes suspect, 0 after a success or a restart
 	suspectUntil          clock.Millis        // gets no new runs before, because runs failed, stalled or were refused
-	reservedCPU           unit.MilliCPU       // processor time kept for perpetual tasks that wait to run again, see Shard.reserveForRestarts
+	reservedCPU           unit.MilliCPU       // processor time kept from first runs of perpetual tasks, see Shard.reserveForRestarts
+	overdueCPU            unit.MilliCPU       // part of reservedCPU that is kept from all but restarts
 	servingCPU            unit.MilliCPU       // processor time allocated to serving tasks
 	perpetual             unit.Resources      // part of allocated that perpetual tasks have
 	vacatingSince         clock.Millis        // when it was first kept free of new runs to be lent
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -207,14 +207,19 @@
 	}
 }
 
+// overdueTimeout is how long a perpetual task that ran before waits until batch
+// tasks make room for it. It has to run again within 9 s, if there is capacity.
+const overdueTimeout = 3 * clock.Second
+
 // reserveForRestarts reserves processor time for each perpetual task that ran
 // before and fits on no executor now. Otherwise smaller tasks, which fit sooner,
-// would take each part that becomes free. It chooses the executor with the most
-// free processor time among those on which the task fits once the batch tasks
-// there have ended.
+// would take each part that becomes free: first runs of perpetual tasks for good,
+// and batch tasks, which are kept out after overdueTimeout, one after the other. It
+// chooses the executor with the most free processor time among those on which the
+// task fits once the batch tasks there have ended.
 func (s *Shard) reserveForRestarts(now clock.Millis, keys []stepKey, pools map[unit.Service]*executorPool) {
 	for _, e := range s.executors.All() {
-		e.reservedCPU = 0
+		e.reservedCPU, e.overdueCPU = 0, 0
 	}
 	for _, k := range keys {
 		j := s.jobs.Get(k.job)
@@ -231,6 +236,9 @@
 			if pool := pools[service]; pool != nil {
 				if e := pool.reservable(s.newPlacementRequest(now, k, j, &tasks[i], pool)); e != nil {
 					e.reservedCPU += j.Spec.Steps[k.step].Size.CPU
+					if now.Sub(s.readySteps[k]) >= overdueTimeout {
+						e.overdueCPU += j.Spec.Steps[k.step].Size.CPU
+					}
 				}
 			}
 		}
--- a/schedule/dispatch/wait.go
+++ b/schedule/dispatch/wait.go
@@ -65,8 +65,12 @@
 func (request *placementRequest) capacityExclusion(e *Executor) Exclusion {
 	step := request.step
 	free, demand := e.Capacity.Sub(e.allocated), step.demand()
-	if !request.restart {
+	switch {
+	case request.restart:
+	case step.Perpetual:
 		free.CPU -= e.reservedCPU
+	default:
+		free.CPU -= e.overdueCPU
 	}
 	switch {
 	case demand.CPU > free.CPU, step.Fills && e.availableBestEffortCPU() < step.Size.CPU:
