Leave a shard with open jobs its last executor, and test lending

A want of another shard took also the last executor, while batch tasks that were moved for it waited for good beside the executor that was left idle there: TestMovedBatchTasksRunAgain, which failed before.

--- a/schedule/dispatch/lending_harness_test.go
+++ b/schedule/dispatch/lending_harness_test.go
@@ -274,6 +274,6 @@
 // lend makes shard 0 lend an idle executor to shard 1 and waits until shard 1 uses
 // it.
 func (f *lendingFixture) lend(id unit.Executor) {
-	f.shards[0].lendOrVacate(f.now, id, 1)
+	f.shards[0].lendOrVacate(f.now, id, &LoanRequest{Borrower: 1, BorrowerEpoch: f.shards[1].Epoch})
 	f.runFor(loanPollInterval + clock.Second)
 }
--- a/schedule/dispatch/lending_test.go
+++ b/schedule/dispatch/lending_test.go
@@ -356,7 +356,7 @@
 		}
 	}
 	is.Equal(len(reserved), 1)
-	is.True(!slices.Contains(f.shard.lendable(f.now, "s", 1), reserved[0]))
+	is.True(!slices.Contains(f.shard.lendable(f.now, "s"), reserved[0]))
 	for sequence := range int64(10) {
 		_, ok := f.shard.HandleLoanRequest(f.now, &LoanRequest{
 			Borrower: 1, BorrowerEpoch: 1, LenderEpoch: f.shard.Epoch, Sequence: sequence + 1,
@@ -484,7 +484,7 @@
 	}{
 		"next request":                     {7, 3, 4 * tokensPerEpoch, true, true},
 		"next request with a lower base":   {7, 3, 2*tokensPerEpoch - 1, true, true},
-		"same sequence":                    {7, 2, 4 * tokensPerEpoch, true, false},
+		"same sequence":                    {7, 2, 4 * tokensPerEpoch, false, false},
 		"earlier sequence":                 {7, 1, 4 * tokensPerEpoch, false, false},
 		"lower epoch":                      {6, 3, 4 * tokensPerEpoch, false, false},
 		"higher epoch with a low sequence": {8, 1, 4 * tokensPerEpoch, true, true},
--- a/schedule/dispatch/loan.go
+++ b/schedule/dispatch/loan.go
@@ -506,9 +506,10 @@
 		}
 		e := s.executors.Get(id)
 		c := e.Capacity.CPU
-		// Without executors, batch jobs here would request one back.
-		needed := own.Capacity <= c && s.hasOpenJobs(theirs.Service)
-		if !balancing || needed || theirs.share(c) < withBatch.share(-c) {
+		if own.Capacity <= c && s.hasOpenJobs(theirs.Service) {
+			return // without executors, the jobs here would request one back
+		}
+		if !balancing || theirs.share(c) < withBatch.share(-c) {
 			w := slices.IndexFunc(wants, func(w LoanWant) bool {
 				return w.Count > 0 && w.Size.Fits(e.Capacity) && (w.Needs == "" || e.hasLabel(w.Needs))
 			})
--- a/scheduler/control/orders_test.go
+++ b/scheduler/control/orders_test.go
@@ -9,6 +9,7 @@
 
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
+	"mimosadock/schedule/group"
 	"mimosadock/schedule/verdict"
 )
 
@@ -100,3 +101,47 @@
 		})
 	}
 }
+
+// countingRouter counts the requests to the owners of shards. It has no replies.
+type countingRouter struct{ calls int }
+
+// Call implements [ShardRouter].
+func (r *countingRouter) Call(context.Context, *Request) Reply {
+	r.calls++
+	return Reply{}
+}
+
+// TestLoanRequestsNeedAConfirmedMembership guards against requests by a process that
+// may have been replaced. It would return executors that another owner of the shard
+// uses.
+func TestLoanRequestsNeedAConfirmedMembership(t *testing.T) {
+	for name, c := range map[string]struct {
+		age   clock.Span // time since the membership was confirmed, including suspended time
+		calls int
+	}{
+		"confirmed":        {1199, 1},
+		"at the TTL":       {1200, 0},
+		"after suspension": {9000, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			router := new(countingRouter)
+			boot := clock.Millis(100_000)
+			control := &Control{Settings: Settings{TTL: 1200}, Router: router, Counters: new(Counters), BootClock: func() clock.Millis { return boot }}
+			g := group.New(context.Background())
+			control.Init(g)
+			control.membership.confirmedBootAt.Store(int64(boot.Add(-c.age)))
+			owned := &ownedShard{shard: new(dispatch.Shard), ctx: context.Background()}
+			request := new(dispatch.LoanRequest)
+			control.sendOrder(owned, dispatch.Order{Loan: request})
+			// The shard learns that there is no reply, so that it can repeat the request.
+			result, ok := (<-control.messages).(loanResultMessage)
+			is.True(ok)
+			is.Equal(result.request, request)
+			is.True(result.reply == nil)
+			is.Equal(router.calls, c.calls)
+			g.Stop()
+			is.NoErr(g.Wait())
+		})
+	}
+}
--- a/scheduler/control/storing_test.go
+++ b/scheduler/control/storing_test.go
@@ -65,3 +65,47 @@
 		})
 	}
 }
+
+// TestRepliesDespiteABacklog guards against submissions that are never confirmed
+// because each append leaves changed jobs for the next one.
+func TestRepliesDespiteABacklog(t *testing.T) {
+	is := is.New(t)
+	now := new(clock.Manual)
+	control := &Control{
+		Settings: Settings{TTL: 1200, Limits: dispatch.DefaultLimits}, Clock: now, BootClock: now.Now, Counters: new(Counters),
+		Store: acceptingStore{},
+	}
+	g := group.New(context.Background())
+	control.Init(g)
+	owned := &ownedShard{shard: &dispatch.Shard{Limits: dispatch.DefaultLimits}, restored: true, ctx: context.Background()}
+	control.owned[0] = owned
+	const first, perAppend, appends = 450, 200, 10 // an append has at most 200 changed jobs
+	var replies []chan Reply
+	submit := func(jobs int) {
+		for range jobs {
+			id := unit.Job(fmt.Sprintf("%016x", len(replies)))
+			replyTo := make(chan Reply, 1)
+			replies = append(replies, replyTo)
+			control.handleRequest(requestMessage{&Request{Kind: KindSubmit, Job: id, Spec: &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: 1}}}}, replyTo})
+		}
+	}
+	submit(first)
+	for range appends {
+		submit(perAppend)
+		for range 10 {
+			now.Advance(100)
+			if control.tickShard(owned); owned.appending {
+				break
+			}
+		}
+		is.True(owned.appending)
+		control.handleMessage(<-control.messages)
+		_, stored := owned.shard.State(unit.Job(fmt.Sprintf("%016x", len(replies)-1)))
+		is.True(!stored) // the backlog is not empty
+	}
+	for i := range first {
+		is.Equal(len(replies[i]), 1)
+	}
+	g.Stop()
+	is.NoErr(g.Wait())
+}
