Add perpetual jobs and replaced executors to the soak

Callers submit perpetual jobs and cancel most of them. Executors leave one after the other and are replaced, mostly by executors of one shard, so that the other one loses capacity. The checker reports a perpetual task that does not run again within 9 s, of which the last 7 s were calm and an executor had room for two such tasks, and a task that still runs after 4.2 s of calm since the cancellation of its job.

All tasks request two cores, so that the limit of runs of an executor is its capacity. The faults of a seed stay the same: replacements have random numbers of their own. The end of a SIGTERM and of late orders counts as a fault until it is complete.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -12,15 +12,23 @@
 )
 
 const (
-	submitInterval = 70 * time.Millisecond
-	queryInterval  = 25 * time.Millisecond
-	maxAttempts    = 6 // of a submission or a cancellation
+	submitInterval       = 70 * time.Millisecond
+	queryInterval        = 25 * time.Millisecond
+	maxAttempts          = 6 // of a submission or a cancellation
+	perpetualCallers     = 8
+	maxPerpetualLifetime = 8 * time.Second
 )
 
 // jobBody returns the body of a submission of a job with two steps, which have
 // the given numbers of tasks.
 func jobBody(first, second int) string {
-	return fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":1000,"mem_mb":100,"estimated_ms":100},{"count":%d,"cpu":500,"mem_mb":100,"estimated_ms":100,"after":[0]}]}`, first, second)
+	return fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,`+taskSize+`},{"count":%d,`+taskSize+`,"after":[0]}]}`, first, second)
+}
+
+// perpetualBody returns the body of a submission of a job with one step of
+// perpetual tasks.
+func perpetualBody(tasks int) string {
+	return fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"perpetual":true,`+taskSize+`}]}`, tasks)
 }
 
 // call sends a request for a job to a process. It returns the status and the
@@ -45,23 +53,49 @@
 	return resp.StatusCode, string(b)
 }
 
-// submitJob submits a job and records the result for the caller. It retries at
-// random processes until the job is accepted or maxAttempts is reached. It
-// cancels one in 20 accepted jobs.
-func (s *scenario) submitJob(ctx context.Context, r *rand.Rand, id string) {
+// submitBatchJob submits a batch job and cancels one in 20 accepted ones.
+func (s *scenario) submitBatchJob(ctx context.Context, r *rand.Rand, id string) {
 	first, second := 1+r.Intn(4), 1+r.Intn(3)
 	s.checker.RecordSubmission(id, first, first+second)
+	if s.submitJob(ctx, r, id, jobBody(first, second)) && r.Intn(20) == 0 {
+		s.cancelJob(ctx, r, id)
+	}
+}
+
+// submitPerpetualJobs submits perpetual jobs one after the other until the end.
+// It cancels a job after a random time, except one in three, which runs until the
+// scenario is closed.
+func (s *scenario) submitPerpetualJobs(ctx context.Context, r *rand.Rand, end time.Time, nextID func() string) {
+	for time.Now().Before(end) && ctx.Err() == nil {
+		id, tasks := nextID(), 1+r.Intn(3)
+		s.checker.RecordPerpetualSubmission(id, tasks)
+		if !s.submitJob(ctx, r, id, perpetualBody(tasks)) {
+			continue
+		}
+		if r.Intn(3) == 0 {
+			return
+		}
+		select {
+		case <-time.After(time.Second + time.Duration(r.Int63n(int64(maxPerpetualLifetime)))):
+		case <-ctx.Done():
+			return
+		}
+		s.cancelJob(ctx, r, id)
+	}
+}
+
+// submitJob submits a job, records the result for the caller and reports whether
+// the job was accepted. It retries at random processes until the job is accepted
+// or maxAttempts is reached.
+func (s *scenario) submitJob(ctx context.Context, r *rand.Rand, id, body string) bool {
 	unknown := false
 	for range maxAttempts {
-		status, _ := call(ctx, s.processes[r.Intn(len(s.processes))], http.MethodPost, id, jobBody(first, second))
+		status, _ := call(ctx, s.processes[r.Intn(len(s.processes))], http.MethodPost, id, body)
 		switch status {
 		case http.StatusOK:
 			s.checker.RecordAccepted(id)
 			s.addAccepted(id)
-			if r.Intn(20) == 0 {
-				s.cancelJob(ctx, r, id)
-			}
-			return
+			return true
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		default:
 			unknown = true
@@ -71,6 +105,7 @@
 	if !unknown {
 		s.checker.RecordRefused(id)
 	}
+	return false
 }
 
 // cancelJob cancels a job, with retries at random processes.
--- a/soak/checker.go
+++ b/soak/checker.go
@@ -15,6 +15,14 @@
 // longest delay of an order in the scenarios, 2 s.
 const maxStartAfterCancel = 5 * time.Second
 
+// Bounds for the tasks of perpetual and cancelled jobs. They hold in calm times,
+// in which no fault is active.
+const (
+	maxRestart        = 9 * time.Second                      // from the end of a run of a perpetual task to its next run
+	minCalmToRestart  = 7 * time.Second                      // of maxRestart, calm and with room
+	maxRunAfterCancel = 4*time.Second + 200*time.Millisecond // the bounds to cancel a job and to stop a task
+)
+
 // Checker checks the guarantees of the scheduler against the events that callers
 // and executors observe. The zero value is ready to use. Checker is safe for
 // concurrent use.
@@ -25,16 +33,20 @@
 //	         run whose end as done was acknowledged. The acknowledgement may be
 //	         later than the start.
 //	LOST     An accepted job is reported as unknown, or a job is reported as
-//	         failed, or as cancelled without a cancellation.
+//	         failed, or as cancelled without a cancellation. Or a task of a
+//	         perpetual job does not run again within maxRestart of its last run,
+//	         of which the last minCalmToRestart were calm and an executor had
+//	         room for two such tasks.
 //	MIXED    A job is reported as completed before all its tasks are done, or,
 //	         without a cancellation, in another known state after that report.
 //	ORDER    A task of a later step started before the first step was done.
 //	UNASKED  A task ran of a job that no caller submitted, or started later than
-//	         maxStartAfterCancel after the cancellation.
+//	         maxStartAfterCancel after the cancellation, or still runs after
+//	         maxRunAfterCancel of calm since the cancellation.
 //	REFUSED  A task ran of a job whose submissions were all refused.
 //
-// The scenarios also report LOST for accepted jobs that are not completed in
-// time.
+// The scenarios also report LOST for accepted batch jobs that are not completed
+// in time.
 //
 // The name of a task has the form <job>.<occurrence>.<step>.<index>, with numbers
 // from 0. The tasks of the first step are those of step 0 of occurrence 0.
@@ -42,13 +54,34 @@
 	mu         sync.Mutex
 	jobs       map[string]*job
 	tasks      map[string]*task
+	executors  map[string]*occupancy
+	faults     int       // number of active faults
+	calmSince  time.Time // end of the last fault
 	violations []string
 }
 
+// occupancy holds the number of runs on an executor.
+type occupancy struct {
+	runs, maxRuns int
+	roomSince     time.Time // since when there is room for two more runs, zero if there is none
+}
+
+// add adds n to the number of runs at the given time.
+func (o *occupancy) add(n int, at time.Time) {
+	o.runs += n
+	switch {
+	case o.runs+2 > o.maxRuns:
+		o.roomSince = time.Time{}
+	case o.roomSince.IsZero():
+		o.roomSince = at
+	}
+}
+
 // job holds the events of a job that callers observed.
 type job struct {
 	tasks          int // number of tasks in all steps
 	firstStepTasks int // number of tasks in step 0, which must end before all others start
+	perpetual      bool
 	accepted       bool
 	refused        bool      // every submission was refused, so that none can have been accepted
 	cancelledAt    time.Time // zero if the job was not cancelled
@@ -62,6 +95,8 @@
 	restarted     bool           // another run started while completedRuns was not empty
 	acknowledged  bool           // an end as done was acknowledged
 	completions   int            // number of runs that ended as done
+	endedAt       time.Time      // end of the last run
+	overdue       bool           // a violation of a bound has been added since the last start
 }
 
 var _ fleet.Observer = (*Checker)(nil)
@@ -103,6 +138,111 @@
 	c.jobs[id] = &job{firstStepTasks: first, tasks: tasks}
 }
 
+// RecordPerpetualSubmission is [Checker.RecordSubmission] for a job with one step
+// of perpetual tasks.
+func (c *Checker) RecordPerpetualSubmission(id string, tasks int) {
+	c.RecordSubmission(id, tasks, tasks)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[id].perpetual = true
+}
+
+// IsPerpetual reports whether a task belongs to a perpetual job.
+func (c *Checker) IsPerpetual(task string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.jobOf(task)
+	return j != nil && j.perpetual
+}
+
+// RecordExecutor adds an executor that starts now and executes at most maxRuns
+// runs at a time.
+func (c *Checker) RecordExecutor(id string, maxRuns int, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.executors == nil {
+		c.executors = make(map[string]*occupancy)
+	}
+	c.executors[id] = &occupancy{maxRuns: maxRuns}
+	c.executors[id].add(0, now)
+}
+
+// RecordFault records the start of a fault. [Checker.RecordFaultEnd] must be
+// called at its end.
+func (c *Checker) RecordFault() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults++
+}
+
+// RecordFaultEnd records the end of a fault.
+func (c *Checker) RecordFaultEnd(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.faults--
+	c.calmSince = now
+}
+
+// CheckStops checks that no task of a cancelled job runs after maxRunAfterCancel
+// of calm. It adds at most one violation for each run.
+func (c *Checker) CheckStops(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.faults > 0 {
+		return
+	}
+	calm := now.Sub(c.calmSince)
+	for name, t := range c.tasks {
+		j := c.jobOf(name)
+		if j == nil || t.overdue || len(t.running) == 0 || j.cancelledAt.IsZero() {
+			continue
+		}
+		cancelled := now.Sub(j.cancelledAt)
+		if t.overdue = min(calm, cancelled) > maxRunAfterCancel; t.overdue {
+			c.addViolation("UNASKED: %s still runs %v after its cancellation, calm for %v", name, cancelled, calm)
+		}
+	}
+}
+
+// CheckRestarts checks that all tasks of perpetual jobs run again within
+// maxRestart. It adds at most one violation for each wait.
+func (c *Checker) CheckRestarts(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x, room := c.longestRoom(now)
+	calm := now.Sub(c.calmSince)
+	if c.faults > 0 || min(calm, room) < minCalmToRestart {
+		return
+	}
+	for name, t := range c.tasks {
+		j := c.jobOf(name)
+		if j == nil || t.overdue || len(t.running) > 0 || !j.perpetual || !j.accepted || !j.cancelledAt.IsZero() {
+			continue
+		}
+		wait := now.Sub(t.endedAt)
+		if t.overdue = wait > maxRestart; t.overdue {
+			c.addViolation("LOST: %s has not run for %v, calm for %v, and %s has had room for %v", name, wait, calm, x, room)
+		}
+	}
+}
+
+// jobOf returns the job of a task, or nil. The lock must be held.
+func (c *Checker) jobOf(task string) *job {
+	id, _, _ := strings.Cut(task, ".")
+	return c.jobs[id]
+}
+
+// longestRoom returns the executor that has had room for two runs for the longest
+// time, and that time. The lock must be held.
+func (c *Checker) longestRoom(now time.Time) (executor string, d time.Duration) {
+	for id, o := range c.executors {
+		if !o.roomSince.IsZero() && now.Sub(o.roomSince) > d {
+			executor, d = id, now.Sub(o.roomSince)
+		}
+	}
+	return executor, d
+}
+
 // RecordAccepted records that a caller received the acceptance of its job, which
 // is stored from then on.
 func (c *Checker) RecordAccepted(id string) {
@@ -163,14 +303,14 @@
 	return n
 }
 
-// UnfinishedJobs returns the accepted jobs that were neither cancelled nor
+// UnfinishedJobs returns the accepted batch jobs that were neither cancelled nor
 // reported as completed.
 func (c *Checker) UnfinishedJobs() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []string
 	for id, j := range c.jobs {
-		if j.accepted && !j.completed && j.cancelledAt.IsZero() {
+		if j.accepted && !j.perpetual && !j.completed && j.cancelledAt.IsZero() {
 			out = append(out, id)
 		}
 	}
@@ -183,6 +323,7 @@
 	defer c.mu.Unlock()
 	id, rest, _ := strings.Cut(r.Task, ".")
 	j, t := c.jobs[id], c.task(r.Task)
+	c.addRun(r, 1)
 	switch {
 	case j == nil:
 		c.addViolation("UNASKED: %s runs although nobody submitted it", r.Task)
@@ -207,6 +348,14 @@
 	}
 	t.restarted = t.restarted || len(t.completedRuns) > 0
 	t.running[r.Executor] = r.Number
+	t.overdue = false
+}
+
+// addRun adds n to the number of runs on an executor. The lock must be held.
+func (c *Checker) addRun(r fleet.Run, n int) {
+	if o := c.executors[r.Executor]; o != nil {
+		o.add(n, r.At)
+	}
 }
 
 // RunEnded implements [fleet.Observer].
@@ -215,6 +364,8 @@
 	defer c.mu.Unlock()
 	t := c.task(r.Task)
 	delete(t.running, r.Executor)
+	t.endedAt = r.At
+	c.addRun(r, -1)
 	if outcome == "done" {
 		t.completedRuns[r.Executor] = r.Number
 		t.completions++
@@ -239,7 +390,12 @@
 func (c *Checker) LeaseExpired(executor string) { c.clearExecutor(executor) }
 
 // ExecutorEnded implements [fleet.Observer].
-func (c *Checker) ExecutorEnded(executor string) { c.clearExecutor(executor) }
+func (c *Checker) ExecutorEnded(executor string) {
+	c.clearExecutor(executor)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.executors, executor)
+}
 
 // clearExecutor drops the runs and unacknowledged ends of an executor, which
 // count only while it holds its lease.
@@ -247,6 +403,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range c.tasks {
+		if _, ok := t.running[executor]; ok {
+			t.endedAt = time.Now() // the end of an executor reports no ends of its runs
+		}
 		delete(t.running, executor)
 		delete(t.completedRuns, executor)
 		t.restarted = t.restarted && len(t.completedRuns) > 0
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -14,9 +14,28 @@
 // case applies a sequence of events that is valid or violates one guarantee.
 func TestChecker(t *testing.T) {
 	const id, first, second = "a", "a.0.0.0", "a.0.1.0"
-	run := func(task string, n int, x string) fleet.Run {
-		return fleet.Run{Task: task, Number: n, Executor: x, At: time.Now()}
+	now := time.Now()
+	runAt := func(task string, n int, x string, at time.Time) fleet.Run {
+		return fleet.Run{Task: task, Number: n, Executor: x, At: at}
 	}
+	run := func(task string, n int, x string) fleet.Run { return runAt(task, n, x, time.Now()) }
+	// perpetual starts a run of a perpetual task and ends it at the given time,
+	// beside an executor "y" with room for two runs since roomSince.
+	perpetual := func(c *Checker, endedAt, roomSince time.Time) {
+		c.RecordPerpetualSubmission(id, 1)
+		c.RecordAccepted(id)
+		c.RecordExecutor("x", 1, now.Add(-time.Minute))
+		c.RecordExecutor("y", 2, roomSince)
+		c.RunStarted(runAt(first, 1, "x", endedAt.Add(-time.Second)))
+		c.RunEnded(runAt(first, 1, "x", endedAt), "stopped")
+	}
+	overdue, calm := now.Add(-maxRestart-time.Second), now.Add(-minCalmToRestart-time.Second)
+	cancelled := func(c *Checker, at time.Time) {
+		c.RecordPerpetualSubmission(id, 1)
+		c.RecordCancelled(id, at)
+		c.RunStarted(runAt(first, 1, "x", at.Add(-time.Second)))
+	}
+	overdueStop := now.Add(-maxRunAfterCancel - time.Second)
 	for name, tc := range map[string]struct {
 		apply func(c *Checker)
 		want  string // empty for none
@@ -70,6 +89,58 @@
 			c.RecordCancelled(id, time.Now().Add(-2*maxStartAfterCancel))
 			c.RunStarted(run(first, 1, "x"))
 		}, "UNASKED"},
+		"perpetual task not restarted": {func(c *Checker) { perpetual(c, overdue, calm); c.CheckRestarts(now) }, "LOST"},
+		"perpetual task of a crashed executor not restarted": {func(c *Checker) {
+			perpetual(c, overdue, calm)
+			c.RunStarted(runAt(first, 2, "x", now))
+			c.ExecutorEnded("x")
+			c.CheckRestarts(now.Add(maxRestart - time.Second))
+			is.New(t).Equal(c.Violations(), nil)
+			c.CheckRestarts(now.Add(maxRestart + time.Second))
+		}, "LOST"},
+		"perpetual task restarted": {func(c *Checker) {
+			perpetual(c, overdue, calm)
+			c.RunStarted(runAt(first, 2, "x", now))
+			c.CheckRestarts(now)
+		}, ""},
+		"perpetual task within the bound": {func(c *Checker) { perpetual(c, now.Add(-maxRestart+time.Second), calm); c.CheckRestarts(now) }, ""},
+		"perpetual task without room":     {func(c *Checker) { perpetual(c, overdue, calm.Add(2*time.Second)); c.CheckRestarts(now) }, ""},
+		"perpetual task and room used for a time": {func(c *Checker) {
+			perpetual(c, overdue, overdue)
+			c.RecordSubmission("b", 1, 1)
+			c.RunStarted(runAt("b.0.0.0", 1, "y", now.Add(-2*time.Second)))
+			c.RunEnded(runAt("b.0.0.0", 1, "y", now.Add(-time.Second)), "done")
+			c.CheckRestarts(now)
+		}, ""},
+		"perpetual task during a fault": {func(c *Checker) { perpetual(c, overdue, calm); c.RecordFault(); c.CheckRestarts(now) }, ""},
+		"perpetual task after a recent fault": {func(c *Checker) {
+			perpetual(c, overdue, calm)
+			c.RecordFault()
+			c.RecordFaultEnd(calm.Add(2 * time.Second))
+			c.CheckRestarts(now)
+		}, ""},
+		"perpetual task after an earlier fault": {func(c *Checker) {
+			perpetual(c, overdue, calm)
+			c.RecordFault()
+			c.RecordFaultEnd(calm)
+			c.CheckRestarts(now)
+		}, "LOST"},
+		"perpetual task of a cancelled job": {func(c *Checker) { perpetual(c, overdue, calm); c.RecordCancelled(id, now); c.CheckRestarts(now) }, ""},
+		"perpetual job completed":           {func(c *Checker) { perpetual(c, now, calm); c.RecordState(id, "completed") }, "MIXED"},
+		"perpetual task twice": {func(c *Checker) {
+			perpetual(c, now, calm)
+			c.RunStarted(run(first, 2, "x"))
+			c.RunStarted(run(first, 3, "y"))
+		}, "TWICE"},
+		"cancelled task still runs":            {func(c *Checker) { cancelled(c, overdueStop); c.CheckStops(now) }, "UNASKED"},
+		"cancelled task within the bound":      {func(c *Checker) { cancelled(c, overdueStop.Add(2*time.Second)); c.CheckStops(now) }, ""},
+		"cancellation not confirmed":           {func(c *Checker) { cancelled(c, now.Add(time.Hour)); c.CheckStops(now) }, ""},
+		"cancelled task still runs in a fault": {func(c *Checker) { cancelled(c, overdueStop); c.RecordFault(); c.CheckStops(now) }, ""},
+		"cancelled task has ended": {func(c *Checker) {
+			cancelled(c, overdueStop)
+			c.RunEnded(run(first, 1, "x"), "stopped")
+			c.CheckStops(now)
+		}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -82,3 +153,26 @@
 		})
 	}
 }
+
+// Guards against perpetual jobs that the scenarios wait for in vain, and against
+// batch jobs that they no longer wait for.
+func TestUnfinishedJobs(t *testing.T) {
+	for name, tc := range map[string]struct {
+		perpetual bool
+		want      []string
+	}{
+		"batch":     {false, []string{"a"}},
+		"perpetual": {true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var c Checker
+			c.RecordSubmission("a", 1, 1)
+			if tc.perpetual {
+				c.RecordPerpetualSubmission("a", 1)
+			}
+			c.RecordAccepted("a")
+			is.New(t).Equal(c.UnfinishedJobs(), tc.want)
+			is.New(t).Equal(c.IsPerpetual("a.0.0.0"), tc.perpetual)
+		})
+	}
+}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -86,7 +86,7 @@
 	if p.command != nil {
 		return
 	}
-	c := exec.Command(program, "--shards", "2", "--lease", "3s")
+	c := exec.Command(program, "--shards", strconv.Itoa(shardCount), "--lease", "3s")
 	c.Env = append(os.Environ(), "MIMOSADOCK_CONFIG="+p.settings)
 	c.Stdout, c.Stderr = &p.output, &p.output
 	if err := c.Start(); err != nil {
@@ -116,6 +116,17 @@
 	}
 }
 
+// awaitExit waits until the program has ended, at most for the given time.
+func (p *process) awaitExit(limit time.Duration) {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	select {
+	case <-exited:
+	case <-time.After(limit):
+	}
+}
+
 // kill kills the program, waits until it has ended and closes the proxy to the
 // store for good. The process cannot be used again. It serves to clean up;
 // faults use signal.
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -7,19 +7,33 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"mimosadock/schedule/dispatch"
 	"mimosadock/schedule/group"
+	"mimosadock/schedule/unit"
 	"mimosadock/standin/fleet"
 )
 
 const (
 	processCount      = 4
 	executorCount     = 8
-	completionTimeout = 60 * time.Second // from the last fault to the completion of all jobs
+	completionTimeout = 60 * time.Second // from the last fault to the completion of all batch jobs
+	calmSpan          = 10 * time.Second // after the last fault, more than maxRestart
 	taskDuration      = 120 * time.Millisecond
+	checkInterval     = 100 * time.Millisecond
+	processExit       = 10 * time.Second // bounds the wait for a process after SIGTERM
+
+	// All tasks have one size, so that maxRuns is the capacity of an executor.
+	taskSize = `"cpu":2000,"mem_mb":100,"estimated_ms":100`
+	maxRuns  = 4
+
+	shardCount          = 2
+	maxOrderDelay       = 2 * time.Second
+	concurrentScenarios = 5
 )
 
 // scenario is a run of the scheduler processes under the faults of a seed.
@@ -32,17 +46,19 @@
 	group      *group.Group
 	faultGroup group.Group // ends the faults that have started
 
+	startedAt time.Time
+
 	mu       sync.Mutex
 	accepted []string // ids of the accepted jobs
 	faultLog []string
 }
 
 // executor is a simulated executor behind a proxy. It can crash and restart
-// under the same id.
+// under the same id, or leave and be replaced by one with another id.
 type executor struct {
 	scenario      *scenario
-	id            string
 	mu            sync.Mutex
+	id            string
 	proxy         *Proxy
 	instance      *fleet.Executor // nil after a crash
 	maxOrderDelay time.Duration   // 0 delays no orders
@@ -56,9 +72,12 @@
 	if e.instance != nil {
 		return
 	}
+	e.scenario.checker.RecordExecutor(e.id, maxRuns, time.Now())
 	e.instance = fleet.NewExecutorWithOptions(e.scenario.store, e.id, "s", fleet.Options{
 		Observer:   &e.scenario.checker,
 		OrderDelay: e.orderDelay,
+		Perpetual:  e.scenario.checker.IsPerpetual,
+		MaxRuns:    maxRuns,
 		AdvertisedAddress: func(address string) string {
 			p, err := OpenProxy(address)
 			if err != nil {
@@ -72,6 +91,12 @@
 	e.instance.TaskDuration = taskDuration
 }
 
+func (e *executor) setMaxOrderDelay(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.maxOrderDelay = d
+}
+
 // orderDelay returns the delay of the next order.
 func (e *executor) orderDelay() time.Duration {
 	e.mu.Lock()
@@ -84,16 +109,44 @@
 
 // crash ends the instance, if there is one, and its proxy.
 func (e *executor) crash() {
-	e.mu.Lock()
-	instance, proxy := e.instance, e.proxy
-	e.instance = nil
-	e.mu.Unlock()
-	if instance != nil {
+	if instance, proxy := e.take(""); instance != nil {
 		instance.Close()
 		proxy.Close()
 	}
 }
 
+// leave makes the instance leave the service and reports whether there was one.
+// The next instance has the given id.
+func (e *executor) leave(next string) bool {
+	instance, proxy := e.take(next)
+	if instance == nil {
+		return false
+	}
+	instance.Leave()
+	proxy.Close()
+	return true
+}
+
+// take returns the instance and its proxy, if there is one, and removes them. It
+// changes the id unless next is empty.
+func (e *executor) take(next string) (*fleet.Executor, *Proxy) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	instance, proxy := e.instance, e.proxy
+	if instance != nil && next != "" {
+		e.id = next
+	}
+	e.instance = nil
+	return instance, proxy
+}
+
+// name returns the id of the current or next instance.
+func (e *executor) name() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.id
+}
+
 // changeProxy calls f with the proxy, if there is an instance.
 func (e *executor) changeProxy(f func(*Proxy)) {
 	e.mu.Lock()
@@ -105,7 +158,7 @@
 
 // newScenario starts a store, the executors and the processes.
 func newScenario(t *testing.T, seed int64) *scenario {
-	s := &scenario{t: t, store: fleet.NewStore(), group: group.New(context.Background())}
+	s := &scenario{t: t, store: fleet.NewStore(), group: group.New(context.Background()), startedAt: time.Now()}
 	s.store.Put("keyed.op", "config", fleet.Config(1, "s", "q.example", "/q/"))
 	for i := range executorCount {
 		e := &executor{scenario: s, id: "i-" + strconv.Itoa(i), rng: rand.New(rand.NewSource(seed + int64(i)))}
@@ -117,6 +170,8 @@
 		p.start()
 		s.processes = append(s.processes, p)
 	}
+	s.checker.RecordFault()
+	s.checker.RecordFaultEnd(time.Now()) // the start of the processes
 	return s
 }
 
@@ -143,7 +198,7 @@
 		return "kill " + p.name, span / 2, p.start
 	case 1:
 		p.signal(syscall.SIGTERM)
-		return "term " + p.name, 2500 * time.Millisecond, p.start
+		return "term " + p.name, 2500 * time.Millisecond, func() { p.awaitExit(processExit); p.start() }
 	case 2:
 		p.signal(syscall.SIGSTOP)
 		return "pause " + p.name, span, func() { p.signal(syscall.SIGCONT) }
@@ -167,42 +222,93 @@
 		return "store slow", span, func() { s.store.Delay.Store(0) }
 	case 9:
 		e.crash()
-		return "crash of " + e.id, span / 2, e.open
+		return "crash of " + e.name(), span / 2, e.open
 	case 10:
 		e.changeProxy(func(proxy *Proxy) { proxy.SetDropAll(true) })
-		return "dropped data to and from " + e.id, span, func() { e.changeProxy(func(proxy *Proxy) { proxy.ClearFaults(); proxy.Reset() }) }
+		return "dropped data to and from " + e.name(), span, func() { e.changeProxy(func(proxy *Proxy) { proxy.ClearFaults(); proxy.Reset() }) }
 	case 11:
 		e.changeProxy(func(proxy *Proxy) { proxy.SetDropAnswers(true) })
-		return "dropped answers of " + e.id, span, func() { e.changeProxy(func(proxy *Proxy) { proxy.ClearFaults(); proxy.Reset() }) }
+		return "dropped answers of " + e.name(), span, func() { e.changeProxy(func(proxy *Proxy) { proxy.ClearFaults(); proxy.Reset() }) }
 	default:
-		e.mu.Lock()
-		e.maxOrderDelay = 2 * time.Second
-		e.mu.Unlock()
-		return "late orders of " + e.id, span, func() {
-			e.mu.Lock()
-			e.maxOrderDelay = 0
-			e.mu.Unlock()
+		e.setMaxOrderDelay(maxOrderDelay)
+		return "late orders of " + e.name(), span, func() {
+			e.setMaxOrderDelay(0)
+			time.Sleep(maxOrderDelay) // until the last order is executed
+		}
+	}
+}
+
+// replaceExecutors makes executors leave one after the other. Each is replaced by
+// a new one, mostly of the same shard, so that the other shard loses capacity.
+func (s *scenario) replaceExecutors(r *rand.Rand, end time.Time) {
+	growing := unit.Shard(r.Intn(shardCount))
+	for n := 0; time.Now().Before(end); n++ {
+		e, shard := s.executors[r.Intn(len(s.executors))], growing
+		if r.Intn(6) == 0 {
+			shard = unit.Shard(r.Intn(shardCount))
+		}
+		name, next := e.name(), newExecutorID(n, shard)
+		duration, pause := time.Duration(100+r.Intn(400))*time.Millisecond, time.Duration(r.Intn(400))*time.Millisecond
+		if e.leave(next) {
+			s.runFault(fmt.Sprintf("replacement of %s by %s of shard %d", name, next, shard), duration, e.open)
+		}
+		time.Sleep(pause)
+	}
+}
+
+// newExecutorID returns the id of the nth new executor, which is in the given
+// shard.
+func newExecutorID(n int, shard unit.Shard) string {
+	for i := 0; ; i++ {
+		if id := fmt.Sprintf("n-%d-%d", n, i); (dispatch.Layout{Shards: shardCount}).ShardOf(id) == shard {
+			return id
 		}
 	}
 }
 
+// runFault records a fault that has started, waits for its duration and ends it.
+func (s *scenario) runFault(name string, duration time.Duration, end func()) {
+	s.checker.RecordFault()
+	s.mu.Lock()
+	s.faultLog = append(s.faultLog, fmt.Sprintf("%.1f s: %s for %v", time.Since(s.startedAt).Seconds(), name, duration))
+	s.mu.Unlock()
+	time.Sleep(duration)
+	end()
+	s.checker.RecordFaultEnd(time.Now())
+}
+
 // run submits and queries jobs under faults for the given span. It then ends all
-// faults and waits until all accepted jobs are completed.
-func (s *scenario) run(seed int64, span time.Duration) {
-	startedAt := time.Now()
-	end := startedAt.Add(span)
+// faults and waits for calmSpan and until all accepted batch jobs are completed.
+// It calls check at regular intervals.
+func (s *scenario) run(seed int64, span time.Duration, check func(c *Checker, now time.Time)) {
+	end := s.startedAt.Add(span)
 	callerRNG := rand.New(rand.NewSource(seed))
 	s.group.Go("submit", func(ctx context.Context) error {
 		for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
 			id, r := fmt.Sprintf("%08x%08x", uint32(seed), n), rand.New(rand.NewSource(callerRNG.Int63()))
 			s.group.Go("caller", func(ctx context.Context) error {
-				s.submitJob(ctx, r, id)
+				s.submitBatchJob(ctx, r, id)
 				return nil
 			})
 			time.Sleep(submitInterval)
 		}
 		return nil
 	})
+	var perpetualJobs atomic.Uint32
+	for i := range perpetualCallers {
+		r := rand.New(rand.NewSource(seed + int64(i)<<32))
+		s.group.Go("perpetual caller", func(ctx context.Context) error {
+			s.submitPerpetualJobs(ctx, r, end, func() string { return fmt.Sprintf("%08x%08x", uint32(seed), 1<<31+perpetualJobs.Add(1)) })
+			return nil
+		})
+	}
+	s.group.Go("check", func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			check(&s.checker, time.Now())
+			time.Sleep(checkInterval)
+		}
+		return nil
+	})
 	queryRNG := rand.New(rand.NewSource(seed + 1))
 	s.group.Go("query", func(ctx context.Context) error {
 		for ctx.Err() == nil {
@@ -214,13 +320,15 @@
 		return nil
 	})
 	time.Sleep(3 * time.Second) // no faults until the processes have divided the shards, which takes about that long
+	s.faultGroup.Go("replace", func(context.Context) error {
+		s.replaceExecutors(rand.New(rand.NewSource(seed+3)), end)
+		return nil
+	})
 	faultRNG := rand.New(rand.NewSource(seed + 2))
 	for time.Now().Before(end) {
 		name, duration, endFault := s.injectFault(faultRNG)
-		s.faultLog = append(s.faultLog, fmt.Sprintf("%.1f s: %s for %v", time.Since(startedAt).Seconds(), name, duration))
 		s.faultGroup.Go("fault", func(context.Context) error {
-			time.Sleep(duration)
-			endFault()
+			s.runFault(name, duration, endFault)
 			return nil
 		})
 		time.Sleep(time.Duration(100+faultRNG.Intn(700)) * time.Millisecond)
@@ -230,15 +338,18 @@
 		p.signal(syscall.SIGCONT)
 		p.start()
 	}
+	s.checker.RecordFault()
+	s.checker.RecordFaultEnd(time.Now()) // the start of processes that had ended
 	s.waitForCompletion()
 }
 
-// waitForCompletion waits until every accepted job is reported as completed or a
-// violation is found. It fails the test after completionTimeout.
+// waitForCompletion waits for calmSpan and until every accepted batch job is
+// reported as completed, or until a violation is found. It fails the test after
+// completionTimeout.
 func (s *scenario) waitForCompletion() {
-	deadline := time.Now().Add(completionTimeout)
-	for len(s.checker.UnfinishedJobs()) > 0 && len(s.checker.Violations()) == 0 {
-		if time.Now().After(deadline) {
+	calmEnd, deadline := time.Now().Add(calmSpan), time.Now().Add(completionTimeout)
+	for (len(s.checker.UnfinishedJobs()) > 0 || time.Now().Before(calmEnd)) && len(s.checker.Violations()) == 0 {
+		if len(s.checker.UnfinishedJobs()) > 0 && time.Now().After(deadline) {
 			s.t.Errorf("LOST: %d accepted jobs are not completed %v after the last fault: %.5v", len(s.checker.UnfinishedJobs()), completionTimeout, s.checker.UnfinishedJobs())
 			return
 		}
@@ -248,18 +359,12 @@
 		time.Sleep(200 * time.Millisecond)
 		for _, p := range s.processes {
 			if !p.isRunning() {
-				p.start() // an earlier SIGTERM has ended it only now
+				s.runFault("late end of "+p.name, 0, p.start) // by an earlier SIGTERM
 			}
 		}
 	}
 }
 
-// failedSeeds are the seeds that have failed before, by the cause of the
-// failure.
-var failedSeeds = map[string]int64{
-	"replaced owner answered that an accepted job is unknown": 120,
-}
-
 // envInt returns the value of an environment variable, or the default if it is
 // not a number.
 func envInt(name string, fallback int64) int64 {
@@ -270,25 +375,50 @@
 	return n
 }
 
+// seeds are the seeds of scenarios that have failed before, by the cause of the
+// failure.
+type seeds map[string][]int64
+
 // Guards against jobs that are lost, run twice or are reported in a wrong
-// state. Processes, executors, the store and their connections fail in
-// overlapping series, and the [Checker] reports violations. Seeds that have
-// failed before run in every test.
+// state, and against tasks that run on after a cancellation. Processes,
+// executors, the store and their connections fail in overlapping series, and the
+// [Checker] reports violations.
 func TestDays(t *testing.T) {
+	playDays(t, seeds{"replaced owner answered that an accepted job is unknown": {120}}, (*Checker).CheckStops)
+}
+
+// Guards against tasks of perpetual jobs that do not run again after faults
+// although executors have room for them.
+func TestRestartsAfterDays(t *testing.T) {
+	playDays(t, seeds{
+		"tasks waited beside free executors of another shard":               {4, 5, 6, 120},
+		"new owner waited for leases of executors that have left before it": {4, 6, 7, 8, 9, 12, 13, 14, 15, 16, 120},
+	}, (*Checker).CheckRestarts)
+}
+
+// playDays runs the scenarios of the seeds that have failed before and of those
+// of the environment. It calls check at regular intervals.
+func playDays(t *testing.T, failed seeds, check func(c *Checker, now time.Time)) {
 	span := time.Duration(envInt("MIMOSA_SOAK_MS", 9000)) * time.Millisecond
-	seeds := make(map[string]int64)
-	for name, seed := range failedSeeds {
-		seeds[name] = seed
+	played := make(map[int64]bool)
+	for _, list := range failed {
+		for _, seed := range list {
+			played[seed] = true
+		}
 	}
 	first := envInt("MIMOSA_FIRST_SEED", 1)
 	for i := range envInt("MIMOSA_SOAK_SEEDS", 2) {
-		seeds[fmt.Sprintf("seed %d", first+i)] = first + i
+		played[first+i] = true
 	}
-	for name, seed := range seeds {
-		t.Run(name, func(t *testing.T) {
+	running := make(chan struct{}, concurrentScenarios)
+	for seed := range played {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			running <- struct{}{}
+			defer func() { <-running }()
 			s := newScenario(t, seed)
 			defer s.close()
-			s.run(seed, span)
+			s.run(seed, span, check)
 			for _, v := range s.checker.Violations() {
 				t.Error(v)
 			}
