Let the stand-in's executors refuse orders for another one

Executors of the stand-in now compare the intended id. TestOrdersForAnotherExecutorAreRefused failed before.

--- a/standin/fleet/executor.go
+++ b/standin/fleet/executor.go
@@ -130,11 +130,26 @@
 	mux.HandleFunc("POST /-/run-stop", x.orderHandler(x.stopRun))
 	mux.HandleFunc("POST /-/pace", x.orderHandler(func(*order) (int, string) { return http.StatusOK, "" }))
 	mux.HandleFunc("POST /-/hold", x.serveHold)
-	x.server = httptest.NewServer(mux)
+	x.server = httptest.NewServer(x.onlyForThis(mux))
 	x.register(service)
 	return x
 }
 
+// targetHeader names the executor that an order is meant for.
+const targetHeader = "X-Mimosadock-Target-Instance"
+
+// onlyForThis refuses orders that are meant for another executor, such as one that
+// had the address before.
+func (x *Executor) onlyForThis(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if target := r.Header.Get(targetHeader); target != "" && target != x.id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // register writes the executor's registration to the store and writes it again
 // every [HeartbeatInterval] until Close.
 func (x *Executor) register(service string) {
