--- a/scheduler/control/message.go
+++ b/scheduler/control/message.go
@@ -64,9 +64,9 @@
 	Count      int                 `cbor:"3,keyasint,omitempty"`
 	Reason     string              `cbor:"4,keyasint,omitempty"`
 	RetryAfter clock.Span          `cbor:"5,keyasint,omitempty"`
+	Held       int                 `cbor:"6,keyasint,omitempty"` // for KindEvacuate: remaining perpetual runs that can't be moved now within the miss budget of their step; Count is the number of all remaining runs
 	Loans      *dispatch.LoanReply `cbor:"7,keyasint,omitempty"` // for KindLend
 	Borrower   unit.Shard          `cbor:"8,keyasint,omitempty"` // for StatusLent
-	Held       int                 `cbor:"6,keyasint,omitempty"` // for KindEvacuate: remaining perpetual runs that can't be moved now within the miss budget of their step; Count is the number of all remaining runs
 }
 
 // joinOutcome is the follow-up that a join requires. The zero value requires
