Share the fixture of the tests that store changes

Two tests of confirmations built the same control state. They use one fixture now and check the same; with the count of collected changes left out, TestRepliesDespiteABacklog fails as before.

--- a/schedule/dispatch/load.go
+++ b/schedule/dispatch/load.go
@@ -61,6 +61,7 @@
 	return s.loads, s.wants
 }
 
+// computeLoads is [Shard.serviceLoads] without the use of earlier results.
 func (s *Shard) computeLoads(now clock.Millis) (loads []ServiceLoad, wants []LoanWant) {
 	index := make(map[unit.Service]int)
 	load := func(service unit.Service) *ServiceLoad {
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -108,8 +108,7 @@
 	for _, e := range p.executors {
 		free := e.Capacity.Sub(e.perpetual)
 		free.CPU -= e.reservedCPU
-		if !step.demand().Fits(free) ||
-			request.constraintExclusion(e) != NotExcluded {
+		if !step.demand().Fits(free) || request.constraintExclusion(e) != NotExcluded {
 			continue
 		}
 		if cpu := e.Capacity.CPU - e.allocated.CPU - e.reservedCPU; chosen == nil || cpu > mostFree {
--- a/scheduler/control/storing_test.go
+++ b/scheduler/control/storing_test.go
@@ -21,47 +21,81 @@
 	return nil
 }
 
+// storingFixture is a control state that owns one shard and stores its changes. The
+// test runs the ticks.
+type storingFixture struct {
+	control *Control
+	owned   *ownedShard
+	now     *clock.Manual
+	group   *group.Group
+	replies []chan Reply // to the submissions, by their order
+}
+
+func newStoringFixture() *storingFixture {
+	f := &storingFixture{now: new(clock.Manual), group: group.New(context.Background())}
+	f.control = &Control{
+		Settings: Settings{TTL: 1200, Limits: dispatch.DefaultLimits}, Clock: f.now, BootClock: f.now.Now, Counters: new(Counters),
+		Store: acceptingStore{},
+	}
+	f.control.Init(f.group)
+	f.owned = &ownedShard{shard: &dispatch.Shard{Limits: dispatch.DefaultLimits}, restored: true, ctx: context.Background()}
+	f.control.owned[0] = f.owned
+	return f
+}
+
+func submittedJob(n int) unit.Job { return unit.Job(fmt.Sprintf("%016x", n)) }
+
+// submit submits a number of jobs.
+func (f *storingFixture) submit(jobs int) {
+	for range jobs {
+		id := submittedJob(len(f.replies))
+		replyTo := make(chan Reply, 1)
+		f.replies = append(f.replies, replyTo)
+		f.control.handleRequest(requestMessage{&Request{Kind: KindSubmit, Job: id, Spec: &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: 1}}}}, replyTo})
+	}
+}
+
+// tick runs a tick and completes the append that it started. It returns false if
+// it started none.
+func (f *storingFixture) tick() bool {
+	f.now.Advance(100)
+	f.control.tickShard(f.owned)
+	if !f.owned.appending {
+		return false
+	}
+	f.control.handleMessage(<-f.control.messages)
+	return true
+}
+
+// stored reports whether a submitted job is stored.
+func (f *storingFixture) stored(n int) bool {
+	_, ok := f.owned.shard.State(submittedJob(n))
+	return ok
+}
+
 // TestRepliesFollowTheAppendOfTheirJob guards against a submission that is
 // confirmed although its record was left for a later append.
 func TestRepliesFollowTheAppendOfTheirJob(t *testing.T) {
 	for name, jobs := range map[string]int{"one append": 20, "several appends": 450} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			now := new(clock.Manual)
-			control := &Control{
-				Settings: Settings{TTL: 1200, Limits: dispatch.DefaultLimits}, Clock: now, BootClock: now.Now, Counters: new(Counters),
-				Store: acceptingStore{},
-			}
-			g := group.New(context.Background())
-			control.Init(g)
-			owned := &ownedShard{shard: &dispatch.Shard{Limits: dispatch.DefaultLimits}, restored: true, ctx: context.Background()}
-			control.owned[0] = owned
-			replies := make([]chan Reply, jobs)
-			for i := range replies {
-				id := unit.Job(fmt.Sprintf("%016x", i))
-				replies[i] = make(chan Reply, 1)
-				control.handleRequest(requestMessage{&Request{Kind: KindSubmit, Job: id, Spec: &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: 1}}}}, replies[i]})
-			}
+			f := newStoringFixture()
+			f.submit(jobs)
 			confirmed := 0
 			for range jobs {
-				now.Advance(100)
-				control.tickShard(owned)
-				if owned.appending {
-					control.handleMessage(<-control.messages)
-				}
+				f.tick()
 				confirmed = 0
-				for i := range replies {
-					_, stored := owned.shard.State(unit.Job(fmt.Sprintf("%016x", i)))
-					is.True(stored || len(replies[i]) == 0) // a confirmed job is stored
-					confirmed += len(replies[i])
+				for i := range f.replies {
+					is.True(f.stored(i) || len(f.replies[i]) == 0) // a confirmed job is stored
+					confirmed += len(f.replies[i])
 				}
 				if confirmed == jobs {
 					break
 				}
 			}
 			is.Equal(confirmed, jobs)
-			g.Stop()
-			is.NoErr(g.Wait())
+			f.group.Stop()
+			is.NoErr(f.group.Wait())
 		})
 	}
 }
@@ -70,42 +104,23 @@
 // because each append leaves changed jobs for the next one.
 func TestRepliesDespiteABacklog(t *testing.T) {
 	is := is.New(t)
-	now := new(clock.Manual)
-	control := &Control{
-		Settings: Settings{TTL: 1200, Limits: dispatch.DefaultLimits}, Clock: now, BootClock: now.Now, Counters: new(Counters),
-		Store: acceptingStore{},
-	}
-	g := group.New(context.Background())
-	control.Init(g)
-	owned := &ownedShard{shard: &dispatch.Shard{Limits: dispatch.DefaultLimits}, restored: true, ctx: context.Background()}
-	control.owned[0] = owned
+	f := newStoringFixture()
 	const first, perAppend, appends = 450, 200, 10 // an append has at most 200 changed jobs
-	var replies []chan Reply
-	submit := func(jobs int) {
-		for range jobs {
-			id := unit.Job(fmt.Sprintf("%016x", len(replies)))
-			replyTo := make(chan Reply, 1)
-			replies = append(replies, replyTo)
-			control.handleRequest(requestMessage{&Request{Kind: KindSubmit, Job: id, Spec: &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: 1}}}}, replyTo})
-		}
-	}
-	submit(first)
+	f.submit(first)
 	for range appends {
-		submit(perAppend)
+		f.submit(perAppend)
+		appended := false
 		for range 10 {
-			now.Advance(100)
-			if control.tickShard(owned); owned.appending {
+			if appended = f.tick(); appended {
 				break
 			}
 		}
-		is.True(owned.appending)
-		control.handleMessage(<-control.messages)
-		_, stored := owned.shard.State(unit.Job(fmt.Sprintf("%016x", len(replies)-1)))
-		is.True(!stored) // the backlog is not empty
+		is.True(appended)
+		is.True(!f.stored(len(f.replies) - 1)) // the backlog is not empty
 	}
 	for i := range first {
-		is.Equal(len(replies[i]), 1)
+		is.Equal(len(f.replies[i]), 1)
 	}
-	g.Stop()
-	is.NoErr(g.Wait())
+	f.group.Stop()
+	is.NoErr(f.group.Wait())
 }
