Keep a closed stand-in executor from ending runs

The logs show run 1 started on n-4-1 at 12.513 s, the executor closed (replacement) at about 12.65 s, the lease taken for expired at 15.791 s and run 2 done at 15.914 s, all as intended.

Cause: the timer of run 1 had fired and waited for the lock that Close held. It then reported the end as done after ExecutorEnded, so that the checker kept a completed run that nobody could acknowledge. A fault of the stand-in only.

TestNoRunEndsAfterClose failed before in three of three runs and passes in three of three with the change.

--- a/standin/fleet/executor.go
+++ b/standin/fleet/executor.go
@@ -307,7 +307,9 @@
 	x.running[o.Task] = &run{o.Run, time.AfterFunc(duration, func() {
 		x.mu.Lock()
 		defer x.mu.Unlock()
-		x.endRun(o.Task, o.Run, "done")
+		if !x.closed { // Close may have taken the lock after the timer fired
+			x.endRun(o.Task, o.Run, "done")
+		}
 	}), percent}
 	started := Run{o.Task, o.Run, x.id, time.Now()}
 	if x.OnStart != nil {
