--- a/schedule/dispatch/accept.go
+++ b/schedule/dispatch/accept.go
@@ -129,10 +129,10 @@
 // time.
 func (s *Shard) markReady(now clock.Millis, id unit.Job, k, step int) {
 	if s.readySteps == nil {
-		s.readySteps = make(map[stepKey]clock.Millis)
+		s.readySteps = make(map[stepKey]*readyStep)
 	}
 	if _, ok := s.readySteps[stepKey{id, k, step}]; !ok {
-		s.readySteps[stepKey{id, k, step}] = now
+		s.readySteps[stepKey{id, k, step}] = &readyStep{since: now}
 	}
 }
 
--- a/schedule/dispatch/evacuate.go
+++ b/schedule/dispatch/evacuate.go
@@ -22,16 +22,16 @@
 		s.report(Event{Kind: "evacuating", Executor: id})
 	}
 	e.evacuatingUntil = now.Add(evacuationPeriod)
-	for tid := range e.runs {
-		j, st, t := s.findTask(tid)
-		if t == nil || t.State != TaskRunning || t.confirmedAt == 0 {
+	for i := range e.runs {
+		a := &e.runs[i]
+		if !a.isCurrent() || a.task.State != TaskRunning || a.task.confirmedAt == 0 {
 			continue
 		}
 		switch {
-		case st.Perpetual && !s.withinMissBudget(tid, j, st):
+		case a.step.Perpetual && !s.withinMissBudget(a.id, a.job, a.step):
 			blocking++
-		case st.Perpetual, st.SavesProgress && t.Checkpoint != "":
-			s.moveRun(tid, t, e, "machine is evacuated")
+		case a.step.Perpetual, a.step.SavesProgress && a.task.Checkpoint != "":
+			s.moveRun(a.id, a.task, e, "machine is evacuated")
 		}
 	}
 	return len(e.runs), blocking, true
--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -18,7 +18,7 @@
 	lastListAt            clock.Millis        // when the last run lists came
 	reconciled            bool                // its run lists were reconciled with the tables under the token of this owner
 	restarts              unit.Token          // restarts under this id since the start of the ownership; part of the fencing token
-	runs                  map[TaskID]unit.Run // run of each task assigned to it
+	runs                  []assignment        // one for each task assigned to it
 	allocated             unit.Resources      // to assigned tasks; best-effort tasks are allocated no processor time
 	bestEffortCPU         unit.MilliCPU       // requested by best-effort tasks
 	servingCount          int                 // assigned serving tasks
@@ -45,9 +45,33 @@
 	overTargetSince       clock.Millis        // since when a serving task exceeds its target, 0 if none does
 	lastSample            interferenceSample  // last one used for training
 	servingTasks          []servingTask       // from the last run list
+	bestEffortLoadsKnown  bool                // the best-effort loads of servingTasks are up to date
+	availableAt           availability        // when it last got able to take more tasks
+	accepting             bool                // accepted new runs at the last placement
+	listChanged           bool                // a run list came since the runs were last checked for stalls
+	pacesChanged          bool                // target paces were set since the paces were last sent
 	servingImages         map[unit.Image]int  // number of serving tasks by image
 }
 
+// assignment is a run of a task that is assigned to an executor. Its pointers
+// refer to the rows of the task, which exist as long as the assignment.
+type assignment struct {
+	id   TaskID
+	run  unit.Run
+	job  *Job
+	step *Step
+	task *Task
+}
+
+// isCurrent reports whether the assignment is that of the task's current run. It
+// is not if the job has ended and lost its spec.
+func (a *assignment) isCurrent() bool { return a.job.Spec != nil && a.task.Run == a.run }
+
+// availability counts the changes after which executors may take more tasks than
+// before. A task that no executor could take needs to be rated again only for
+// executors whose availability is later.
+type availability uint64
+
 // maxClockDrift is the largest share by which the monotonic clock of an
 // executor may be slow, with a margin for rounding.
 const maxClockDrift = 0.021
@@ -115,37 +139,46 @@
 // countRuns returns the number of runs of a step that are assigned to e.
 func (e *Executor) countRuns(k stepKey) int {
 	n := 0
-	for id := range e.runs {
-		if id.Job == k.job && id.Occurrence == k.occurrence && id.Step == k.step {
+	for i := range e.runs {
+		if id := &e.runs[i].id; id.Job == k.job && id.Occurrence == k.occurrence && id.Step == k.step {
 			n++
 		}
 	}
 	return n
 }
 
+// indexOf returns the index of the assignment of a task in the runs of e, or -1.
+func (e *Executor) indexOf(id TaskID) int {
+	return slices.IndexFunc(e.runs, func(a assignment) bool { return a.id == id })
+}
+
 // addRun assigns a run of a task to e and counts the task if it is new there.
-func (e *Executor) addRun(id TaskID, run unit.Run, step *Step) {
-	if _, ok := e.runs[id]; ok {
-		e.runs[id] = run
+func (e *Executor) addRun(a assignment) {
+	if i := e.indexOf(a.id); i >= 0 {
+		e.runs[i] = a
 		return
 	}
-	if e.runs == nil {
-		e.runs = make(map[TaskID]unit.Run)
-	}
-	e.runs[id] = run
-	e.updateTotals(step, 1)
+	e.runs = append(e.runs, a)
+	e.updateTotals(a.step, 1)
 }
 
-// removeRun removes a task from e, if it is there.
-func (e *Executor) removeRun(id TaskID, step *Step) {
-	if _, ok := e.runs[id]; ok {
-		delete(e.runs, id)
-		e.updateTotals(step, -1)
+// removeRun removes a task from e, if it is there. The last assignment takes its
+// index, so that a loop over the indices that removes runs has to go backwards.
+func (e *Executor) removeRun(id TaskID) {
+	i := e.indexOf(id)
+	if i < 0 {
+		return
 	}
+	step, last := e.runs[i].step, len(e.runs)-1
+	e.runs[i] = e.runs[last]
+	e.runs[last] = assignment{}
+	e.runs = e.runs[:last]
+	e.updateTotals(step, -1)
 }
 
 // updateTotals adds n tasks of a step to the totals of e. n is 1 or -1.
 func (e *Executor) updateTotals(step *Step, n int) {
+	e.bestEffortLoadsKnown = false
 	demand := step.demand()
 	add := unit.Resources.Add
 	if n < 0 {
--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -68,8 +68,9 @@
 			unknown++
 		}
 	}
-	e.unknownRuns = unknown
+	e.unknownRuns, e.listChanged = unknown, true
 	s.updateInterference(now, e, &sample)
+	s.markAvailable(e)
 	if len(a.Finished) >= maxEndsPerList {
 		// Ends that are missing from a full list may be on the next page, so
 		// runs can't be released yet.
@@ -116,22 +117,23 @@
 // that it does not report. They belonged to an earlier incarnation, were never
 // started before a takeover, or were lost by the executor.
 func (s *Shard) releaseMissingRuns(now clock.Millis, e *Executor, h *HoldOrder, reported map[TaskID]unit.Run) {
-	for id, run := range e.runs {
-		if reported[id] == run {
+	for i := len(e.runs) - 1; i >= 0; i-- {
+		a := e.runs[i]
+		if reported[a.id] == a.run {
 			continue
 		}
-		j, st, t := s.findTask(id)
-		if t == nil || t.Run != run {
-			delete(e.runs, id)
+		if !a.isCurrent() {
+			s.removeRun(e, a.id)
 			continue
 		}
+		t := a.task
 		confirmed := t.recovered || t.State == TaskRunning && t.confirmedAt > 0 && t.confirmedAt < h.Sent ||
 			t.State == TaskStopping && t.confirmedAt > 0 && t.confirmedAt < h.Sent
 		if t.State == TaskPlaced || t.Incarnation == e.Incarnation && !confirmed {
 			continue
 		}
-		s.report(Event{Kind: "runGone", Task: id, Run: run, Executor: e.Executor})
-		s.requeueTask(now, id, j, st, t, e)
+		s.report(Event{Kind: "runGone", Task: a.id, Run: a.run, Executor: e.Executor})
+		s.requeueTask(now, a.id, a.job, t, e)
 	}
 }
 
@@ -153,17 +155,17 @@
 		if !e.unresponsive && e.reconciled || now < leaseEnd {
 			continue
 		}
-		for id := range e.runs {
-			j, st, t := s.findTask(id)
-			if t == nil {
-				delete(e.runs, id)
+		for i := len(e.runs) - 1; i >= 0; i-- {
+			a := e.runs[i]
+			if !a.isCurrent() {
+				s.removeRun(e, a.id)
 				continue
 			}
-			if t.State == TaskPlaced {
+			if a.task.State == TaskPlaced {
 				continue
 			}
-			s.report(Event{Kind: "runLapsed", Task: id, Run: t.Run, Executor: e.Executor, Age: now.Sub(leaseEnd)})
-			s.requeueTask(now, id, j, st, t, e)
+			s.report(Event{Kind: "runLapsed", Task: a.id, Run: a.run, Executor: e.Executor, Age: now.Sub(leaseEnd)})
+			s.requeueTask(now, a.id, a.job, a.task, e)
 		}
 		e.reconciled = false
 	}
@@ -183,18 +185,19 @@
 			continue
 		}
 		hasRuns := false
-		s.forEachTask(id, j, func(tid TaskID, st *Step, t *Task) {
+		s.forEachTask(id, j, func(tid TaskID, _ *Step, t *Task) {
 			switch {
 			case t.State == TaskReady || t.State == TaskBlocked || t.State == TaskPlaced:
 				if t.State == TaskPlaced {
 					if e := s.executors.Get(t.Executor); e != nil {
-						e.removeRun(tid, st)
+						s.removeRun(e, tid)
 					}
 				}
 				t.State = TaskEnded
 			case t.State == TaskStarting || t.State == TaskRunning:
 				hasRuns = true
 				t.State, t.confirmedAt, t.inFlight = TaskStopping, 0, false
+				s.markUnsettled(tid)
 			case t.State == TaskStopping:
 				hasRuns = true
 			}
--- a/schedule/dispatch/lend.go
+++ b/schedule/dispatch/lend.go
@@ -219,10 +219,10 @@
 		return false
 	}
 	e.vacatingUntil = now.Add(vacatePeriod)
-	for id := range e.runs {
-		_, st, t := s.findTask(id)
-		if t != nil && t.State == TaskRunning && t.confirmedAt > 0 && st.SavesProgress && !st.Gang && t.Checkpoint != "" {
-			s.moveRun(id, t, e, "executor is lent")
+	for i := range e.runs {
+		a := &e.runs[i]
+		if a.isCurrent() && a.task.State == TaskRunning && a.task.confirmedAt > 0 && a.step.SavesProgress && !a.step.Gang && a.task.Checkpoint != "" {
+			s.moveRun(a.id, a.task, e, "executor is lent")
 		}
 	}
 	return true
--- a/schedule/dispatch/load.go
+++ b/schedule/dispatch/load.go
@@ -79,7 +79,7 @@
 			l.Demand += e.perpetual.CPU
 		}
 	}
-	for k, since := range s.readySteps {
+	for k, state := range s.readySteps {
 		j := s.jobs.Get(k.job)
 		if j == nil || j.Spec == nil || j.State.Ended() {
 			continue
@@ -99,8 +99,8 @@
 		if step.Perpetual && s.suits(now, l.Service, step) {
 			l.Demand += unit.MilliCPU(ready) * step.Size.CPU
 		}
-		age := now.Sub(since)
-		if age < loanWaitTimeout || s.canHold(now, k, l.Service, step) && !s.isStarved(now, k, j) && !(step.Perpetual && age >= starvationTimeout) {
+		age := now.Sub(state.since)
+		if age < loanWaitTimeout || s.canHold(now, k, l.Service, step) && !s.isStarved(now, state, j) && !(step.Perpetual && age >= starvationTimeout) {
 			continue // batch tasks end, but a perpetual one may wait for the reserve for batch tasks forever
 		}
 		want := LoanWant{Service: l.Service, Size: step.Size, Needs: step.Needs, Count: 1}
--- a/schedule/dispatch/loan_test.go
+++ b/schedule/dispatch/loan_test.go
@@ -192,8 +192,8 @@
 		lent    bool
 	}{
 		"idle":                  {func(*Executor) {}, true},
-		"run":                   {func(e *Executor) { e.addRun(TaskID{Job: "j"}, 1, &Step{Size: resources(1000)}) }, false},
-		"perpetual run":         {func(e *Executor) { e.addRun(TaskID{Job: "j"}, 1, &Step{Size: resources(1000), Perpetual: true}) }, false},
+		"run":                   {func(e *Executor) { addTestRun(e, &Step{Size: resources(1000)}) }, false},
+		"perpetual run":         {func(e *Executor) { addTestRun(e, &Step{Size: resources(1000), Perpetual: true}) }, false},
 		"unknown run":           {func(e *Executor) { e.unknownRuns = 1 }, false},
 		"hold in flight":        {func(e *Executor) { e.holdInFlight = true }, false},
 		"end not stored":        {func(e *Executor) { e.processedEndNumber = 1 }, false},
@@ -486,3 +486,8 @@
 	list()
 	is.True(f.shard.token(f.shard.executors.Get("x0")) >= token)
 }
+
+// addTestRun assigns the first run of a task of a job without a row to e.
+func addTestRun(e *Executor, step *Step) {
+	e.addRun(assignment{TaskID{Job: "j"}, 1, new(Job), step, new(Task)})
+}
--- a/schedule/dispatch/pace.go
+++ b/schedule/dispatch/pace.go
@@ -38,8 +38,10 @@
 // list.
 type servingTask struct {
 	image      unit.Image
-	headroom   float64 // load that best-effort tasks beside it may add
-	overTarget bool    // its tail latency exceeds the target
+	model      *InterferenceModel // of image
+	headroom   float64            // load that best-effort tasks beside it may add
+	pending    float64            // load that best-effort tasks there will add, see Executor.updatePending
+	overTarget bool               // its tail latency exceeds the target
 }
 
 // updateInterference trains the models with the measurements of a run list,
@@ -55,7 +57,7 @@
 		for image, usage := range sample.usage {
 			ownLoad -= model.weight(image) * usage
 		}
-		serving := servingTask{image: tail.image, headroom: max(0, model.loadAt(targetTailRatio*tail.target)-max(0, ownLoad)), overTarget: tail.latency > tail.target}
+		serving := servingTask{image: tail.image, model: model, headroom: max(0, model.loadAt(targetTailRatio*tail.target)-max(0, ownLoad)), overTarget: tail.latency > tail.target}
 		overTarget = overTarget || serving.overTarget
 		e.servingTasks = append(e.servingTasks, serving)
 	}
@@ -93,13 +95,26 @@
 			if before, ok := e.lastSample.tailLatencies[id]; ok {
 				model := s.interferenceModels[tail.image]
 				model.addSample(usageChange, model.loadAt(tail.latency)-model.loadAt(before.latency))
-				model.fit(now)
+				if model.fit(now) {
+					s.markBeside(tail.image)
+				}
 			}
 		}
 	}
 	e.lastSample = *sample
 }
 
+// markBeside records that executors with serving tasks of an image may be able to
+// take more best-effort tasks than before.
+func (s *Shard) markBeside(image unit.Image) {
+	for _, e := range s.executors.All() {
+		if e.servingImages[image] > 0 {
+			e.bestEffortLoadsKnown = false
+			s.markAvailable(e)
+		}
+	}
+}
+
 // paceCandidate is a best-effort task and the load that it adds to the serving
 // tasks on its executor.
 type paceCandidate struct {
@@ -115,16 +130,17 @@
 func (s *Shard) allocatePaces(now clock.Millis, e *Executor) {
 	overTooLong := e.overTargetSince > 0 && now.Sub(e.overTargetSince) > s.Limits.MaxOverTarget/2
 	var candidates []paceCandidate
-	for id := range e.runs {
-		_, st, t := s.findTask(id)
-		if t == nil || !st.Fills || t.State != TaskRunning {
+	e.pacesChanged, e.bestEffortLoadsKnown = true, false
+	for i := range e.runs {
+		a := &e.runs[i]
+		if !a.step.Fills || !a.isCurrent() || a.task.State != TaskRunning {
 			continue
 		}
 		if overTooLong {
-			t.targetPace = 0
+			a.task.targetPace = 0
 			continue
 		}
-		candidates = append(candidates, s.newPaceCandidate(e, st, t))
+		candidates = append(candidates, s.newPaceCandidate(e, a.step, a.task))
 	}
 	slices.SortFunc(candidates, func(a, b paceCandidate) int { return cmp.Compare(a.headroomShare, b.headroomShare) })
 	for _, candidate := range candidates {
@@ -152,7 +168,7 @@
 	candidate := paceCandidate{task: t, loads: make([]float64, len(e.servingTasks))}
 	for i := range e.servingTasks {
 		serving := &e.servingTasks[i]
-		if weight := s.interferenceModels[serving.image].weight(st.Image); weight >= minHarmfulWeight {
+		if weight := serving.model.weight(st.Image); weight >= minHarmfulWeight {
 			candidate.loads[i] = weight * e.cpuFraction(st)
 			candidate.headroomShare = max(candidate.headroomShare, candidate.loads[i]/max(serving.headroom, 1e-3))
 		}
@@ -170,7 +186,7 @@
 // serving task on e that exceeds its target.
 func (s *Shard) knownHarmless(e *Executor, image unit.Image) bool {
 	for k := range e.servingTasks {
-		if e.servingTasks[k].overTarget && !s.interferenceModels[e.servingTasks[k].image].knownHarmless(image) {
+		if e.servingTasks[k].overTarget && !e.servingTasks[k].model.knownHarmless(image) {
 			return false
 		}
 	}
@@ -181,12 +197,13 @@
 // from the ordered ones.
 func (s *Shard) sendPaces() {
 	for _, e := range s.executors.All() {
-		if e.bestEffortCPU == 0 || e.unresponsive {
+		if !e.pacesChanged || e.unresponsive {
 			continue
 		}
-		for id := range e.runs {
-			_, st, t := s.findTask(id)
-			if t == nil || !st.Fills || t.State != TaskRunning {
+		e.pacesChanged = false
+		for i := range e.runs {
+			id, t := e.runs[i].id, e.runs[i].task
+			if !e.runs[i].step.Fills || !e.runs[i].isCurrent() || t.State != TaskRunning {
 				continue
 			}
 			target := t.targetPace
@@ -200,61 +217,70 @@
 	}
 }
 
-// admits reports whether a task of a step may be added to e. A perpetual task
+// admits reports whether the requested task may be added to e. A perpetual task
 // that ran before may start wherever there is capacity. So may the first task
 // of a starved job, unless it is a best-effort task and a serving task on e
 // exceeds its target.
-func (s *Shard) admits(e *Executor, st *Step, pool *executorPool, ranBefore, starved bool) bool {
+func (s *Shard) admits(e *Executor, request *placementRequest) bool {
+	st := request.step
 	switch {
-	case starved && (e.overTargetSince == 0 || !st.Fills):
+	case request.starved && (e.overTargetSince == 0 || !st.Fills):
 		return true
 	case st.Perpetual:
-		return ranBefore || pool.allowsPerpetual(e)
+		return request.ranBefore || request.pool.allowsPerpetual(e)
 	case !st.Fills || e.servingCount == 0:
 		return true
 	case e.overTargetSince > 0 && !s.knownHarmless(e, st.Image):
 		return false
 	}
-	return s.headroomShare(e, st) <= maxHeadroomShare
+	return s.headroomShare(e, request) <= maxHeadroomShare
 }
 
 // headroomShare returns the largest share of the headroom of a serving task on
-// e that a task of a step would take, together with the load that is still
+// e that the requested task would take, together with the load that is still
 // pending there.
-func (s *Shard) headroomShare(e *Executor, st *Step) float64 {
-	share := 0.0
+func (s *Shard) headroomShare(e *Executor, request *placementRequest) float64 {
+	if len(e.servingTasks) == 0 && e.servingCount > 0 {
+		return defaultHeadroomShare
+	}
+	if !e.bestEffortLoadsKnown {
+		e.updatePending()
+	}
+	share, fraction := 0.0, e.cpuFraction(request.step)
 	for i := range e.servingTasks {
 		serving := &e.servingTasks[i]
-		weight := s.interferenceModels[serving.image].weight(st.Image)
-		if weight < minHarmfulWeight {
-			continue
+		if weight := request.weight(serving.model); weight >= minHarmfulWeight {
+			share = max(share, (weight*fraction+serving.pending)/math.Max(serving.headroom, 1e-3))
 		}
-		load := weight*e.cpuFraction(st) + s.pendingLoad(e, serving.image)
-		share = max(share, load/math.Max(serving.headroom, 1e-3))
-	}
-	if len(e.servingTasks) == 0 && e.servingCount > 0 {
-		share = defaultHeadroomShare
 	}
 	return share
 }
 
-// pendingLoad returns the load that best-effort tasks on e will add to a
-// serving task and that the last run list did not show, because they are
-// starting or run below full pace.
-func (s *Shard) pendingLoad(e *Executor, servingImage unit.Image) float64 {
-	load := 0.0
-	for id := range e.runs {
-		_, st, t := s.findTask(id)
-		if t == nil || !st.Fills {
+// updatePending computes the load that best-effort tasks on e will add to each
+// serving task and that the last run list did not show, because they are starting
+// or run below full pace.
+func (e *Executor) updatePending() {
+	for i := range e.servingTasks {
+		e.servingTasks[i].pending = 0
+	}
+	for r := range e.runs {
+		a := &e.runs[r]
+		if !a.step.Fills || !a.isCurrent() {
 			continue
 		}
-		pending := 1 - float64(t.targetPace)/float64(fullPace)
-		if t.State != TaskRunning {
+		pending := 1 - float64(a.task.targetPace)/float64(fullPace)
+		if a.task.State != TaskRunning {
 			pending = 1
 		}
-		if weight := s.interferenceModels[servingImage].weight(st.Image); weight >= minHarmfulWeight && pending > 0 {
-			load += pending * weight * e.cpuFraction(st)
+		if pending <= 0 {
+			continue
+		}
+		fraction := e.cpuFraction(a.step)
+		for i := range e.servingTasks {
+			if weight := e.servingTasks[i].model.weight(a.step.Image); weight >= minHarmfulWeight {
+				e.servingTasks[i].pending += pending * weight * fraction
+			}
 		}
 	}
-	return load
+	e.bestEffortLoadsKnown = true
 }
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -25,17 +25,66 @@
 	return chosen, found
 }
 
-// placementRequest is a task to place, with functions that evaluate an
-// executor for it.
+// placementRequest is a task to place. The tasks of a step share a request, with
+// the fields of the task set for each.
 type placementRequest struct {
-	step            *Step
-	restart         bool                    // the task is perpetual and ran before
-	avoidedExecutor unit.Executor           // executor of the last run that failed or was moved
-	tasksOn         func(*Executor) int     // number of tasks of the step on an executor
-	rack            unit.Rack               // rack of the other tasks of the step, "" if it does not matter
-	admissible      func(*Executor) bool    // whether the task may be added
-	usesReserve     func(*Executor) bool    // whether a perpetual task there uses the reserve for batch tasks
-	headroomShare   func(*Executor) float64 // see Shard.headroomShare
+	shard   *Shard
+	now     clock.Millis
+	key     stepKey
+	step    *Step
+	pool    *executorPool
+	advised bool          // only executors with a ticket are admitted
+	starved bool          // see Shard.isStarved
+	rack    unit.Rack     // rack of the other tasks of the step, "" if it does not matter
+	weights []imageWeight // of the image of the step; used by weight
+
+	ranBefore       bool          // the task ran before
+	avoidedExecutor unit.Executor // executor of the last run that failed or was moved
+}
+
+// imageWeight is the weight of an image in an interference model.
+type imageWeight struct {
+	model  *InterferenceModel
+	weight float64
+}
+
+// newPlacementRequest returns a request for the tasks of a step.
+func (s *Shard) newPlacementRequest(now clock.Millis, k stepKey, j *Job, pool *executorPool) *placementRequest {
+	return &placementRequest{
+		shard: s, now: now, key: k, step: &j.Spec.Steps[k.step], pool: pool,
+		advised: s.queue(j).Advice != nil, starved: s.isStarved(now, s.readySteps[k], j),
+	}
+}
+
+// forTask sets the fields of a task and returns the request.
+func (request *placementRequest) forTask(t *Task) *placementRequest {
+	request.ranBefore, request.avoidedExecutor = t.Run > 0, t.avoidedExecutor
+	return request
+}
+
+// isRestart reports whether the task is perpetual and ran before.
+func (request *placementRequest) isRestart() bool { return request.step.Perpetual && request.ranBefore }
+
+// weight returns the weight of the image of the step in a model.
+func (request *placementRequest) weight(m *InterferenceModel) float64 {
+	for i := range request.weights {
+		if request.weights[i].model == m {
+			return request.weights[i].weight
+		}
+	}
+	w := m.weight(request.step.Image)
+	request.weights = append(request.weights, imageWeight{m, w})
+	return w
+}
+
+// admissible reports whether the task may be added to e. Where the queue has an
+// advice policy, only executors whose ticket stays valid for ticketMargin are
+// admitted.
+func (request *placementRequest) admissible(e *Executor) bool {
+	if request.advised && request.shard.ticketOf(request.now.Add(ticketMargin), request.key, e) == "" {
+		return false
+	}
+	return request.shard.admits(e, request)
 }
 
 // SeparationPolicy keeps best-effort tasks away from serving tasks, packs
@@ -43,7 +92,7 @@
 // processors.
 type SeparationPolicy struct{}
 
-var _ Policy[*Executor, placementRequest] = SeparationPolicy{}
+var _ Policy[*Executor, *placementRequest] = SeparationPolicy{}
 
 // Penalties are added to a rating. Ratings only rank executors, and a lower one
 // is better. The comment of a penalty that is scaled names its factor. Ratings
@@ -74,7 +123,7 @@
 
 // Rate implements [Policy]. It excludes executors that do not satisfy the
 // demand of the task or do not admit it.
-func (SeparationPolicy) Rate(e *Executor, request placementRequest) (float64, bool) {
+func (SeparationPolicy) Rate(e *Executor, request *placementRequest) (float64, bool) {
 	step := request.step
 	if request.exclusion(e) != NotExcluded {
 		return 0, false
@@ -90,7 +139,7 @@
 	switch {
 	case step.Fills:
 		if e.servingCount > 0 {
-			rating += penaltyServing * request.headroomShare(e)
+			rating += penaltyServing * request.shard.headroomShare(e, request)
 		} else {
 			rating += penaltyServing * nonServingHeadroomShare
 		}
@@ -105,7 +154,7 @@
 		// Serving tasks of one image peak at the same time and leave processor
 		// time idle at the same time.
 		rating += penaltyImage * float64(e.otherServingImages(step.Image))
-		if request.usesReserve(e) {
+		if !request.pool.allowsPerpetual(e) {
 			rating += penaltyReserve
 		}
 		rating += 10 * float64(e.Capacity.CPU-e.allocated.CPU) / milliCPUPerCore // prefers the fullest executor that fits
@@ -128,10 +177,13 @@
 		return
 	}
 	pools := s.pools(now)
+	s.placedAt = s.availability
 	keys := s.sortedReady()
 	s.placeRestarts(now, keys, pools)
 	s.reserveForRestarts(now, keys, pools)
-	var policy SeparationPolicy
+	for _, pool := range pools {
+		pool.updateRecent()
+	}
 	for _, k := range keys {
 		j := s.jobs.Get(k.job)
 		if j == nil || j.Spec == nil || j.State.Ended() {
@@ -142,13 +194,13 @@
 		if pool == nil {
 			continue
 		}
-		st := &j.Spec.Steps[k.step]
 		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+		request := s.newPlacementRequest(now, k, j, pool)
 		placedAll := true
-		if st.Gang {
-			placedAll = s.placeGang(now, policy, k, j, st, tasks, pool)
+		if request.step.Gang {
+			placedAll = s.placeGang(request, j, tasks)
 		} else {
-			placedAll = s.placeEach(now, policy, k, j, st, tasks, pool)
+			placedAll = s.placeEach(request, j, tasks)
 		}
 		if placedAll {
 			delete(s.readySteps, k)
@@ -158,15 +210,22 @@
 	s.reportCapacity(now, pools)
 }
 
+// choose returns the best executor for a request.
+func (s *Shard) choose(candidates []*Executor, request *placementRequest) (*Executor, bool) {
+	s.ratings += int64(len(candidates))
+	return bestCandidate(SeparationPolicy{}, candidates, request)
+}
+
 // starvationTimeout is how long a job may have no assigned task before its next
 // task is placed on any executor with capacity; [Shard.admits] has the exception.
 // The platform counts a job as starved after 3 s.
 const starvationTimeout = 2 * clock.Second
 
-// isStarved reports whether a step has been ready for starvationTimeout while
-// no task of its job is assigned.
-func (s *Shard) isStarved(now clock.Millis, k stepKey, j *Job) bool {
-	if since, ok := s.readySteps[k]; !ok || now.Sub(since) < starvationTimeout {
+// isStarved reports whether a step of a job has been ready for starvationTimeout
+// while no task of the job is assigned. A step that is not ready is nil and not
+// starved.
+func (s *Shard) isStarved(now clock.Millis, ready *readyStep, j *Job) bool {
+	if ready == nil || now.Sub(ready.since) < starvationTimeout {
 		return false
 	}
 	for o := range j.Occurrences {
@@ -193,20 +252,37 @@
 		if pool == nil {
 			continue
 		}
-		st := &j.Spec.Steps[k.step]
-		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+		tasks, ready := j.Occurrences[k.occurrence].Steps[k.step].Tasks, s.readySteps[k]
+		request := s.newPlacementRequest(now, k, j, pool)
 		for i := range tasks {
 			if tasks[i].State != TaskReady || tasks[i].Run == 0 {
 				continue
 			}
-			if e, ok := bestCandidate(SeparationPolicy{}, pool.executors, s.newPlacementRequest(now, k, j, &tasks[i], pool)); ok {
-				pool.recordPlacement(st, e)
-				s.assign(now, TaskID{k.job, k.occurrence, k.step, i}, j, st, &tasks[i], e)
+			e, ok := s.choose(pool.since(s.retryFrom(request, ready.restartFailedAt)), request.forTask(&tasks[i]))
+			if !ok {
+				ready.restartFailedAt = s.availability
+				break
 			}
+			pool.recordPlacement(request.step, e)
+			s.assign(now, TaskID{k.job, k.occurrence, k.step, i}, j, request.step, &tasks[i], e)
 		}
 	}
 }
 
+// retryFrom returns the availability from which on executors have to be rated for
+// a request that no executor could take at failedAt. Tickets expire and arrive
+// without a change of an executor.
+func (s *Shard) retryFrom(request *placementRequest, failedAt availability) availability {
+	if request.advised {
+		return 0
+	}
+	return failedAt
+}
+
+// reservationInterval is the interval at which the reservations for perpetual tasks
+// that wait to run again are made anew.
+const reservationInterval = 100 * clock.Millisecond
+
 // overdueTimeout is how long a perpetual task that ran before waits until batch
 // tasks make room for it. It has to run again within 9 s, if there is capacity.
 const overdueTimeout = 3 * clock.Second
@@ -216,10 +292,22 @@
 // would take each part that becomes free: first runs of perpetual tasks for good,
 // and batch tasks, which are kept out after overdueTimeout, one after the other. It
 // chooses the executor with the most free processor time among those on which the
-// task fits once the batch tasks there have ended.
+// task fits once the batch tasks there have ended. The reservations are made anew
+// at reservationInterval, and at once when more tasks wait.
 func (s *Shard) reserveForRestarts(now clock.Millis, keys []stepKey, pools map[unit.Service]*executorPool) {
+	waiting := s.countWaitingRestarts(keys)
+	if waiting <= s.reservedRestarts && now < s.reservedAt.Add(reservationInterval) {
+		return
+	}
+	s.reservedRestarts, s.reservedAt = waiting, now
 	for _, e := range s.executors.All() {
-		e.reservedCPU, e.overdueCPU = 0, 0
+		if e.reservedCPU > 0 {
+			e.reservedCPU, e.overdueCPU = 0, 0
+			s.markAvailable(e)
+		}
+	}
+	if waiting == 0 {
+		return
 	}
 	for _, k := range keys {
 		j := s.jobs.Get(k.job)
@@ -227,24 +315,47 @@
 			continue
 		}
 		service := s.queue(j).Service
+		pool := pools[service]
 		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
 		for i := range tasks {
 			if tasks[i].State != TaskReady || tasks[i].Run == 0 {
 				continue
 			}
 			s.stopVacating(service)
-			if pool := pools[service]; pool != nil {
-				if e := pool.reservable(s.newPlacementRequest(now, k, j, &tasks[i], pool)); e != nil {
-					e.reservedCPU += j.Spec.Steps[k.step].Size.CPU
-					if now.Sub(s.readySteps[k]) >= overdueTimeout {
-						e.overdueCPU += j.Spec.Steps[k.step].Size.CPU
-					}
-				}
+			if pool == nil {
+				break
+			}
+			e := pool.reservable(s.newPlacementRequest(now, k, j, pool).forTask(&tasks[i]))
+			if e == nil {
+				break
+			}
+			e.reservedCPU += j.Spec.Steps[k.step].Size.CPU
+			if now.Sub(s.readySteps[k].since) >= overdueTimeout {
+				e.overdueCPU += j.Spec.Steps[k.step].Size.CPU
 			}
 		}
 	}
 }
 
+// countWaitingRestarts returns the number of perpetual tasks of ready steps that
+// ran before.
+func (s *Shard) countWaitingRestarts(keys []stepKey) int {
+	n := 0
+	for _, k := range keys {
+		j := s.jobs.Get(k.job)
+		if j == nil || j.Spec == nil || j.State.Ended() || !j.Spec.Steps[k.step].Perpetual {
+			continue
+		}
+		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+		for i := range tasks {
+			if tasks[i].State == TaskReady && tasks[i].Run > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // stopVacating lets executors of a service get new runs that were to be lent.
 func (s *Shard) stopVacating(service unit.Service) {
 	for _, e := range s.executors.All() {
@@ -254,41 +365,31 @@
 	}
 }
 
-// newPlacementRequest returns the request to place a task of a step. Where the
-// queue has an advice policy, only executors whose ticket stays valid for
-// ticketMargin are admitted.
-func (s *Shard) newPlacementRequest(now clock.Millis, k stepKey, j *Job, t *Task, pool *executorPool) placementRequest {
-	st, starved, advised := &j.Spec.Steps[k.step], s.isStarved(now, k, j), s.queue(j).Advice != nil
-	request := placementRequest{step: st, restart: st.Perpetual && t.Run > 0, avoidedExecutor: t.avoidedExecutor, admissible: func(e *Executor) bool {
-		if advised && s.ticketOf(now.Add(ticketMargin), k, e) == "" {
-			return false
-		}
-		return s.admits(e, st, pool, t.Run > 0, starved)
-	}}
-	request.headroomShare = func(e *Executor) float64 { return s.headroomShare(e, st) }
-	request.usesReserve = func(e *Executor) bool { return !pool.allowsPerpetual(e) }
-	request.tasksOn = func(e *Executor) int { return e.countRuns(k) }
-	return request
-}
-
 // placeEach places the ready tasks of a step one by one. It returns false at
 // the first one that fits nowhere.
-func (s *Shard) placeEach(now clock.Millis, policy SeparationPolicy, k stepKey, j *Job, st *Step, tasks []Task, pool *executorPool) bool {
+func (s *Shard) placeEach(request *placementRequest, j *Job, tasks []Task) bool {
+	k, pool, ready := request.key, request.pool, s.readySteps[request.key]
+	slack := pool.slack()
+	if request.starved && !ready.starved || request.step.Perpetual && slack > ready.slack {
+		ready.failedAt = 0 // executors may take a task now although they have not changed
+	}
 	for i := range tasks {
 		t := &tasks[i]
 		if t.State != TaskReady {
 			continue
 		}
-		request := s.newPlacementRequest(now, k, j, t, pool)
-		if st.SameRack {
+		if request.step.SameRack {
 			request.rack = s.rackOf(tasks)
 		}
-		e, ok := bestCandidate(policy, pool.executors, request)
+		e, ok := s.choose(pool.since(s.retryFrom(request, ready.failedAt)), request.forTask(t))
 		if !ok {
+			if !request.isRestart() {
+				ready.failedAt, ready.slack, ready.starved = s.availability, slack, request.starved
+			}
 			return false
 		}
-		pool.recordPlacement(st, e)
-		s.assign(now, TaskID{k.job, k.occurrence, k.step, i}, j, st, t, e)
+		pool.recordPlacement(request.step, e)
+		s.assign(request.now, TaskID{k.job, k.occurrence, k.step, i}, j, request.step, t, e)
 	}
 	return true
 }
@@ -296,7 +397,8 @@
 // placeGang places all tasks of a step or none, and reports whether it placed
 // them. All members continue from the highest run number and from the greatest
 // checkpoint, in string order, among them.
-func (s *Shard) placeGang(now clock.Millis, policy SeparationPolicy, k stepKey, j *Job, st *Step, tasks []Task, pool *executorPool) bool {
+func (s *Shard) placeGang(request *placementRequest, j *Job, tasks []Task) bool {
+	k, st, pool := request.key, request.step, request.pool
 	lastRun := unit.Run(0)
 	var checkpoint unit.Checkpoint
 	for i := range tasks {
@@ -308,26 +410,25 @@
 	}
 	chosen := make([]*Executor, 0, len(tasks))
 	for i := range tasks {
-		request := s.newPlacementRequest(now, k, j, &tasks[i], pool)
 		if len(chosen) > 0 && st.SameRack {
 			request.rack = rackLabel(chosen[0])
 		}
-		e, ok := bestCandidate(policy, pool.executors, request)
+		e, ok := s.choose(pool.executors, request.forTask(&tasks[i]))
 		if !ok {
 			break
 		}
-		e.addRun(TaskID{k.job, k.occurrence, k.step, i}, lastRun+1, st)
+		e.addRun(assignment{TaskID{k.job, k.occurrence, k.step, i}, lastRun + 1, j, st, &tasks[i]})
 		chosen = append(chosen, e)
 	}
 	for i, e := range chosen {
 		id := TaskID{k.job, k.occurrence, k.step, i}
-		e.removeRun(id, st)
+		e.removeRun(id)
 		if len(chosen) < len(tasks) {
 			continue
 		}
 		tasks[i].Run, tasks[i].Checkpoint = lastRun, checkpoint
 		pool.recordPlacement(st, e)
-		s.assign(now, id, j, st, &tasks[i], e)
+		s.assign(request.now, id, j, st, &tasks[i], e)
 	}
 	return len(chosen) == len(tasks)
 }
@@ -340,7 +441,10 @@
 	t.Executor, t.Incarnation = e.Executor, e.Incarnation
 	t.confirmedAt, t.progress, t.lastActionAt = 0, 0, now
 	t.startUncertain, t.inFlight, t.recovered, t.orderedPace, t.targetPace = false, false, false, fullPace, fullPace
-	e.addRun(id, t.Run, st)
+	if st.Perpetual && e.perpetual.CPU == 0 {
+		s.markAvailable(e) // see executorPool.allowsPerpetual
+	}
+	e.addRun(assignment{id, t.Run, j, st, t})
 	s.pendingStarts = append(s.pendingStarts, id)
 	s.markDirty(id.Job, j)
 }
--- a/schedule/dispatch/place_test.go
+++ b/schedule/dispatch/place_test.go
@@ -20,8 +20,10 @@
 	tailLatency      int64                                 // measurement that every run reports: ms of tail latency for serving tasks, thousandths of a core for others
 	replacedExecutor unit.Executor                         // another incarnation answers at its address
 
-	reportedProgress unit.Percent // reported by runs; 0 means full
-	holdsUnanswered  bool         // holds get no answer
+	measure          func(TaskID) int64 // measurement that a run reports; nil stands for tailLatency
+	refuses          func() bool        // whether an executor refuses a start for want of capacity; nil refuses none
+	reportedProgress unit.Percent       // reported by runs; 0 means full
+	holdsUnanswered  bool               // holds get no answer
 
 	allowed           map[unit.Executor]bool // executors that the advisor allows; nil if starts need no ticket
 	ticketValidity    clock.Span
@@ -89,13 +91,19 @@
 		a = Answer{Outcome: OutcomeOtherIncarnation}
 	case o.Start != nil && f.allowed != nil && o.Start.Ticket != f.ticket(o.To.Executor):
 		a.Outcome = OutcomeNoTicket
+	case o.Start != nil && f.refuses != nil && f.refuses():
+		a.Outcome = OutcomeNoRoom
 	case o.Start != nil:
 		runs[o.Start.Task] = o.Start.Run
 	case o.Stop != nil:
 		delete(runs, o.Stop.Task)
 	case o.Hold != nil:
 		for id, run := range runs {
-			a.Running = append(a.Running, RunningRun{Task: id, Run: run, Progress: progress, Measurement: f.tailLatency})
+			measurement := f.tailLatency
+			if f.measure != nil {
+				measurement = f.measure(id)
+			}
+			a.Running = append(a.Running, RunningRun{Task: id, Run: run, Progress: progress, Measurement: measurement})
 		}
 	}
 	f.shard.HandleAnswer(f.now, unit.UnixMillis(f.now), &o, &a, nil)
--- a/schedule/dispatch/pressure.go
+++ b/schedule/dispatch/pressure.go
@@ -161,10 +161,11 @@
 	}
 }
 
-// fit computes the weights from the samples, at most once in fitInterval.
-func (m *InterferenceModel) fit(now clock.Millis) {
+// fit computes the weights from the samples, at most once in fitInterval. It
+// reports whether it did.
+func (m *InterferenceModel) fit(now clock.Millis) bool {
 	if now < m.fittedAt.Add(fitInterval) || len(m.Images) == 0 {
-		return
+		return false
 	}
 	m.fittedAt = now
 	n := len(m.Images)
@@ -178,6 +179,7 @@
 		m.Moments[i] *= fitDecay
 	}
 	m.weights = solveLinear(rows)
+	return true
 }
 
 // solveLinear solves a system of linear equations with a positive definite
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -49,6 +49,8 @@
 // executorPool holds the usable executors of a service.
 type executorPool struct {
 	executors       []*Executor
+	recent          []*Executor   // became available after recentFrom
+	recentFrom      availability  // at the last placement
 	nonPerpetualCPU unit.MilliCPU // capacity of executors without perpetual tasks
 	reserveCPU      unit.MilliCPU // part of nonPerpetualCPU to keep free for batch tasks
 }
@@ -60,12 +62,17 @@
 	type totals struct{ total, batch unit.MilliCPU }
 	sums := make(map[unit.Service]totals)
 	for _, e := range s.executors.All() {
-		if !e.accepts(now) {
+		accepting := e.accepts(now)
+		if accepting && !e.accepting {
+			s.markAvailable(e)
+		}
+		e.accepting = accepting
+		if !accepting {
 			continue
 		}
 		pool := pools[e.Service]
 		if pool == nil {
-			pool = new(executorPool)
+			pool = &executorPool{recentFrom: s.placedAt}
 			pools[e.Service] = pool
 		}
 		pool.executors = append(pool.executors, e)
@@ -88,6 +95,7 @@
 		}
 		reserve.recordUsage(now, sums[name].batch)
 		pool.reserveCPU = reserve.size(now, sums[name].total)
+		pool.updateRecent()
 	}
 	return pools
 }
@@ -98,10 +106,33 @@
 	return e.perpetual.CPU > 0 || p.nonPerpetualCPU-e.Capacity.CPU >= p.reserveCPU
 }
 
+// updateRecent updates the list of executors that became available recently.
+func (p *executorPool) updateRecent() {
+	p.recent = p.recent[:0]
+	for _, e := range p.executors {
+		if e.availableAt > p.recentFrom {
+			p.recent = append(p.recent, e)
+		}
+	}
+}
+
+// slack returns the processor time by which the executors without perpetual tasks
+// exceed the reserve for batch tasks.
+func (p *executorPool) slack() unit.MilliCPU { return p.nonPerpetualCPU - p.reserveCPU }
+
+// since returns the executors that became available after a point, or more. All
+// executors became available after 0.
+func (p *executorPool) since(from availability) []*Executor {
+	if from > 0 && from >= p.recentFrom {
+		return p.recent
+	}
+	return p.executors
+}
+
 // reservable returns the executor with the most free processor time among those
 // on which the requested task could be placed beside the perpetual tasks and the
 // reservations there, or nil if there is none.
-func (p *executorPool) reservable(request placementRequest) *Executor {
+func (p *executorPool) reservable(request *placementRequest) *Executor {
 	step := request.step
 	var chosen *Executor
 	var mostFree unit.MilliCPU
@@ -123,5 +154,6 @@
 func (p *executorPool) recordPlacement(st *Step, e *Executor) {
 	if st.Perpetual && e.perpetual.CPU == 0 {
 		p.nonPerpetualCPU -= e.Capacity.CPU
+		p.recent = append(p.recent, e) // other perpetual tasks may now be placed beside it
 	}
 }
--- a/schedule/dispatch/restore.go
+++ b/schedule/dispatch/restore.go
@@ -54,6 +54,6 @@
 		t.State, t.recovered, t.orderedPace, t.targetPace = TaskStarting, true, fullPace, fullPace
 		e := s.executors.Ensure(t.Executor)
 		e.Executor = t.Executor
-		e.addRun(tid, t.Run, st)
+		e.addRun(assignment{tid, t.Run, j, st, t})
 	})
 }
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -26,6 +26,7 @@
 	}
 	previous := e.Incarnation
 	e.Registration, e.registered = r, true
+	s.markAvailable(e)
 	if e.Incarnation == 0 {
 		e.Incarnation = previous
 	}
@@ -177,14 +178,14 @@
 // instead, [Shard.handleRestart] applies.
 func (s *Shard) handleExecutorGone(now clock.Millis, e *Executor) {
 	s.report(Event{Kind: "executorGone", Executor: e.Executor})
-	for id := range e.runs {
-		j, st, t := s.findTask(id)
-		if t == nil {
-			delete(e.runs, id)
+	for i := len(e.runs) - 1; i >= 0; i-- {
+		a := e.runs[i]
+		if !a.isCurrent() {
+			s.removeRun(e, a.id)
 			continue
 		}
-		if t.State != TaskPlaced {
-			s.requeueTask(now, id, j, st, t, e)
+		if a.task.State != TaskPlaced {
+			s.requeueTask(now, a.id, a.job, a.task, e)
 		}
 	}
 	e.reconciled, e.leaseExpiresBy, e.holdRetryAt = false, 0, now.Add(clock.Second)
@@ -212,17 +213,19 @@
 	case o.Start != nil:
 		if _, _, t := s.findTask(o.Start.Task); t != nil && t.Run == o.Start.Run {
 			t.inFlight, t.startUncertain = false, true
+			s.markUnsettled(o.Start.Task)
 		}
 	case o.Stop != nil:
 		if _, _, t := s.findTask(o.Stop.Task); t != nil && t.Run == o.Stop.Run {
 			t.inFlight = false
+			s.markUnsettled(o.Stop.Task)
 		}
 	}
 }
 
 // handleStartAnswer applies the answer to a start order.
 func (s *Shard) handleStartAnswer(now clock.Millis, e *Executor, o *StartOrder, outcome Outcome) {
-	j, st, t := s.findTask(o.Task)
+	j, _, t := s.findTask(o.Task)
 	if t == nil || t.Run != o.Run || t.State != TaskStarting {
 		return
 	}
@@ -230,6 +233,7 @@
 	switch outcome {
 	case OutcomeDone:
 		s.markRunning(now, o.Task, j, t)
+		e.bestEffortLoadsKnown = false
 	case OutcomeNoRoom, OutcomeNoTicket, OutcomeBusy, OutcomeDeadlinePassed, OutcomeInvalid:
 		s.report(Event{Kind: "startRefused", Task: o.Task, Run: o.Run, Executor: e.Executor, Reason: outcome.String()})
 		// After noRoom and busy, new runs go to other executors for a time.
@@ -246,9 +250,10 @@
 			// An earlier copy of the order may still be carried out. The stop
 			// order that a later tick sends keeps the run from starting.
 			t.State = TaskStopping
+			s.markUnsettled(o.Task)
 			return
 		}
-		s.requeueTask(now, o.Task, j, st, t, e)
+		s.requeueTask(now, o.Task, j, t, e)
 	case OutcomeStaleRun:
 		// The run existed and has ended. Its end is in the list of finished
 		// runs.
@@ -256,9 +261,23 @@
 		t.State = TaskRunning
 	case OutcomeUnknown, OutcomeFenced, OutcomeOtherIncarnation:
 		t.startUncertain = true
+		s.markUnsettled(o.Task)
 	}
 }
 
+// removeRun removes a task from e, if it is there. Other tasks may then take its
+// place.
+func (s *Shard) removeRun(e *Executor, id TaskID) {
+	e.removeRun(id)
+	s.markAvailable(e)
+}
+
+// markAvailable records that e may be able to take more tasks than before.
+func (s *Shard) markAvailable(e *Executor) {
+	s.availability++
+	e.availableAt = s.availability
+}
+
 // markRunning records that a run exists on its executor.
 func (s *Shard) markRunning(now clock.Millis, id TaskID, j *Job, t *Task) {
 	t.State, t.confirmedAt, t.startUncertain, t.recovered = TaskRunning, now, false, false
@@ -279,15 +298,17 @@
 	t.inFlight = false
 	if outcome == OutcomeDone || outcome == OutcomeStaleRun {
 		t.confirmedAt = now
+		return
 	}
+	s.markUnsettled(o.Task)
 }
 
 // requeueTask releases the run of a task and makes the task ready again, or
 // ended if its job has ended. It must be called only if the run can't start or
 // continue.
-func (s *Shard) requeueTask(now clock.Millis, id TaskID, j *Job, st *Step, t *Task, e *Executor) {
+func (s *Shard) requeueTask(now clock.Millis, id TaskID, j *Job, t *Task, e *Executor) {
 	if e != nil {
-		e.removeRun(id, st)
+		s.removeRun(e, id)
 	}
 	t.inFlight, t.startUncertain, t.recovered, t.orderedPace, t.targetPace = false, false, false, fullPace, fullPace
 	s.markDirty(id.Job, j)
@@ -318,7 +339,7 @@
 		s.failTask(now, wall, f.Task, j, st, t, e)
 		return
 	}
-	s.requeueTask(now, f.Task, j, st, t, e)
+	s.requeueTask(now, f.Task, j, t, e)
 }
 
 // completeTask marks a task done, unblocks the steps that depend on it and ends
@@ -327,9 +348,9 @@
 	e.consecutiveFailures = 0
 	o := &j.Occurrences[id.Occurrence]
 	if st.Gang {
-		s.completeGang(id, o, st)
+		s.completeGang(id, o)
 	} else {
-		e.removeRun(id, st)
+		s.removeRun(e, id)
 		t.State = TaskDone
 		o.Steps[id.Step].remaining--
 	}
@@ -353,13 +374,13 @@
 
 // completeGang marks all tasks of a gang done. They end together, so one end
 // counts for all.
-func (s *Shard) completeGang(id TaskID, o *Occurrence, st *Step) {
+func (s *Shard) completeGang(id TaskID, o *Occurrence) {
 	for i := range o.Steps[id.Step].Tasks {
 		member := &o.Steps[id.Step].Tasks[i]
 		memberID := id
 		memberID.Index = i
 		if e := s.executors.Get(member.Executor); e != nil {
-			e.removeRun(memberID, st)
+			s.removeRun(e, memberID)
 		}
 		member.State = TaskDone
 	}
@@ -385,7 +406,7 @@
 			failures += j.Occurrences[id.Occurrence].Steps[id.Step].Tasks[i].Failures
 		}
 	}
-	s.requeueTask(now, id, j, st, t, e)
+	s.requeueTask(now, id, j, t, e)
 	if !st.Perpetual && !j.State.Ended() && failures >= max(1, s.queue(j).MaxAttempts) {
 		t.State = TaskEnded
 		s.endJob(wall, id.Job, j, JobFailed)
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -46,7 +46,13 @@
 	ownershipStartedAt clock.Millis // start of the ownership
 	jobs               table.Table[unit.Job, Job]
 	executors          table.Table[unit.Executor, Executor]
-	readySteps         map[stepKey]clock.Millis          // steps with tasks to place, and since when
+	readySteps         map[stepKey]*readyStep            // steps with tasks to place
+	availability       availability                      // of the executor that got available last
+	unsettled          map[TaskID]struct{}               // tasks with an order to send; orders in flight are added if they get no answer
+	resentAt           clock.Millis                      // last check of unsettled
+	placedAt           availability                      // at the last placement
+	reservedRestarts   int                               // tasks that waited at reservedAt
+	reservedAt         clock.Millis                      // last call of reserveForRestarts that made reservations
 	dirty              []unit.Job                        // jobs that differ from the store
 	storingJobs        []unit.Job                        // jobs in the append in flight
 	pendingStarts      []TaskID                          // starts whose runs are not stored yet
@@ -74,6 +80,7 @@
 	expiredLoans       []unit.Executor              // records of loans to delete
 	removedRestarts    map[unit.Executor]unit.Token // restarts of executors whose rows were dropped
 	collected          int64                        // jobs in all appends so far
+	ratings            int64                        // executors rated for a task so far
 }
 
 // stepKey identifies a step of one occurrence of a job in the tables. It has the
@@ -84,6 +91,16 @@
 	step       int
 }
 
+// readyStep is the state of a step with tasks to place.
+type readyStep struct {
+	since    clock.Millis
+	failedAt availability // up to which no executor can take a task of the step, 0 if they have to be rated again
+
+	restartFailedAt availability  // failedAt of the tasks of a perpetual step that ran before
+	slack           unit.MilliCPU // of the pool at failedAt, see executorPool.slack
+	starved         bool          // at failedAt
+}
+
 // Event describes a decision about a job or a task, or, if Task is zero, a change
 // of the state of an executor. Fields that do not apply are zero.
 type Event struct {
--- a/schedule/dispatch/stall.go
+++ b/schedule/dispatch/stall.go
@@ -16,24 +16,27 @@
 
 // moveRuns moves runs without progress, and runs on draining executors:
 // perpetual ones at once, those that save checkpoints shortly before the
-// executor leaves. It does not check the miss budgets of the steps.
+// executor leaves. It does not check the miss budgets of the steps. Progress is
+// known from run lists only, so that it skips executors without a new one unless
+// they drain.
 func (s *Shard) moveRuns(now clock.Millis) {
 	for _, e := range s.executors.All() {
-		if !e.reconciled || e.unresponsive {
+		if !e.listChanged && !e.Draining || !e.reconciled || e.unresponsive {
 			continue
 		}
+		e.listChanged = false
 		leavesSoon := e.Draining && now >= e.drainingSince.Add(max(0, e.TimeLeft-drainMargin))
-		for id := range e.runs {
-			_, st, t := s.findTask(id)
-			if t == nil || t.State != TaskRunning || t.confirmedAt == 0 {
+		for i := range e.runs {
+			a := &e.runs[i]
+			if !a.isCurrent() || a.task.State != TaskRunning || a.task.confirmedAt == 0 {
 				continue
 			}
 			switch {
-			case e.Draining && st.Perpetual, leavesSoon && st.SavesProgress:
-				s.moveRun(id, t, e, "executor drains")
-			case s.isStalled(st, t, e):
+			case e.Draining && a.step.Perpetual, leavesSoon && a.step.SavesProgress:
+				s.moveRun(a.id, a.task, e, "executor drains")
+			case s.isStalled(a.step, a.task, e):
 				e.suspectUntil = now.Add(suspectPeriod)
-				s.moveRun(id, t, e, "no progress")
+				s.moveRun(a.id, a.task, e, "no progress")
 			}
 		}
 	}
@@ -65,5 +68,6 @@
 // sends the stop order. Later placements of the task give e a penalty.
 func (s *Shard) moveRun(id TaskID, t *Task, e *Executor, reason string) {
 	t.State, t.confirmedAt, t.inFlight, t.avoidedExecutor = TaskStopping, 0, false, e.Executor
+	s.markUnsettled(id)
 	s.report(Event{Kind: "moved", Task: id, Run: t.Run, Executor: e.Executor, Reason: reason})
 }
--- a/schedule/dispatch/start.go
+++ b/schedule/dispatch/start.go
@@ -6,17 +6,20 @@
 // answer.
 const resendInterval = 150 * clock.Millisecond
 
+// resendCheckInterval is the interval between two checks for orders to send again.
+const resendCheckInterval = 20 * clock.Millisecond
+
 // startRun orders the start of a run whose assignment is stored. If the job
 // has ended since, or the executor was removed or has restarted, it requeues
 // the task instead.
 func (s *Shard) startRun(now clock.Millis, id TaskID) {
-	j, st, t := s.findTask(id)
+	j, _, t := s.findTask(id)
 	if t == nil || t.State != TaskPlaced {
 		return
 	}
 	e := s.executors.Get(t.Executor)
 	if e == nil || j.State.Ended() || e.Incarnation != t.Incarnation || e.clockReadAt == 0 {
-		s.requeueTask(now, id, j, st, t, e)
+		s.requeueTask(now, id, j, t, e)
 		return
 	}
 	t.State = TaskStarting
@@ -38,19 +41,35 @@
 // repeats start and stop orders that had no answer. A start keeps its deadline,
 // after which the run can't start any more.
 func (s *Shard) resendOrders(now clock.Millis) {
-	for _, e := range s.executors.All() {
-		for id := range e.runs {
-			j, _, t := s.findTask(id)
-			if t == nil || e.Address == "" || t.inFlight || now < t.lastActionAt.Add(resendInterval) || t.Incarnation != e.Incarnation && e.Incarnation != 0 {
-				continue
-			}
-			switch {
-			case t.State == TaskStarting && !t.recovered:
-				s.sendStart(now, id, j, t, e)
-			case t.State == TaskStopping && t.confirmedAt == 0:
-				t.lastActionAt, t.inFlight = now, true
-				s.pendingOrders = append(s.pendingOrders, Order{To: e.target(), Stop: &StopOrder{id, t.Run, s.token(e)}})
-			}
+	if now < s.resentAt.Add(resendCheckInterval) {
+		return
+	}
+	s.resentAt = now
+	for id := range s.unsettled {
+		j, _, t := s.findTask(id)
+		isStart, isStop := t != nil && t.State == TaskStarting && !t.recovered, t != nil && t.State == TaskStopping && t.confirmedAt == 0
+		if !isStart && !isStop || t.inFlight {
+			delete(s.unsettled, id) // settled, or added again if the order has no answer
+			continue
+		}
+		e := s.executors.Get(t.Executor)
+		if e == nil || e.Address == "" || now < t.lastActionAt.Add(resendInterval) || t.Incarnation != e.Incarnation && e.Incarnation != 0 {
+			continue
 		}
+		if isStart {
+			s.sendStart(now, id, j, t, e)
+			continue
+		}
+		t.lastActionAt, t.inFlight = now, true
+		s.pendingOrders = append(s.pendingOrders, Order{To: e.target(), Stop: &StopOrder{id, t.Run, s.token(e)}})
+	}
+}
+
+// markUnsettled adds a task to those for which a stop order, or another start
+// order, has to be sent.
+func (s *Shard) markUnsettled(id TaskID) {
+	if s.unsettled == nil {
+		s.unsettled = make(map[TaskID]struct{})
 	}
+	s.unsettled[id] = struct{}{}
 }
--- a/schedule/dispatch/summary.go
+++ b/schedule/dispatch/summary.go
@@ -7,6 +7,7 @@
 	Jobs      map[string]int  `json:"jobs"`  // number of jobs by state
 	Tasks     map[string]int  `json:"tasks"` // number of tasks by state, of jobs that have a spec
 	Executors []ExecutorState `json:"executors"`
+	Ratings   int64           `json:"ratings"` // executors rated for a task since the start of the ownership
 
 	Lent     map[unit.Executor]unit.Shard `json:"lent"`     // borrower of each executor that is lent to another shard
 	Borrowed map[unit.Executor]unit.Shard `json:"borrowed"` // lender of each executor that is borrowed from another shard
@@ -27,7 +28,7 @@
 // Summarize counts the rows of s.
 func (s *Shard) Summarize() Summary {
 	out := Summary{
-		Jobs: make(map[string]int), Tasks: make(map[string]int),
+		Ratings: s.ratings, Jobs: make(map[string]int), Tasks: make(map[string]int),
 		Lent: make(map[unit.Executor]unit.Shard), Borrowed: make(map[unit.Executor]unit.Shard),
 	}
 	for id, l := range s.loans.All() {
--- a/schedule/dispatch/wait.go
+++ b/schedule/dispatch/wait.go
@@ -53,7 +53,7 @@
 	switch {
 	case step.Needs != "" && !e.hasLabel(step.Needs):
 		return ExcludedLabel
-	case step.MaxPerExecutor > 0 && request.tasksOn(e) >= step.MaxPerExecutor:
+	case step.MaxPerExecutor > 0 && e.countRuns(request.key) >= step.MaxPerExecutor:
 		return ExcludedSpread
 	case !request.admissible(e):
 		return ExcludedAdmission
@@ -66,7 +66,7 @@
 	step := request.step
 	free, demand := e.Capacity.Sub(e.allocated), step.demand()
 	switch {
-	case request.restart:
+	case request.isRestart():
 	case step.Perpetual:
 		free.CPU -= e.reservedCPU
 	default:
@@ -87,7 +87,8 @@
 // many executors of its service are excluded for each reason, and on how many of
 // the usable ones the processors without batch tasks would suffice.
 func (s *Shard) reportWaits(now clock.Millis, pools map[unit.Service]*executorPool) {
-	for k, since := range s.readySteps {
+	for k, ready := range s.readySteps {
+		since := ready.since
 		j := s.jobs.Get(k.job)
 		if j == nil || j.Spec == nil || j.State.Ended() || now.Sub(since) < starvationTimeout || now < s.waitReportedAt[k].Add(waitReportInterval) {
 			continue
@@ -126,7 +127,7 @@
 	}
 	step := &j.Spec.Steps[k.step]
 	if pool != nil {
-		request := s.newPlacementRequest(now, k, j, t, pool)
+		request := s.newPlacementRequest(now, k, j, pool).forTask(t)
 		for _, e := range pool.executors {
 			counts[request.exclusion(e)]++
 			if e.Capacity.CPU-e.perpetual.CPU >= step.Size.CPU {
--- a/schedule/table/table.go
+++ b/schedule/table/table.go
@@ -6,10 +6,10 @@
 // use.
 //
 // The order of rows is unspecified, because a deletion moves the last row into
-// the gap. Pointers to rows are valid until the next Put or Delete.
+// the gap. A pointer to a row is valid until the row is deleted.
 type Table[K comparable, V any] struct {
 	keys  []K
-	rows  []V
+	rows  []*V
 	index map[K]int
 }
 
@@ -22,23 +22,23 @@
 	if !ok {
 		return nil
 	}
-	return &t.rows[i]
+	return t.rows[i]
 }
 
 // Put stores v as the row of k and returns the stored row. It replaces an
 // existing row.
 func (t *Table[K, V]) Put(k K, v V) *V {
 	if i, ok := t.index[k]; ok {
-		t.rows[i] = v
-		return &t.rows[i]
+		*t.rows[i] = v
+		return t.rows[i]
 	}
 	if t.index == nil {
 		t.index = make(map[K]int)
 	}
 	t.index[k] = len(t.rows)
 	t.keys = append(t.keys, k)
-	t.rows = append(t.rows, v)
-	return &t.rows[len(t.rows)-1]
+	t.rows = append(t.rows, &v)
+	return &v
 }
 
 // Ensure returns the row of k. It adds a zero row if there is none.
@@ -61,8 +61,7 @@
 	t.index[t.keys[i]] = i
 	delete(t.index, k)
 	var zeroK K
-	var zeroV V
-	t.keys[last], t.rows[last] = zeroK, zeroV
+	t.keys[last], t.rows[last] = zeroK, nil
 	t.keys, t.rows = t.keys[:last], t.rows[:last]
 	return true
 }
@@ -72,7 +71,7 @@
 func (t *Table[K, V]) DeleteFunc(del func(K, *V) bool) int {
 	n := 0
 	for i := len(t.rows) - 1; i >= 0; i-- {
-		if del(t.keys[i], &t.rows[i]) {
+		if del(t.keys[i], t.rows[i]) {
 			t.Delete(t.keys[i])
 			n++
 		}
@@ -86,7 +85,7 @@
 func (t *Table[K, V]) All() iter.Seq2[K, *V] {
 	return func(yield func(K, *V) bool) {
 		for i := range t.rows {
-			if !yield(t.keys[i], &t.rows[i]) {
+			if !yield(t.keys[i], t.rows[i]) {
 				return
 			}
 		}
