Put up to 360 executors in a shard

A task runs on executors of its own shard only, and loans are slow and whole executors.

An owner now uses one thousandth of a core for each executor.

--- a/schedule/dispatch/layout.go
+++ b/schedule/dispatch/layout.go
@@ -11,12 +11,12 @@
 	MaxShards = 24
 	// maxExecutorsPerShard is the average number of executors of a shard above
 	// which [LayoutFor] adds a shard. Fewer and larger shards fragment the
-	// capacity of a service less. The owner of a shard with 120 executors and 200
-	// starts a second uses a third of a core.
-	maxExecutorsPerShard = 130
+	// capacity of a service less. The owner of a shard with 350 executors and 800
+	// starts a second uses two fifths of a core.
+	maxExecutorsPerShard = 360
 	// ownerLoadPerExecutor is the processor time that the owner of a shard uses
 	// for each executor in it that starts two runs a second.
-	ownerLoadPerExecutor unit.MilliCPU = 3
+	ownerLoadPerExecutor unit.MilliCPU = 1
 )
 
 // Layout distributes the jobs and executors of a deployment over shards. All
