Lend an executor with perpetual tasks to a starving shard

Cause: executors with perpetual tasks are never lent, so that a shard without room starves when each executor of the others has one, although these tasks would fit on fewer executors.

Change: a task that its shard can't hold beside the perpetual tasks for 5 s is marked in the request, and the other shard moves the perpetual tasks of one executor to others, within their miss budgets, and lends it.

Evidence: TestStarvingShardGetsAnOccupiedExecutor failed before (job never ran in 60 s) and passes.

--- a/schedule/dispatch/lend.go
+++ b/schedule/dispatch/lend.go
@@ -145,6 +145,75 @@
 			granted++
 		}
 	}
+	if granted == 0 {
+		s.vacateOccupied(now, theirs.Service, wants)
+	}
+}
+
+// vacateOccupied vacates an executor with perpetual tasks for a starving task, if
+// there is one whose perpetual tasks fit on others.
+func (s *Shard) vacateOccupied(now clock.Millis, service unit.Service, wants []LoanWant) {
+	w := slices.IndexFunc(wants, func(w LoanWant) bool { return w.Starving && w.Count > 0 })
+	if w < 0 {
+		return
+	}
+	var chosen *Executor
+	for id, e := range s.executors.All() {
+		if b := s.borrowed.Get(id); b != nil && now < b.borrowedAt.Add(minLoanTime) {
+			continue
+		}
+		if e.Service != service || !e.registered || !e.serviceable(now) || e.reservedCPU > 0 || now < e.notLentBefore ||
+			!wants[w].Size.Fits(e.Capacity) || wants[w].Needs != "" && !e.hasLabel(wants[w].Needs) || !s.fitElsewhere(now, e) {
+			continue
+		}
+		if now < e.vacatingUntil {
+			chosen = e
+			break
+		}
+		if chosen == nil || e.perpetual.CPU < chosen.perpetual.CPU {
+			chosen = e
+		}
+	}
+	if chosen == nil || !s.vacate(now, chosen) {
+		return
+	}
+	for i := range chosen.runs {
+		a := &chosen.runs[i]
+		if a.step.Perpetual && a.isCurrent() && a.task.State == TaskRunning && a.task.confirmedAt > 0 && s.withinMissBudget(a.id, a.job, a.step) {
+			s.moveRun(a.id, a.task, chosen, "executor is lent")
+		}
+	}
+}
+
+// fitElsewhere reports whether the perpetual tasks on e fit on other executors of
+// its service beside the perpetual tasks there.
+func (s *Shard) fitElsewhere(now clock.Millis, e *Executor) bool {
+	type candidate struct {
+		executor *Executor
+		free     unit.Resources
+	}
+	var others []candidate
+	for _, other := range s.executors.All() {
+		if other != e && other.Service == e.Service && s.accepts(now, other) {
+			others = append(others, candidate{other, other.Capacity.Sub(other.perpetual)})
+		}
+	}
+	for i := range e.runs {
+		a := &e.runs[i]
+		if !a.step.Perpetual {
+			continue
+		}
+		demand := a.step.demand()
+		n := slices.IndexFunc(others, func(c candidate) bool {
+			return demand.Fits(c.free) && (a.step.Needs == "" || c.executor.hasLabel(a.step.Needs)) &&
+				(a.step.MaxPerExecutor == 0 || c.executor.countRuns(stepKey{a.id.Job, a.id.Occurrence, a.id.Step}) < a.step.MaxPerExecutor)
+		})
+		if n < 0 {
+			return false
+		}
+		others[n].free = others[n].free.Sub(demand)
+	}
+	return true
 }
 
 // hasOpenJobs reports whether there are open jobs whose tasks run on executors of
--- a/schedule/dispatch/lending_test.go
+++ b/schedule/dispatch/lending_test.go
@@ -618,3 +618,49 @@
 		})
 	}
 }
+
+// TestStarvingShardGetsAnOccupiedExecutor guards against jobs that wait forever in
+// a shard without executors, because each executor of the others has a perpetual
+// task. Those of one fit on another.
+func TestStarvingShardGetsAnOccupiedExecutor(t *testing.T) {
+	for name, c := range map[string]struct {
+		cancelled  []unit.Job // make room for the task "moves" beside "second" and "third"
+		missBudget int
+		lent       bool
+	}{
+		"perpetual task that can be moved": {[]unit.Job{"first", "filler2", "filler3"}, 0, true},
+		"within the miss budget":           {[]unit.Job{"first", "filler2", "filler3"}, 1, true},
+		"no room for it elsewhere":         {[]unit.Job{"first"}, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var f lendingFixture
+			f.add(1, 3, lendableCapacity, "b", "r1")
+			f.start(2)
+			submit := func(id unit.Job, cpu unit.MilliCPU) {
+				f.submit(1, id, Step{Count: 1, Size: resources(cpu), Perpetual: true, MissBudget: c.missBudget})
+				f.runFor(2 * clock.Second)
+			}
+			submit("first", 4500)
+			submit("second", 5000)
+			submit("third", 5000)
+			submit("filler2", 2000)
+			submit("filler3", 2000)
+			submit("moves", 3000) // fits beside "first" only
+			for _, id := range c.cancelled {
+				f.shards[1].Cancel(f.now, unit.UnixMillis(f.now), id)
+			}
+			f.runFor(2 * clock.Second)
+			f.submit(0, "starves", Step{Count: 1, Size: resources(4000)})
+			f.runFor(60 * clock.Second)
+			want := 0
+			if c.lent {
+				want = 1
+			}
+			is.Equal(len(f.runs("starves")), want)
+			for _, id := range []unit.Job{"second", "third", "moves"} {
+				is.Equal(len(f.runs(id)), 1)
+			}
+		})
+	}
+}
--- a/schedule/dispatch/load.go
+++ b/schedule/dispatch/load.go
@@ -11,6 +11,9 @@
 	// loanWaitTimeout is how long a task waits before executors are requested for
 	// it, whatever the loads of the shards.
 	loanWaitTimeout = clock.Second
+	// starvingTimeout is how long a task that its shard can't hold waits before
+	// another shard moves perpetual tasks to lend an executor.
+	starvingTimeout = 5 * clock.Second
 	// maxWants bounds the wants in a request.
 	maxWants = 8
 	// loadAge is the age up to which computed loads are used again.
@@ -49,6 +52,10 @@
 	Size    unit.Resources `cbor:"2,keyasint"` // of one task
 	Needs   unit.Label     `cbor:"3,keyasint,omitempty"`
 	Count   int            `cbor:"4,keyasint,omitempty"` // executors that would be enough
+
+	// Starving means that no executor of the shard could hold the task beside its
+	// perpetual tasks, and that it has waited for starvingTimeout.
+	Starving bool `cbor:"5,keyasint,omitempty"`
 }
 
 // serviceLoads returns the load of each service, and the tasks for which executors
@@ -100,13 +107,18 @@
 			l.Demand += unit.MilliCPU(ready) * step.Size.CPU
 		}
 		age := now.Sub(state.since)
-		if age < loanWaitTimeout || s.canHold(now, k, l.Service, step) && !s.isStarved(now, state, j) && !(step.Perpetual && age >= starvationTimeout) {
+		if age < loanWaitTimeout {
+			continue
+		}
+		canHold := s.canHold(now, k, l.Service, step)
+		if canHold && !s.isStarved(now, state, j) && !(step.Perpetual && age >= starvationTimeout) {
 			continue // batch tasks end, but a perpetual one may wait for the reserve for batch tasks forever
 		}
 		want := LoanWant{Service: l.Service, Size: step.Size, Needs: step.Needs, Count: 1}
 		if step.Gang {
 			want.Count = step.Count
 		}
+		want.Starving = age >= starvingTimeout && !canHold
 		if len(wants) < maxWants && !slices.Contains(wants, want) {
 			wants = append(wants, want)
 		}
