Assign listed runs to the incarnation that lists them

Tasks ran on for 8 s and longer after their cancelling was acknowledged, on executors that had started again under their ids.

Cause: a start that had no answer was carried out by the next incarnation of the executor. Its run list was taken for the run of the task, which kept the start time of the former incarnation, and orders to an incarnation that has ended are left out. No stop was sent, while holds renewed the lease. A stop that the former incarnation had confirmed, and a pace ordered from it, counted for the new one.

Change: a listed run is assigned to the incarnation that lists it. Its stop is sent again, and it counts as working at full pace. A run that is listed a second after its stop was confirmed is stopped again.

Evidence: in the record of the case, an executor starts at 15.471 s, carries out a start with the token of its former incarnation at 15.473 s and receives the first order with a new token at 15.521 s.

--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -8,6 +8,9 @@
 // maxEndsPerList is the maximum number of ends in one list of finished runs.
 const maxEndsPerList = 500
 
+// stopTimeout is how long a run may be listed after its stop was confirmed.
+const stopTimeout = clock.Second
+
 // sendHolds sends a hold to each executor that has runs (assigned or unknown),
 // has ends to acknowledge, is not reconciled and in a service that is needed, or
 // is listed but did not answer the last order. No hold is sent while ends of the
@@ -64,7 +67,7 @@
 	for i := range a.Running {
 		r := &a.Running[i]
 		reported[r.Task] = r.Run
-		if !s.reconcileRun(now, e, r, &sample) {
+		if !s.reconcileRun(now, e, h, r, &sample) {
 			unknown++
 		}
 	}
@@ -90,15 +93,23 @@
 	}
 }
 
-// reconcileRun takes a run that e reports as running and adds its measurement
-// to sample. If the tables do not have the run there, it orders the run to
-// stop and returns false.
-func (s *Shard) reconcileRun(now clock.Millis, e *Executor, r *RunningRun, sample *interferenceSample) bool {
+// reconcileRun takes a run that e reports as running in answer to h and adds its
+// measurement to sample. If the tables do not have the run there, it orders the
+// run to stop and returns false.
+func (s *Shard) reconcileRun(now clock.Millis, e *Executor, h *HoldOrder, r *RunningRun, sample *interferenceSample) bool {
 	j, st, t := s.findTask(r.Task)
 	if t == nil || t.Run != r.Run || t.Executor != e.Executor || !t.State.assigned() {
 		s.pendingOrders = append(s.pendingOrders, Order{To: e.target(), Stop: &StopOrder{r.Task, r.Run, s.token(e)}})
 		return false
 	}
+	if t.Incarnation != e.Incarnation {
+		s.adoptRun(e, r.Task, j, t)
+	}
+	if t.State == TaskStopping && t.confirmedAt > 0 && t.confirmedAt.Add(stopTimeout) < h.Sent {
+		// What confirmed the stop was not the run that is listed.
+		t.confirmedAt = 0
+		s.markUnsettled(r.Task)
+	}
 	if t.State == TaskStarting || t.recovered {
 		s.markRunning(now, r.Task, j, t)
 	}
@@ -112,6 +123,20 @@
 	return true
 }
 
+// adoptRun assigns a run of a task to the incarnation of e that reports it. The
+// start order was made for an earlier incarnation, whose paces and stops the new
+// one does not know.
+func (s *Shard) adoptRun(e *Executor, id TaskID, j *Job, t *Task) {
+	s.report(Event{Kind: "runAdopted", Task: id, Run: t.Run, Executor: e.Executor})
+	t.Incarnation = e.Incarnation
+	t.orderedPace, t.targetPace = fullPace, fullPace
+	if t.State == TaskStopping {
+		t.confirmedAt, t.inFlight = 0, false
+		s.markUnsettled(id)
+	}
+	s.markDirty(id.Job, j)
+}
+
 // releaseMissingRuns requeues the tasks of runs that are assigned to e and
 // that it does not report. They belonged to an earlier incarnation, were never
 // started before a takeover, or were lost by the executor.
--- /dev/null
+++ b/schedule/dispatch/incarnation_test.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"errors"
+	"maps"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+)
+
+// restartFixture is a shard with the executors x0 and x1. The test carries out
+// the orders to x0 itself.
+type restartFixture struct {
+	*fixture
+	incarnation  unit.UnixMillis // of x0
+	startedAt    clock.Millis    // of that incarnation
+	running      map[TaskID]unit.Run
+	paces        map[TaskID]unit.Percent
+	finished     []FinishedRun
+	silent       bool    // x0 carries out orders, and its answers are lost
+	ignoresStops bool    // x0 confirms stops without carrying them out
+	received     []Order // by x0
+}
+
+// newRestartFixture returns a fixture whose first incarnation of x0 has the start
+// time 1.
+func newRestartFixture() *restartFixture {
+	return &restartFixture{
+		fixture: newFixture(2), incarnation: 1,
+		running: make(map[TaskID]unit.Run), paces: make(map[TaskID]unit.Percent),
+	}
+}
+
+// restart replaces the incarnation of x0, under the same id and address.
+func (f *restartFixture) restart() {
+	f.incarnation++
+	f.startedAt = f.now - 1
+	clear(f.running)
+	clear(f.paces)
+	f.finished = nil
+}
+
+// runFor is [fixture.runFor] with x0 as a restartable executor.
+func (f *restartFixture) runFor(span clock.Span) {
+	for end := f.now.Add(span); f.now < end; f.now += 20 {
+		for _, canStore := range []bool{true, false} {
+			_, orders := f.shard.Tick(f.now, unit.UnixMillis(f.now), canStore)
+			if canStore {
+				f.shard.HandleStored(f.now)
+			}
+			for _, o := range orders {
+				if o.To.Executor == "x0" {
+					f.executeAtX0(o)
+				} else {
+					f.execute(o)
+				}
+			}
+		}
+	}
+}
+
+// executeAtX0 carries out an order at the current incarnation of x0, also one that
+// is meant for an earlier incarnation.
+func (f *restartFixture) executeAtX0(o Order) {
+	f.received = append(f.received, o)
+	a := Answer{Outcome: OutcomeDone, Clock: unit.ExecutorMillis(f.now.Sub(f.startedAt)), Incarnation: f.incarnation}
+	switch {
+	case o.Start != nil:
+		f.running[o.Start.Task] = o.Start.Run
+	case o.Stop != nil:
+		if f.running[o.Stop.Task] == o.Stop.Run && !f.ignoresStops {
+			f.end(o.Stop.Task, EndStopped)
+		}
+	case o.Pace != nil:
+		f.paces[o.Pace.Task] = o.Pace.Percent
+	case o.Hold != nil:
+		for len(f.finished) > 0 && f.finished[0].Number <= o.Hold.LastSeen {
+			f.finished = f.finished[1:]
+		}
+		for id, run := range f.running {
+			r := RunningRun{Task: id, Run: run, Progress: unit.Percent(f.now % 97)}
+			if id.Job == "service" {
+				r.Progress, r.Measurement = fullPace, f.tailLatency
+			}
+			a.Running = append(a.Running, r)
+		}
+		a.Finished = f.finished
+	}
+	if f.silent {
+		f.shard.HandleAnswer(f.now, unit.UnixMillis(f.now), &o, &Answer{}, errors.New("no answer"))
+		return
+	}
+	f.shard.HandleAnswer(f.now, unit.UnixMillis(f.now), &o, &a, nil)
+}
+
+// end ends a run on x0.
+func (f *restartFixture) end(id TaskID, kind EndKind) {
+	f.finished = append(f.finished, FinishedRun{Number: unit.EndNumber(len(f.finished) + 1), Task: id, Run: f.running[id], Kind: kind})
+	delete(f.running, id)
+}
+
+// Guards against a cancelled task that runs on because its run is that of a later
+// incarnation of its executor than the one to which the task was assigned: the
+// start order was carried out there, or the job was restored from a record with
+// the earlier incarnation.
+func TestCancelledRunsOfALaterIncarnationAreStopped(t *testing.T) {
+	for name, c := range map[string]struct {
+		cancelFirst bool // the job is cancelled before the restart, and the stop is confirmed
+		takeOver    bool // another owner takes over after the restart
+	}{
+		"cancelled after the restart":   {false, false},
+		"stop confirmed before it":      {true, false},
+		"restored by another owner":     {false, true},
+		"cancelled, then another owner": {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRestartFixture()
+			f.submit("j", Step{Count: 4, Size: resources(3000), Estimate: clock.Minute})
+			f.runFor(clock.Second)
+			is.True(len(f.running) > 0)
+			runs := maps.Clone(f.running)
+			if c.cancelFirst {
+				f.shard.Cancel(f.now, unit.UnixMillis(f.now), "j")
+				f.ignoresStops = true
+				f.runFor(100)
+				f.ignoresStops = false
+			}
+			f.restart()
+			maps.Copy(f.running, runs) // copies of the start orders arrive late
+			if c.takeOver {
+				f.takeOver("j")
+			}
+			f.runFor(clock.Second)
+			f.shard.Cancel(f.now, unit.UnixMillis(f.now), "j")
+			f.runFor(3 * clock.Second)
+			is.Equal(len(f.running), 0)
+			is.Equal(f.countRuns("j"), 0)
+		})
+	}
+}
+
+// takeOver replaces the owner by one that has only the record of a job.
+func (f *restartFixture) takeOver(id unit.Job) {
+	j := f.shard.jobs.Get(id)
+	next := Shard{Epoch: f.shard.Epoch + 1, Limits: DefaultLimits}
+	next.Restore(f.now, unit.UnixMillis(f.now), id, cloneJob(&Change{Job: j}), j.Spec)
+	entries := Registrations{Complete: true}
+	for _, e := range f.shard.executors.All() {
+		entry := e.Registration
+		if entry.Executor == "x0" {
+			entry.Incarnation = f.incarnation
+		}
+		entries.Entries = append(entries.Entries, entry)
+	}
+	next.ApplyRegistrations(f.now, entries, anyExecutor)
+	next.StartOwnership(f.now)
+	f.shard = next
+}
+
+// Guards against a best-effort run that works at full pace beside a serving task
+// over its target, because the pace was ordered from an earlier incarnation.
+func TestAdoptedRunsArePacedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newRestartFixture()
+	f.submit("service", Step{Count: 2, MaxPerExecutor: 1, Size: resources(1000), Perpetual: true, TailTarget: 50, Image: "s"})
+	f.submit("batch", Step{Count: 2, MaxPerExecutor: 1, Size: resources(6000), Fills: true, Image: "b"})
+	f.runFor(clock.Second)
+	is.Equal(len(f.running), 2)
+	f.tailLatency = 500
+	f.runFor(4 * clock.Second)
+	runs, paces := maps.Clone(f.running), maps.Clone(f.paces)
+	is.Equal(len(paces), 1)
+	f.restart()
+	maps.Copy(f.running, runs)
+	f.runFor(2 * clock.Second)
+	for id := range paces {
+		pace, ok := f.paces[id]
+		is.True(ok) // the incarnation that runs the task has received a pace
+		is.Equal(pace, unit.Percent(0))
+	}
+}
