Keep orders and answers to the incarnation that they are made for

Tasks that ended done, and whose ends were acknowledged, started again 2 to 3 s later, after their executor had started again under its id.

Cause: orders and answers were addressed by the id of an executor, and the header of the wire tells ids apart only. The next incarnation carried out repeated starts, whose deadline lies far ahead on its clock, and discarded the ends of these runs, since holds acknowledged them by the numbers of the former incarnation. Answers counted for whichever incarnation has the id: a late one set the start time back, a list in answer to a hold for the former one reconciled the new one under the old token, and a 421 released the runs of the new one.

Change: an order names its incarnation, and its answer counts only if that incarnation gave it and is the current one. Without a start time in the answer, a reading of the clock below an earlier one tells. While an executor does not answer, no start is sent or repeated to it and no end is acknowledged; an end is acknowledged by one hold. Only an answer that names its incarnation ends the silence. A start without an answer counts as a lease of max_hold_ms from then on.

Two tests built orders without an incarnation and now name it.

Without the change of resendOrders, TestEndsOfALaterIncarnationAreKept fails with 5 starts repeated; with all holds acknowledging, it fails too.

--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -55,6 +55,7 @@
 	listChanged           bool                // a run list came since the runs were last checked for stalls
 	pacesChanged          bool                // target paces were set since the paces were last sent
 	servingImages         map[unit.Image]int  // number of serving tasks by image
+	formerIncarnations    []unit.UnixMillis   // ended ones, oldest first
 }
 
 // assignment is a run of a task that is assigned to an executor. Its pointers
--- a/schedule/dispatch/executor_sim_test.go
+++ b/schedule/dispatch/executor_sim_test.go
@@ -25,9 +25,12 @@
 	highestRuns      map[TaskID]unit.Run // highest run of each task that was started or stopped
 	finished         []FinishedRun
 	lastEnd          unit.EndNumber // number of the last end
+	lapsedEnd        unit.EndNumber // number of the last end before the lease lapsed
 	partitionedUntil clock.Millis
 	cutOffFrom       unit.Generation // owners from this epoch on do not reach it until cutOffUntil
 	cutOffUntil      clock.Millis
+	muteUntil        clock.Millis // its answers are lost until then
+	restartAt        clock.Millis // when it restarts, 0 if it does not
 	leavesAt         clock.Millis // when it leaves for good, 0 if it does not drain
 	user             simulatedUse // last use by a current owner
 	usedAt           clock.Millis // when exactly one current owner used it
@@ -48,7 +51,7 @@
 
 // reset clears the state that a restart loses.
 func (x *simulatedExecutor) reset() {
-	x.token, x.lease, x.finished, x.lastEnd = 0, 0, nil, 0
+	x.token, x.lease, x.finished, x.lastEnd, x.lapsedEnd = 0, 0, nil, 0, 0
 	x.running, x.highestRuns = make(map[TaskID]*simulatedRun), make(map[TaskID]unit.Run)
 }
 
@@ -60,9 +63,15 @@
 // advance ends the runs and leases of x that are due. It may also restart or
 // partition x.
 func (sim *simulation) advance(x *simulatedExecutor) {
-	if sim.chance(sim.faults.crash) {
+	if sim.chance(sim.faults.mute) && sim.now >= x.muteUntil {
+		x.muteUntil, x.restartAt = sim.now.Add(clock.Span(1000+sim.random.Intn(5000))), sim.now.Add(clock.Span(sim.random.Intn(1500)))
+	}
+	if sim.chance(sim.faults.crash) || x.restartAt > 0 && sim.now >= x.restartAt {
 		x.reset()
-		x.startedAt, x.incarnation = sim.now, x.incarnation+100
+		x.startedAt, x.incarnation, x.restartAt = sim.now, x.incarnation+100, 0
+	}
+	if x.clock(sim.now) > x.lease {
+		x.lapsedEnd = x.lastEnd
 	}
 	if sim.chance(sim.faults.partition) {
 		x.partitionedUntil = sim.now.Add(clock.Span(sim.random.Intn(9000)))
@@ -118,7 +127,13 @@
 		x.highestRuns[o.Stop.Task] = max(x.highestRuns[o.Stop.Task], o.Stop.Run)
 	case o.Hold != nil:
 		x.lease = max(x.lease, min(o.Hold.Deadline, x.clock(sim.now)+maxSimulatedHold))
-		x.finished = slices.DeleteFunc(x.finished, func(f FinishedRun) bool { return f.Number <= o.Hold.LastSeen })
+		x.finished = slices.DeleteFunc(x.finished, func(f FinishedRun) bool {
+			acknowledged := f.Number <= o.Hold.LastSeen
+			if acknowledged && f.Kind == EndDone && f.Number > x.lapsedEnd {
+				sim.noted[f.Task] = true
+			}
+			return acknowledged
+		})
 		a.Finished = slices.Clone(x.finished)
 		for id, r := range x.running {
 			a.Running = append(a.Running, RunningRun{Task: id, Run: r.run, Progress: unit.Percent(sim.now % 97)})
--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -26,7 +26,13 @@
 		if !e.reconciled && len(e.runs) == 0 && !s.needsService(e.Service) {
 			continue
 		}
-		h := &HoldOrder{Token: s.token(e), LastSeen: e.storedEndNumber, Sent: now}
+		h := &HoldOrder{Token: s.token(e), Sent: now}
+		// The numbers of ends are those of one incarnation. Another one under the same
+		// id would discard ends that no list has shown, so that an acknowledgement is
+		// sent only to an executor that answers, and once.
+		if !e.unresponsive && e.acknowledgedEndNumber < e.storedEndNumber {
+			h.LastSeen = e.storedEndNumber
+		}
 		// Does not renew the lease of an executor that does not answer, so that
 		// the time by which the lease expires stays fixed.
 		if e.clockReadAt > 0 && !e.unresponsive && s.mayRenew(e) {
@@ -53,7 +59,7 @@
 		e.holdRetryAt = now.Add(200 * clock.Millisecond)
 		return
 	}
-	e.acknowledgedEndNumber, e.lastListAt = h.LastSeen, now
+	e.acknowledgedEndNumber, e.lastListAt = max(e.acknowledgedEndNumber, h.LastSeen), now
 	for i := range a.Finished {
 		f := &a.Finished[i]
 		if f.Number > e.processedEndNumber {
@@ -103,7 +109,7 @@
 		return false
 	}
 	if t.Incarnation != e.Incarnation {
-		s.adoptRun(e, r.Task, j, t)
+		s.adoptRun(now, e, r.Task, j, t)
 	}
 	if t.State == TaskStopping && t.confirmedAt > 0 && t.confirmedAt.Add(stopTimeout) < h.Sent {
 		// What confirmed the stop was not the run that is listed.
@@ -126,9 +132,10 @@
 // adoptRun assigns a run of a task to the incarnation of e that reports it. The
 // start order was made for an earlier incarnation, whose paces and stops the new
 // one does not know.
-func (s *Shard) adoptRun(e *Executor, id TaskID, j *Job, t *Task) {
+func (s *Shard) adoptRun(now clock.Millis, e *Executor, id TaskID, j *Job, t *Task) {
 	s.report(Event{Kind: "runAdopted", Task: id, Run: t.Run, Executor: e.Executor})
 	t.Incarnation = e.Incarnation
+	e.leaseExpiresBy = max(e.leaseExpiresBy, now.Add(s.longestCrossedLease()))
 	t.orderedPace, t.targetPace = fullPace, fullPace
 	if t.State == TaskStopping {
 		t.confirmedAt, t.inFlight = 0, false
--- a/schedule/dispatch/incarnation_test.go
+++ b/schedule/dispatch/incarnation_test.go
@@ -183,3 +183,82 @@
 		is.Equal(pace, unit.Percent(0))
 	}
 }
+
+// Guards against a start that is repeated to an executor which does not answer, and
+// against ends of a later incarnation that are discarded with an acknowledgement
+// for an earlier one: the tasks would start again although they are done.
+func TestEndsOfALaterIncarnationAreKept(t *testing.T) {
+	is := is.New(t)
+	f := newRestartFixture()
+	f.submit("first", Step{Count: 4, Size: resources(1000)})
+	f.runFor(200)
+	for id := range maps.Clone(f.running) {
+		f.end(id, EndDone)
+	}
+	f.runFor(200)
+	is.Equal(len(f.finished), 0) // acknowledged
+	f.silent = true
+	f.submit("j", Step{Count: 8, Size: resources(1000), Estimate: clock.Minute})
+	f.runFor(40)
+	started := len(f.running)
+	is.True(started > 0)
+	f.restart()
+	f.received = nil
+	ended := make(map[TaskID]bool)
+	for range 40 {
+		f.runFor(100)
+		for id := range maps.Clone(f.running) {
+			f.end(id, EndDone)
+			ended[id] = true
+		}
+	}
+	is.Equal(len(ended), 0) // no start is repeated while x0 does not answer
+	for _, o := range f.received {
+		is.True(o.Start == nil)
+		is.True(o.Hold == nil || o.Hold.LastSeen == 0)
+	}
+	f.silent = false
+	f.runFor(2 * clock.Second)
+	is.Equal(len(f.running)+f.countRuns("j"), 8)
+}
+
+// Guards against an answer of one incarnation that is applied to another one under
+// the same id.
+func TestAnswersOfOtherIncarnationsChangeNoRuns(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer    Answer
+		err       error
+		sentTo    unit.UnixMillis // incarnation that the order was made for; 2 answers
+		restarted bool            // the answer shows that x0 has restarted
+		silent    bool
+	}{
+		"other executor at the former address": {Answer{Outcome: OutcomeOtherIncarnation}, nil, 1, false, false},
+		"no answer of the former":              {Answer{}, errors.New("no answer"), 1, false, false},
+		"list of the former":                   {Answer{Outcome: OutcomeDone, Clock: 9000, Incarnation: 1}, nil, 1, false, false},
+		"list for the former":                  {Answer{Outcome: OutcomeDone, Clock: 9000, Incarnation: 2}, nil, 1, false, false},
+		"late list of the former":              {Answer{Outcome: OutcomeDone, Clock: 9000, Incarnation: 1}, nil, 2, false, false},
+		"list of a later one":                  {Answer{Outcome: OutcomeDone, Clock: 1, Incarnation: 3}, nil, 2, true, false},
+		"unnamed, clock set back":              {Answer{Outcome: OutcomeDone, Clock: 1}, nil, 2, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRestartFixture()
+			f.restart()
+			f.runFor(clock.Second)
+			f.submit("j", Step{Count: 4, Size: resources(1000), Estimate: clock.Minute})
+			f.runFor(clock.Second)
+			x0 := f.shard.executors.Get("x0")
+			is.Equal(x0.Incarnation, unit.UnixMillis(2))
+			before := len(x0.runs)
+			is.True(before > 0)
+			o := Order{To: x0.target(), Hold: &HoldOrder{Sent: f.now, Token: f.shard.token(x0), LastSeen: 57}}
+			o.To.Incarnation = c.sentTo
+			f.shard.HandleAnswer(f.now, unit.UnixMillis(f.now), &o, &c.answer, c.err)
+			is.Equal(len(x0.runs), before)
+			is.Equal(x0.acknowledgedEndNumber, unit.EndNumber(0))
+			is.Equal(x0.Incarnation == 3, c.restarted)
+			is.Equal(x0.reconciled, !c.restarted)
+			is.Equal(x0.unresponsive, c.silent)
+		})
+	}
+}
--- a/schedule/dispatch/order.go
+++ b/schedule/dispatch/order.go
@@ -18,10 +18,30 @@
 	Value []byte
 }
 
-// Target is the destination of an order.
+// Target is the incarnation of an executor that an order is made for.
+//
+// The platform tells executors apart by their ids only, so that a later
+// incarnation under the same id can receive the order. An answer to an order names
+// the incarnation that gave it, or its clock reading is below one that was read
+// before; see [Target.answeredBy].
 type Target struct {
-	Executor unit.Executor
-	Address  string
+	Executor    unit.Executor
+	Address     string
+	Incarnation unit.UnixMillis
+	Clock       unit.ExecutorMillis // reading of the clock of the incarnation before the order was sent, 0 if none
+}
+
+// answeredBy returns the start time of the incarnation that gave an answer to an
+// order to t. It returns false if that is another one than t, whose start time the
+// answer does not tell.
+func (t *Target) answeredBy(a *Answer) (unit.UnixMillis, bool) {
+	switch {
+	case a.Incarnation != 0:
+		return a.Incarnation, true
+	case a.Clock > 0 && a.Clock < t.Clock:
+		return 0, false
+	}
+	return t.Incarnation, true
 }
 
 // Order is an order to an executor: a [StartOrder], [StopOrder], [PaceOrder]
@@ -83,7 +103,7 @@
 type HoldOrder struct {
 	Deadline unit.ExecutorMillis // new end of the lease; 0 does not renew it
 	Token    unit.Token
-	LastSeen unit.EndNumber // the executor may discard ends up to this number
+	LastSeen unit.EndNumber // the executor may discard ends up to this number; 0 if there are no new ones
 	Wait     clock.Span     // longest time that the executor may wait for an end before it answers
 	Sent     clock.Millis
 }
--- a/schedule/dispatch/overload_test.go
+++ b/schedule/dispatch/overload_test.go
@@ -49,7 +49,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newFixture(1)
-			silent := Order{To: Target{Executor: "x0"}, Stop: &StopOrder{Task: TaskID{Job: "unknown"}, Run: 1}}
+			silent := Order{To: Target{Executor: "x0", Incarnation: 1}, Stop: &StopOrder{Task: TaskID{Job: "unknown"}, Run: 1}}
 			f.shard.HandleAnswer(f.now, unit.UnixMillis(f.now), &silent, &Answer{}, errors.New("no answer"))
 			if c.removed {
 				f.shard.ApplyRegistrations(f.now, Registrations{Removed: []unit.Executor{"x0"}}, anyExecutor)
@@ -80,7 +80,7 @@
 			for n := range c.ends {
 				a.Finished = append(a.Finished, FinishedRun{Number: unit.EndNumber(n + 1), Task: TaskID{Job: "other"}, Run: 1, Kind: EndDone})
 			}
-			o := Order{To: Target{Executor: "x0"}, Hold: &HoldOrder{Sent: f.now}}
+			o := Order{To: Target{Executor: "x0", Incarnation: 1}, Hold: &HoldOrder{Sent: f.now}}
 			f.shard.HandleAnswer(f.now, unit.UnixMillis(f.now), &o, &a, nil)
 			_, _, task := f.shard.findTask(TaskID{Job: "j"})
 			is.Equal(task.State == TaskReady, c.gone)
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"slices"
+
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
+	"mimosadock/schedule/verdict"
 )
 
 // suspectThreshold is the number of failed runs in a row that makes an
@@ -31,7 +34,7 @@
 		e.Incarnation = previous
 	}
 	if previous != 0 && e.Incarnation != previous {
-		s.handleRestart(now, e)
+		s.handleRestart(now, e, previous)
 	}
 }
 
@@ -114,11 +117,19 @@
 	return ids
 }
 
-// handleRestart records that an executor has restarted. The runs of its former
-// incarnation stay assigned until the new one has answered a hold, which
+// maxFormerIncarnations is the number of ended incarnations of an executor that are
+// remembered. Answers and entries of theirs are seconds late at most.
+const maxFormerIncarnations = 8
+
+// handleRestart records that an executor has restarted, and that a former
+// incarnation has ended. The runs of its former incarnation stay assigned until the new one has answered a hold, which
 // carries a higher fencing token.
-func (s *Shard) handleRestart(now clock.Millis, e *Executor) {
+func (s *Shard) handleRestart(now clock.Millis, e *Executor, former unit.UnixMillis) {
 	e.restarts++
+	e.formerIncarnations = append(e.formerIncarnations, former)
+	if n := len(e.formerIncarnations) - maxFormerIncarnations; n > 0 {
+		e.formerIncarnations = slices.Delete(e.formerIncarnations, 0, n)
+	}
 	e.reconciled, e.clockReadAt, e.storedEndNumber, e.processedEndNumber, e.storingEndNumber, e.acknowledgedEndNumber = false, 0, 0, 0, 0, 0
 	e.consecutiveFailures, e.suspectUntil, e.holdRetryAt, e.unansweredHolds = 0, 0, now, 0
 	e.referenceSentAt = 0
@@ -136,7 +147,11 @@
 		e.holdInFlight = false
 	}
 	if err != nil {
-		s.handleNoAnswer(now, e, o)
+		s.handleNoAnswer(now, e, o, err)
+		return
+	}
+	if !s.isMeantFor(now, e, o, a) {
+		s.orderUndetermined(o)
 		return
 	}
 	if a.Outcome == OutcomeFenced {
@@ -148,21 +163,19 @@
 		s.report(Event{Kind: "fenced", Executor: e.Executor})
 		return
 	}
-	e.unresponsive, e.unansweredHolds = false, 0
+	if a.Incarnation != 0 {
+		// Only an answer that names its incarnation shows that e still is the one that
+		// fell silent.
+		e.unresponsive, e.unansweredHolds = false, 0
+	}
 	if a.Outcome == OutcomeOtherIncarnation {
 		s.handleExecutorGone(now, e)
 		return
 	}
-	if a.Incarnation != 0 && a.Incarnation != e.Incarnation {
-		restarted := e.Incarnation != 0
-		e.Incarnation = a.Incarnation
-		if restarted {
-			s.handleRestart(now, e)
-			return
-		}
+	if !e.unresponsive {
+		e.updateClock(now, a)
+		s.leases.readReference(now, e, a)
 	}
-	e.updateClock(now, a)
-	s.leases.readReference(now, e, a)
 	switch {
 	case o.Hold != nil:
 		e.recordReference(now, o.Hold, a)
@@ -174,6 +187,36 @@
 	}
 }
 
+// isMeantFor reports whether an order was made for the current incarnation of e and
+// answered by it. An answer of another incarnation says nothing about the order,
+// only that e has restarted, unless it is late.
+func (s *Shard) isMeantFor(now clock.Millis, e *Executor, o *Order, a *Answer) bool {
+	answered, known := o.To.answeredBy(a)
+	switch {
+	case !known:
+		if o.To.Incarnation == e.Incarnation {
+			s.markSilent(now, e) // until a hold tells which incarnation answers
+		}
+		return false
+	case answered == o.To.Incarnation:
+		return answered == e.Incarnation
+	case answered != e.Incarnation && !slices.Contains(e.formerIncarnations, answered):
+		previous := e.Incarnation
+		e.Incarnation = answered
+		s.handleRestart(now, e, previous)
+	}
+	return false
+}
+
+// markSilent records that e does not answer, or that it is not known which
+// incarnation does.
+func (s *Shard) markSilent(now clock.Millis, e *Executor) {
+	if !e.unresponsive {
+		e.unresponsive, e.silentSince = true, now
+		s.report(Event{Kind: "executorSilent", Executor: e.Executor})
+	}
+}
+
 // handleExecutorGone applies an answer that refuses an order because the
 // incarnation that it was sent to has ended: another one answers at its address.
 // The ended incarnation can't run anything any more, so its tasks are requeued at
@@ -198,10 +241,14 @@
 }
 
 // handleNoAnswer records that an order may or may not have been carried out.
-func (s *Shard) handleNoAnswer(now clock.Millis, e *Executor, o *Order) {
-	if !e.unresponsive {
-		e.unresponsive, e.silentSince = true, now
-		s.report(Event{Kind: "executorSilent", Executor: e.Executor})
+func (s *Shard) handleNoAnswer(now clock.Millis, e *Executor, o *Order, err error) {
+	if o.To.Incarnation != e.Incarnation {
+		s.orderUndetermined(o)
+		return
+	}
+	s.markSilent(now, e)
+	if o.Start != nil && verdict.Of(err) != verdict.DidNotRun {
+		e.leaseExpiresBy = max(e.leaseExpiresBy, now.Add(s.longestCrossedLease())) // another incarnation may have carried it out
 	}
 	if o.Hold != nil {
 		e.unansweredHolds++
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -12,6 +12,7 @@
 // Limits are the timeouts and bounds of a shard. Spans are in milliseconds.
 type Limits struct {
 	Lease             clock.Span // of an executor; each hold renews it
+	MaxHold           clock.Span // longest lease that an executor accepts
 	HoldWait          clock.Span // longest time that a hold waits for the end of a run
 	MemberTTL         clock.Span // time after its last join at which the store removes an owner from the members
 	OwnershipTimeout  clock.Span // time after its last join at which an owner releases its shards
@@ -172,7 +173,13 @@
 }
 
 // target returns the destination of orders to e.
-func (e *Executor) target() Target { return Target{e.Executor, e.Address} }
+func (e *Executor) target() Target {
+	t := Target{Executor: e.Executor, Address: e.Address, Incarnation: e.Incarnation}
+	if e.clockReadAt > 0 {
+		t.Clock = e.clock
+	}
+	return t
+}
 
 // markDirty adds a job to the changes of the next append.
 func (s *Shard) markDirty(id unit.Job, j *Job) {
--- a/schedule/dispatch/simulation_test.go
+++ b/schedule/dispatch/simulation_test.go
@@ -30,6 +30,7 @@
 	messages   []message
 	done       map[TaskID]bool // tasks with a successful run on an executor
 	storedEnds map[TaskID]bool // tasks whose end is stored
+	noted      map[TaskID]bool // tasks with a successful run whose end was acknowledged before its lease lapsed
 	failures   map[TaskID]int
 	jobs       []*Spec
 	faults     faults
@@ -55,6 +56,14 @@
 type faults struct {
 	lost, late, crash, partition, replaceOwner float64
 
+	// crossing is the probability that an order in transit when an executor restarts
+	// reaches the next incarnation.
+	crossing float64
+
+	// mute is the probability that an executor falls silent: for seconds it carries
+	// out orders and its answers are lost. It restarts meanwhile.
+	mute float64
+
 	// cutOff is the probability that an executor answers the former owner only.
 	cutOff float64
 
@@ -69,6 +78,9 @@
 	spec  *Spec
 }
 
+// orderTimeout is how long an owner waits for the answer to an order.
+const orderTimeout = 600 * clock.Millisecond
+
 // message is an order in transit. A message with the target address "timeout"
 // marks the end of the sender's wait for an answer.
 type message struct {
@@ -93,7 +105,7 @@
 func newSimulationOf(seed int64, f faults, shards int) *simulation {
 	sim := &simulation{
 		random: rand.New(rand.NewSource(seed)), now: 1000, executors: make(map[unit.Executor]*simulatedExecutor),
-		store: make(map[unit.Job]stored), done: make(map[TaskID]bool), storedEnds: make(map[TaskID]bool),
+		store: make(map[unit.Job]stored), done: make(map[TaskID]bool), storedEnds: make(map[TaskID]bool), noted: make(map[TaskID]bool),
 		failures: make(map[TaskID]int), faults: f,
 	}
 	for i := range shards {
@@ -133,12 +145,19 @@
 // anyExecutor reports every executor as part of the shard.
 func anyExecutor(unit.Executor) bool { return true }
 
+// simulatedLimits returns the limits of the owners.
+func simulatedLimits() Limits {
+	l := DefaultLimits
+	l.MaxHold = maxSimulatedHold
+	return l
+}
+
 // takeOver replaces the owner of a shard by one that has only the stored state.
 func (sim *simulation) takeOver(sh *simulatedShard) {
 	sim.interruptAppend(sh)
 	sh.formerOwner, sh.storing, sh.replacedAt = sh.owner, nil, sim.now
 	sim.epoch++
-	sh.owner = &Shard{ID: sh.id, Epoch: sim.epoch, Member: unit.Member(strconv.Itoa(int(sim.epoch))), Shards: len(sim.shards), Limits: DefaultLimits}
+	sh.owner = &Shard{ID: sh.id, Epoch: sim.epoch, Member: unit.Member(strconv.Itoa(int(sim.epoch))), Shards: len(sim.shards), Limits: simulatedLimits()}
 	sh.owner.Configure(&Config{Version: 1, Queues: []Queue{{Name: "q", Service: "s", MaxAttempts: 3}}})
 	for _, id := range slices.Sorted(maps.Keys(sim.store)) {
 		if sim.store[id].shard == sh.id {
@@ -318,7 +337,7 @@
 		}
 		if !m.answerArrives {
 			// The sender times out long before a late order is carried out.
-			sim.messages = append(sim.messages, message{deliverAt: sim.now.Add(600), order: o, from: from})
+			sim.messages = append(sim.messages, message{deliverAt: sim.now.Add(orderTimeout), order: o, from: from})
 			sim.messages[len(sim.messages)-1].order.To.Address = "timeout"
 		}
 		if m.deliverAt != clock.Never {
@@ -346,7 +365,7 @@
 			}
 			continue
 		}
-		if m.sentAt < x.startedAt {
+		if m.sentAt < x.startedAt && (m.deliverAt.Sub(m.sentAt) >= orderTimeout || !sim.chance(sim.faults.crossing)) {
 			// An order that an executor has deferred is lost when the executor
 			// restarts.
 			if m.answerArrives {
@@ -355,6 +374,11 @@
 			continue
 		}
 		a := sim.execute(x, &m.order)
+		if m.answerArrives && sim.now < x.muteUntil {
+			sim.messages = append(sim.messages, message{deliverAt: m.sentAt.Add(orderTimeout), order: m.order, from: m.from})
+			sim.messages[len(sim.messages)-1].order.To.Address = "timeout"
+			continue
+		}
 		if m.answerArrives {
 			m.from.HandleAnswer(sim.now, sim.wall(), &m.order, &a, nil)
 		}
@@ -378,6 +402,9 @@
 			sim.reportViolation("%s runs on %s and starts on %s", o.Task, y.id, x.id)
 		}
 	}
+	if sim.noted[o.Task] {
+		sim.reportViolation("%s starts on %s after its end was acknowledged", o.Task, x.id)
+	}
 	if sim.storedEnds[o.Task] {
 		sim.reportViolation("%s starts on %s after its end was stored", o.Task, x.id)
 	}
@@ -454,6 +481,8 @@
 		"replaced owners": {replaceOwner: 0.005},
 		"cut off":         {replaceOwner: 0.003, cutOff: 0.4},
 		"cut off, late":   {replaceOwner: 0.003, cutOff: 0.4, late: 0.05, partition: 0.0005, crash: 0.0003},
+		"restarts":        {lost: 0.02, crash: 0.002, crossing: 0.8},
+		"mute restarts":   {mute: 0.0015, crossing: 0.5},
 		"all":             {lost: 0.03, late: 0.03, crash: 0.0005, partition: 0.0005, replaceOwner: 0.002},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/schedule/dispatch/start.go
+++ b/schedule/dispatch/start.go
@@ -10,15 +10,15 @@
 const resendCheckInterval = 20 * clock.Millisecond
 
 // startRun orders the start of a run whose assignment is stored. If the job
-// has ended since, the executor was removed or has restarted, or its lease may
-// not be renewed, it requeues the task instead.
+// has ended since, the executor was removed, has restarted or does not answer, or
+// its lease may not be renewed, it requeues the task instead.
 func (s *Shard) startRun(now clock.Millis, id TaskID) {
 	j, _, t := s.findTask(id)
 	if t == nil || t.State != TaskPlaced {
 		return
 	}
 	e := s.executors.Get(t.Executor)
-	if e == nil || j.State.Ended() || e.Incarnation != t.Incarnation || e.clockReadAt == 0 || !s.mayRenew(e) {
+	if e == nil || j.State.Ended() || e.Incarnation != t.Incarnation || e.clockReadAt == 0 || e.unresponsive || !s.mayRenew(e) {
 		s.requeueTask(now, id, j, t, e)
 		return
 	}
@@ -38,8 +38,9 @@
 }
 
 // resendOrders sends the stop orders of runs that are to be stopped, and
-// repeats start and stop orders that had no answer. A start keeps its deadline,
-// after which the run can't start any more.
+// repeats start and stop orders that had no answer, a start only once the executor
+// answers again. A start keeps its deadline, after which the run can't start any
+// more.
 func (s *Shard) resendOrders(now clock.Millis) {
 	if now < s.resentAt.Add(resendCheckInterval) {
 		return
@@ -57,7 +58,11 @@
 			continue
 		}
 		if isStart {
-			s.sendStart(now, id, j, t, e)
+			// A silent executor may have restarted. The next incarnation would carry
+			// out the start, whose deadline is no bound on its clock.
+			if !e.unresponsive {
+				s.sendStart(now, id, j, t, e)
+			}
 			continue
 		}
 		t.lastActionAt, t.inFlight = now, true
--- a/scheduler/process/process.go
+++ b/scheduler/process/process.go
@@ -139,7 +139,7 @@
 // the bounds of the platform.
 func (p *Process) limits() dispatch.Limits {
 	l, b := dispatch.DefaultLimits, p.platform.Bounds
-	l.Lease = min(p.settings.Lease, b.MaxHold)
+	l.Lease, l.MaxHold = min(p.settings.Lease, b.MaxHold), b.MaxHold
 	l.MemberTTL = p.ttl()
 	l.RenewalTimeout = l.MemberTTL
 	l.OwnershipTimeout = l.RenewalTimeout + l.Lease // after that, all leases have expired
