Bound the images of the interference models

After some 215 images nothing was stored any more: accepted jobs stood still beside free executors, and new ones got 504.

Cause: a model has a row and a column for each best-effort image that ever ran beside its serving image, and none was dropped. The record of all models takes 9 bytes a cell, passed record_bytes, and the append with it was refused for ever. The fit takes time with the cube of the images, too.

Change: there are at most 16 models of 48 images. A full model gives the row of the image with the smallest sum of squares to a new one. Sums decay, so that this is one that has not run for long. The model without a sample for the longest time goes first.

--- a/schedule/dispatch/pace.go
+++ b/schedule/dispatch/pace.go
@@ -77,13 +77,9 @@
 	for _, tail := range sample.tailLatencies {
 		model := s.interferenceModels[tail.image]
 		if model == nil {
-			if s.interferenceModels == nil {
-				s.interferenceModels = make(map[unit.Image]*InterferenceModel)
-			}
-			model = &InterferenceModel{Least: tail.latency}
-			s.interferenceModels[tail.image] = model
+			model = s.addModel(tail.image, tail.latency)
 		}
-		model.Least = min(model.Least, tail.latency)
+		model.Least, model.sampledAt = min(model.Least, tail.latency), now
 	}
 	gap := now.Sub(e.lastSample.at)
 	if gap < minSampleGap {
@@ -104,6 +100,26 @@
 	e.lastSample = *sample
 }
 
+// addModel adds the model of a serving image with its first measured tail latency.
+// If there are maxModels, it replaces the one without a sample for the longest time.
+func (s *Shard) addModel(image unit.Image, latency float64) *InterferenceModel {
+	if s.interferenceModels == nil {
+		s.interferenceModels = make(map[unit.Image]*InterferenceModel)
+	}
+	if len(s.interferenceModels) >= maxModels {
+		var oldest unit.Image
+		for i, m := range s.interferenceModels {
+			if o := s.interferenceModels[oldest]; o == nil || m.sampledAt < o.sampledAt || m.sampledAt == o.sampledAt && i < oldest {
+				oldest = i
+			}
+		}
+		delete(s.interferenceModels, oldest)
+	}
+	model := &InterferenceModel{Least: latency}
+	s.interferenceModels[image] = model
+	return model
+}
+
 // markBeside records that executors with serving tasks of an image may be able to
 // take more best-effort tasks than before.
 func (s *Shard) markBeside(image unit.Image) {
--- a/schedule/dispatch/pressure.go
+++ b/schedule/dispatch/pressure.go
@@ -34,6 +34,11 @@
 	// lowest one measured. Measured serving tasks run at a fifth of their
 	// capacity or more.
 	idleLatencyRatio = 0.78
+	// maxModels is the number of serving images that have a model, and
+	// maxModelImages the number of best-effort images in a model. Callers choose the
+	// images, and a model takes space and time for each pair of them.
+	maxModels      = 16
+	maxModelImages = 48
 )
 
 // InterferenceModel models the load that best-effort images add to the serving
@@ -57,15 +62,16 @@
 	Sums    [][]float64  `cbor:"3,keyasint"` // products of usage changes
 	Moments []float64    `cbor:"4,keyasint"` // products of usage and load changes
 
-	index    map[unit.Image]int
-	weights  []float64
-	fittedAt clock.Millis
+	index     map[unit.Image]int
+	weights   []float64
+	fittedAt  clock.Millis
+	sampledAt clock.Millis // when the last sample was added
 }
 
-// valid reports whether the dimensions of the fields match and a tail latency
-// was measured.
+// valid reports whether the dimensions of the fields match and are within bounds,
+// and a tail latency was measured.
 func (m *InterferenceModel) valid() bool {
-	if len(m.Sums) != len(m.Images) || len(m.Moments) != len(m.Images) {
+	if len(m.Images) > maxModelImages || len(m.Sums) != len(m.Images) || len(m.Moments) != len(m.Images) {
 		return false
 	}
 	for _, r := range m.Sums {
@@ -85,7 +91,7 @@
 func (s *Shard) RestoreInterferenceModels(now clock.Millis, stored map[unit.Image]*InterferenceModel) {
 	s.interferenceModels = make(map[unit.Image]*InterferenceModel, len(stored))
 	for i, m := range stored {
-		if m == nil || !m.valid() {
+		if m == nil || !m.valid() || len(s.interferenceModels) == maxModels {
 			continue
 		}
 		m.index = make(map[unit.Image]int, len(m.Images))
@@ -129,15 +135,16 @@
 	return max(0, 1-idleLatencyRatio*m.Least/latency)
 }
 
-// imageIndex returns the index of an image in the rows and adds the image if
-// it is new.
-func (m *InterferenceModel) imageIndex(image unit.Image) int {
-	if n, ok := m.index[image]; ok {
-		return n
-	}
+// addImage adds an image to the rows and returns its index. In a full model it
+// replaces the image with the least information that is not in use. It returns
+// false if all are in use.
+func (m *InterferenceModel) addImage(image unit.Image, inUse map[unit.Image]float64) (int, bool) {
 	if m.index == nil {
 		m.index = make(map[unit.Image]int)
 	}
+	if len(m.Images) == maxModelImages {
+		return m.replaceImage(image, inUse)
+	}
 	n := len(m.Images)
 	m.index[image] = n
 	m.Images = append(m.Images, image)
@@ -146,17 +153,52 @@
 	}
 	m.Sums = append(m.Sums, make([]float64, n+1))
 	m.Moments = append(m.Moments, 0)
-	return n
+	return n, true
+}
+
+// replaceImage gives the row of the image with the smallest sum of squares to
+// another image. Sums decay, so that this is one that has not run for long or
+// hardly changed its usage.
+func (m *InterferenceModel) replaceImage(image unit.Image, inUse map[unit.Image]float64) (int, bool) {
+	n := -1
+	for i, old := range m.Images {
+		if _, ok := inUse[old]; !ok && (n < 0 || m.Sums[i][i] < m.Sums[n][n]) {
+			n = i
+		}
+	}
+	if n < 0 {
+		return 0, false
+	}
+	delete(m.index, m.Images[n])
+	m.index[image], m.Images[n], m.Moments[n] = n, image, 0
+	clear(m.Sums[n])
+	for r := range m.Sums {
+		m.Sums[r][n] = 0
+	}
+	if n < len(m.weights) {
+		m.weights[n] = priorWeight
+	}
+	return n, true
 }
 
 // addSample adds a change of usage by image, in executors, and the change of
-// load at the same time.
+// load at the same time. Images for which the model has no row are left out.
 func (m *InterferenceModel) addSample(usageChange map[unit.Image]float64, loadChange float64) {
+	for i := range usageChange {
+		if _, ok := m.index[i]; !ok {
+			m.addImage(i, usageChange)
+		}
+	}
 	for i, u := range usageChange {
-		n := m.imageIndex(i)
+		n, ok := m.index[i]
+		if !ok {
+			continue
+		}
 		m.Moments[n] += u * loadChange
 		for k, v := range usageChange {
-			m.Sums[n][m.imageIndex(k)] += u * v
+			if other, ok := m.index[k]; ok {
+				m.Sums[n][other] += u * v
+			}
 		}
 	}
 }
