Store large values in parts, and take a refusal of the store as final

Cause: the state of a job is one record, which grows with its tasks beyond record_bytes, and an append of many jobs can pass request_bytes. The store refuses such an append with 400, and it was repeated for ever, with the changes of all other jobs of the shard behind it.

Change: the limits are read from the settings. A value above the limit of a record is stored in parts in the same append, and the changes of a tick are distributed over appends within the limit. A 400 or 413 of the store is final: the groups of the append are stored one by one, and those refused are left out, logged and counted. A new job among them is answered as refused and never runs.

With a refusal that is retried, TestRefusedRecordsHoldUpNoOthers does not end in 10 s.

--- a/schedule/dispatch/job.go
+++ b/schedule/dispatch/job.go
@@ -89,6 +89,15 @@
 // occurrenceCount returns how many times the job runs.
 func (s *Spec) occurrenceCount() int { return max(s.Repeat, 1) }
 
+// TotalTasks returns the number of tasks in all occurrences.
+func (s *Spec) TotalTasks() int {
+	total := 0
+	for i := range s.Steps {
+		total += s.Steps[i].Count
+	}
+	return total * s.occurrenceCount()
+}
+
 // occurrenceStart returns the earliest start of occurrence k, or 0 if it may
 // start at once.
 func (s *Spec) occurrenceStart(k int) unit.UnixMillis {
--- a/schedule/dispatch/order.go
+++ b/schedule/dispatch/order.go
@@ -11,6 +11,10 @@
 // higher epoch.
 var ErrFenced = errors.New("another owner holds the shard")
 
+// ErrRefused reports that the store refuses an append for what it contains, and
+// would refuse it again.
+var ErrRefused = errors.New("the store refuses the records")
+
 // Record is one keyed record of the store. A record without a value deletes
 // its key.
 type Record struct {
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -341,6 +341,40 @@
 	s.storingStarts = s.storingStarts[:0]
 }
 
+// HandleRefused records that the changes of a job in the append in flight were left
+// out, since the store refuses them for good. It must be called before
+// [Shard.HandleStored]. A job that was never stored is dropped: it has not run, as a
+// start is ordered after its run is stored. Any other keeps its stored state, and its
+// changes are part of the next append.
+func (s *Shard) HandleRefused(id unit.Job) {
+	j := s.jobs.Get(id)
+	if j == nil {
+		return
+	}
+	if j.stored {
+		j.appendingState = j.storedState
+		s.markDirty(id, j)
+		refused := func(t TaskID) bool { return t.Job == id }
+		for _, t := range s.storingStarts {
+			if refused(t) {
+				s.pendingStarts = append(s.pendingStarts, t)
+			}
+		}
+		s.storingStarts = slices.DeleteFunc(s.storingStarts, refused)
+		return
+	}
+	if !j.State.Ended() {
+		s.openJobs--
+	}
+	s.forEachTask(id, j, func(tid TaskID, _ *Step, t *Task) {
+		if e := s.executors.Get(t.Executor); e != nil && t.State.assigned() {
+			s.removeRun(e, tid)
+		}
+	})
+	s.report(Event{Kind: "refused", Task: TaskID{Job: id}})
+	s.jobs.Delete(id)
+}
+
 // Idle reports whether the shard needs no regular ticks: it has no open jobs,
 // nothing to store and no runs to stop.
 func (s *Shard) Idle() bool {
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -18,6 +18,7 @@
 	"mimosadock/schedule/group"
 	"mimosadock/schedule/maintenance"
 	"mimosadock/schedule/unit"
+	"mimosadock/scheduler/record"
 )
 
 // Store persists the records of shards and assigns shards to the members of the
@@ -25,7 +26,7 @@
 type Store interface {
 	// Append adds records to a shard atomically. It is idempotent for a given
 	// sequence number, so a call with an unknown outcome may be retried. An
-	// error that wraps [dispatch.ErrFenced] is final.
+	// error that wraps [dispatch.ErrFenced] or [dispatch.ErrRefused] is final.
 	Append(ctx context.Context, shard unit.Shard, epoch unit.Generation, sequence int64, records []dispatch.Record) error
 	// Load calls f for the newest record of each key of a shard.
 	Load(ctx context.Context, shard unit.Shard, f func(dispatch.Record)) error
@@ -83,6 +84,7 @@
 	Shards int        // number of shards to propose if the deployment has no layout; 0 derives it from the number of executors
 	TTL    clock.Span // time without a join after which the store may assign the shards of a member to others; until its next join the member starts no runs
 	Limits dispatch.Limits
+	Store  record.Limits // of the store
 }
 
 // Intervals, timeouts and sizes of the control goroutine.
@@ -142,8 +144,9 @@
 type ownedShard struct {
 	shard           *dispatch.Shard
 	epoch           unit.Generation
-	restored        bool         // the stored jobs are restored
-	sequence        int64        // sequence number of the last append
+	restored        bool  // the stored jobs are restored
+	sequence        int64 // sequence number of the last append
+	writer          *record.Writer
 	appending       bool         // an append is in flight
 	gainedAt        clock.Millis // when the store had assigned the shard
 	lastAppendAt    clock.Millis // start of the last append, or gainedAt before the first append
@@ -156,7 +159,8 @@
 
 // waiter is a request whose reply is sent after an append.
 type waiter struct {
-	changes int64 // number of changes of the shard that must be stored before
+	job     unit.Job // whose changes it waits for, empty for another request
+	changes int64    // number of changes of the shard that must be stored before
 	replyTo chan<- Reply
 	reply   Reply
 }
--- a/scheduler/control/counters.go
+++ b/scheduler/control/counters.go
@@ -11,17 +11,19 @@
 	Appends       atomic.Int64
 	AppendRetries atomic.Int64
 	AppendMillis  atomic.Int64
-	Records       atomic.Int64
-	Starts        atomic.Int64
-	Stops         atomic.Int64
-	Paces         atomic.Int64
-	Holds         atomic.Int64
-	AdviceCalls   atomic.Int64
-	LoanRequests  atomic.Int64
-	Gains         atomic.Int64
-	Releases      atomic.Int64
-	JoinFailures  atomic.Int64
-	FeedFailures  atomic.Int64
+	// RefusedChanges counts the changes that the store refused for good.
+	RefusedChanges atomic.Int64
+	Records        atomic.Int64
+	Starts         atomic.Int64
+	Stops          atomic.Int64
+	Paces          atomic.Int64
+	Holds          atomic.Int64
+	AdviceCalls    atomic.Int64
+	LoanRequests   atomic.Int64
+	Gains          atomic.Int64
+	Releases       atomic.Int64
+	JoinFailures   atomic.Int64
+	FeedFailures   atomic.Int64
 	// UndecodableRegistrations counts the entries of the list of executors that
 	// were found undecodable, once for as long as they stay so.
 	UndecodableRegistrations atomic.Int64
@@ -35,7 +37,7 @@
 // Publish adds the counters to a map of variables.
 func (c *Counters) Publish(m *expvar.Map) {
 	for name, v := range map[string]*atomic.Int64{
-		"appends": &c.Appends, "appendRetries": &c.AppendRetries, "appendMillis": &c.AppendMillis,
+		"appends": &c.Appends, "appendRetries": &c.AppendRetries, "appendMillis": &c.AppendMillis, "refusedChanges": &c.RefusedChanges,
 		"records": &c.Records, "starts": &c.Starts, "stops": &c.Stops, "paces": &c.Paces, "holds": &c.Holds, "adviceCalls": &c.AdviceCalls, "loanRequests": &c.LoanRequests,
 		"shardGains": &c.Gains, "shardReleases": &c.Releases, "joinFailures": &c.JoinFailures, "feedFailures": &c.FeedFailures,
 		"undecodableRegistrations": &c.UndecodableRegistrations,
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -211,6 +211,7 @@
 		var decodeErrs error
 		err := c.Store.Load(ctx, id, func(r dispatch.Record) { decodeErrs = errors.Join(decodeErrs, set.Add(r)) })
 		if err == nil {
+			decodeErrs = errors.Join(decodeErrs, set.Join())
 			if decodeErrs != nil {
 				c.EventLog.LogChange("records can't be decoded", "shard", id, "err", decodeErrs)
 			}
@@ -233,6 +234,7 @@
 		return
 	}
 	now, wall := c.Clock.Now(), wallNow()
+	owned.writer = record.NewWriter(c.Settings.Store, m.records)
 	owned.shard.Configure(c.config.Load())
 	jobs := m.records.Jobs()
 	for _, j := range jobs {
--- a/scheduler/control/message.go
+++ b/scheduler/control/message.go
@@ -97,9 +97,11 @@
 		err     error
 	}
 	storedMessage struct {
-		shard unit.Shard
-		epoch unit.Generation
-		err   error
+		shard    unit.Shard
+		epoch    unit.Generation
+		sequence int64      // of the last append
+		refused  []unit.Job // jobs whose changes the store refuses for good
+		err      error
 	}
 	orderResultMessage struct {
 		shard  unit.Shard
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -53,13 +53,13 @@
 			m.replyTo <- refusal(err)
 			return
 		}
-		owned.queuedWaiters = append(owned.queuedWaiters, waiter{owned.shard.QueuedChanges(), m.replyTo, Reply{Status: StatusAccepted}})
+		owned.queuedWaiters = append(owned.queuedWaiters, waiter{m.request.Job, owned.shard.QueuedChanges(), m.replyTo, Reply{Status: StatusAccepted}})
 	case KindCancel:
 		if !owned.shard.Cancel(now, wall, m.request.Job) {
 			m.replyTo <- Reply{Status: StatusNotFound}
 			return
 		}
-		owned.queuedWaiters = append(owned.queuedWaiters, waiter{owned.shard.QueuedChanges(), m.replyTo, Reply{Status: StatusAccepted}})
+		owned.queuedWaiters = append(owned.queuedWaiters, waiter{m.request.Job, owned.shard.QueuedChanges(), m.replyTo, Reply{Status: StatusAccepted}})
 	case KindState:
 		m.replyTo <- stateReply(owned.shard, m.request.Job)
 	case KindLend:
@@ -72,7 +72,7 @@
 			m.replyTo <- Reply{Status: StatusRefused, Reason: "a later request was handled before"}
 			return
 		}
-		owned.queuedWaiters = append(owned.queuedWaiters, waiter{owned.shard.QueuedChanges(), m.replyTo, Reply{Status: StatusAccepted, Loans: &loans}})
+		owned.queuedWaiters = append(owned.queuedWaiters, waiter{"", owned.shard.QueuedChanges(), m.replyTo, Reply{Status: StatusAccepted, Loans: &loans}})
 	case KindEvacuate:
 		if borrower, lent := owned.shard.Borrower(m.request.Executor); lent {
 			m.replyTo <- Reply{Status: StatusLent, Borrower: borrower}
--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -23,45 +23,104 @@
 // startAppend encodes the changes of a shard and appends them to the store in
 // another goroutine. It releases the shard if a change can't be encoded.
 func (c *Control) startAppend(owned *ownedShard, now clock.Millis, changes []dispatch.Change) {
-	var records []dispatch.Record
+	groups := make([]record.Group, 0, len(changes)+1)
 	for i := range changes {
-		var err error
-		if records, err = record.Encode(records, &changes[i]); err != nil {
+		g, err := owned.writer.Encode(&changes[i])
+		if err != nil {
 			c.EventLog.LogChange("record can't be encoded", "err", err)
 			c.release(owned, "record can't be encoded")
 			return
 		}
+		groups = append(groups, g)
 	}
 	if models := owned.shard.InterferenceModels(); len(models) > 0 && now >= owned.modelsStoredAt.Add(modelStoreInterval) {
 		owned.modelsStoredAt = now
-		var err error
-		if records, err = record.EncodeInterferenceModels(records, models); err != nil {
+		if g, err := owned.writer.EncodeInterferenceModels(models); err != nil {
 			c.EventLog.LogChange("record can't be encoded", "err", err)
+		} else {
+			groups = append(groups, g)
 		}
 	}
-	owned.sequence++
 	owned.appending, owned.lastAppendAt = true, now
 	// The changes that later waiters depend on are left for another append.
 	n, _ := slices.BinarySearchFunc(owned.queuedWaiters, owned.shard.CollectedChanges()+1, func(w waiter, changes int64) int {
 		return cmp.Compare(w.changes, changes)
 	})
 	owned.inFlightWaiters, owned.queuedWaiters = owned.queuedWaiters[:n:n], owned.queuedWaiters[n:]
-	c.Counters.Appends.Add(1)
-	c.Counters.Records.Add(int64(len(records)))
-	id, epoch, sequence := owned.shard.ID, owned.epoch, owned.sequence
+	a := appender{control: c, shard: owned.shard.ID, epoch: owned.epoch, sequence: owned.sequence, limits: owned.writer.Limits}
 	c.group.Go("append", func(context.Context) error {
-		err := c.appendWithRetry(owned.ctx, id, epoch, sequence, records)
-		c.post(owned.ctx, storedMessage{id, epoch, err})
+		err := a.appendGroups(owned.ctx, groups)
+		c.post(owned.ctx, storedMessage{a.shard, a.epoch, a.sequence, a.refused, err})
 		return nil
 	})
 }
 
+// appender appends groups of records to the store.
+type appender struct {
+	control  *Control
+	shard    unit.Shard
+	epoch    unit.Generation
+	limits   record.Limits
+	sequence int64      // sequence number of the last append that the store accepted
+	refused  []unit.Job // jobs whose records the store refuses for good
+}
+
+// appendGroups appends groups in as few appends as the limits of the store allow. A
+// crash between two of them leaves the later groups unstored, which are those of
+// other jobs.
+func (a *appender) appendGroups(ctx context.Context, groups []record.Group) error {
+	for _, batch := range a.limits.Batches(groups) {
+		if err := a.appendBatch(ctx, batch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// appendBatch stores a batch in one append. If the store refuses it for good, it
+// stores each group on its own and leaves out those that are refused, so that they
+// hold up no others.
+func (a *appender) appendBatch(ctx context.Context, batch []record.Group) error {
+	c := a.control
+	var records []dispatch.Record
+	for i := range batch {
+		records = append(records, batch[i].Records...)
+	}
+	err := error(record.ErrTooLarge)
+	if len(batch) > 1 || a.limits.Fits(&batch[0]) {
+		c.Counters.Appends.Add(1)
+		c.Counters.Records.Add(int64(len(records)))
+		err = c.appendWithRetry(ctx, a.shard, a.epoch, a.sequence+1, records)
+	}
+	switch {
+	case err == nil:
+		a.sequence++
+		return nil
+	case !errors.Is(err, dispatch.ErrRefused) && !errors.Is(err, record.ErrTooLarge):
+		return err
+	case len(batch) == 1:
+		c.Counters.RefusedChanges.Add(1)
+		c.EventLog.LogChange("change can't be stored", "shard", a.shard, "job", batch[0].Job, "records", len(records), "err", err)
+		if batch[0].Job != "" {
+			a.refused = append(a.refused, batch[0].Job)
+		}
+		sleep(ctx, retryInterval) // the shard changes the job again
+		return nil
+	}
+	for i := range batch {
+		if err := a.appendBatch(ctx, batch[i:i+1]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // appendWithRetry retries an append under the same sequence number until it
-// succeeds, is fenced or ctx ends.
+// succeeds, is refused for good, is fenced or ctx ends.
 func (c *Control) appendWithRetry(ctx context.Context, id unit.Shard, epoch unit.Generation, sequence int64, records []dispatch.Record) error {
 	for {
 		err := c.Store.Append(ctx, id, epoch, sequence, records)
-		if err == nil || errors.Is(err, dispatch.ErrFenced) || ctx.Err() != nil {
+		if err == nil || errors.Is(err, dispatch.ErrFenced) || errors.Is(err, dispatch.ErrRefused) || ctx.Err() != nil {
 			return err
 		}
 		c.Counters.AppendRetries.Add(1)
@@ -94,10 +153,27 @@
 		c.release(owned, m.err.Error())
 		return
 	}
-	owned.appending = false
+	owned.appending, owned.sequence = false, m.sequence
 	now := c.Clock.Now()
+	for _, id := range m.refused {
+		owned.shard.HandleRefused(id)
+	}
 	c.Counters.AppendMillis.Add(int64(now.Sub(owned.lastAppendAt)))
 	owned.shard.HandleStored(now)
+	for i := range owned.inFlightWaiters {
+		if w := &owned.inFlightWaiters[i]; slices.Contains(m.refused, w.job) {
+			w.reply = refusedReply(owned.shard, w.job)
+		}
+	}
 	sendReplies(owned.inFlightWaiters)
 	owned.inFlightWaiters = nil
 }
+
+// refusedReply returns the reply to a request whose changes the store refuses for
+// good. A submission that was not stored before never runs.
+func refusedReply(s *dispatch.Shard, id unit.Job) Reply {
+	if !s.HasJob(id) {
+		return Reply{Status: StatusRefused, Reason: record.ErrTooLarge.Error(), RetryAfter: clock.Second}
+	}
+	return Reply{Status: StatusUndetermined, Reason: "change can't be stored"}
+}
--- a/scheduler/control/storing_test.go
+++ b/scheduler/control/storing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -11,6 +12,7 @@
 	"mimosadock/schedule/dispatch"
 	"mimosadock/schedule/group"
 	"mimosadock/schedule/unit"
+	"mimosadock/scheduler/record"
 )
 
 // acceptingStore is a [Store] that accepts all appends. It has no shards to assign.
@@ -38,7 +40,7 @@
 		Store: acceptingStore{},
 	}
 	f.control.Init(f.group)
-	f.owned = &ownedShard{shard: &dispatch.Shard{Limits: dispatch.DefaultLimits}, restored: true, ctx: context.Background()}
+	f.owned = &ownedShard{writer: record.NewWriter(record.Limits{}, new(record.Set)), shard: &dispatch.Shard{Limits: dispatch.DefaultLimits}, restored: true, ctx: context.Background()}
 	f.control.owned[0] = f.owned
 	return f
 }
@@ -124,3 +126,63 @@
 	f.group.Stop()
 	is.NoErr(f.group.Wait())
 }
+
+// refusingStore is a [Store] that refuses appends with a record of some keys for
+// good, as a store does for what it can't take.
+type refusingStore struct {
+	Store
+	refused   string // part of the keys
+	sequences []int64
+	keys      map[string]bool
+}
+
+// Append implements [Store].
+func (s *refusingStore) Append(_ context.Context, _ unit.Shard, _ unit.Generation, sequence int64, records []dispatch.Record) error {
+	for _, r := range records {
+		if strings.Contains(r.Key, s.refused) {
+			return fmt.Errorf("%w: status 400", dispatch.ErrRefused)
+		}
+	}
+	s.sequences = append(s.sequences, sequence)
+	for _, r := range records {
+		s.keys[r.Key] = true
+	}
+	return nil
+}
+
+// Guards against an append that is repeated for ever because the store refuses one
+// record in it, and against a submission that is confirmed, or whose outcome stays
+// open, although its record was left out.
+func TestRefusedRecordsHoldUpNoOthers(t *testing.T) {
+	is := is.New(t)
+	f := newStoringFixture()
+	store := &refusingStore{refused: string(submittedJob(2)), keys: make(map[string]bool)}
+	f.control.Store, f.control.EventLog = store, discardedLog{}
+	f.submit(5)
+	for range 10 {
+		f.tick()
+	}
+	for n, replyTo := range f.replies {
+		is.Equal(len(replyTo), 1)
+		reply := <-replyTo
+		is.Equal(f.stored(n), n != 2)
+		is.Equal(reply.Status == StatusAccepted, n != 2)
+		is.Equal(reply.Status == StatusRefused, n == 2) // it never runs
+		is.Equal(store.keys["d/"+string(submittedJob(n))], n != 2)
+	}
+	is.True(!f.owned.shard.HasJob(submittedJob(2)))
+	for i, sequence := range store.sequences {
+		is.Equal(sequence, int64(i+1))
+	}
+	f.group.Stop()
+	is.NoErr(f.group.Wait())
+}
+
+// discardedLog is an [EventLog] that keeps nothing.
+type discardedLog struct{}
+
+// LogChange implements [EventLog].
+func (discardedLog) LogChange(string, ...any) {}
+
+// LogDecision implements [EventLog].
+func (discardedLog) LogDecision(string, ...any) {}
--- a/scheduler/front/front.go
+++ b/scheduler/front/front.go
@@ -18,6 +18,7 @@
 	"mimosadock/schedule/dispatch"
 	"mimosadock/schedule/unit"
 	"mimosadock/scheduler/control"
+	"mimosadock/scheduler/record"
 )
 
 // Limits of a request.
@@ -53,13 +54,15 @@
 
 // Front handles callers' requests. Set the exported fields before use.
 type Front struct {
-	Router   Router
-	Format   Format
-	Config   func() *dispatch.Config
-	Layout   func() dispatch.Layout
-	Clock    clock.Clock
-	EventLog control.EventLog
-	Counters *Counters
+	Router Router
+	Format Format
+	Config func() *dispatch.Config
+	Layout func() dispatch.Layout
+	// StoreLimits bound the jobs that can be stored.
+	StoreLimits record.Limits
+	Clock       clock.Clock
+	EventLog    control.EventLog
+	Counters    *Counters
 
 	draining atomic.Bool
 	inFlight atomic.Int64
@@ -199,6 +202,9 @@
 	if err != nil {
 		return nil, &response{status: http.StatusBadRequest, job: unit.Job(id), reason: err.Error()}
 	}
+	if err := f.StoreLimits.CheckSize(spec, len(body)); err != nil {
+		return nil, &response{status: http.StatusRequestEntityTooLarge, job: unit.Job(id), reason: err.Error()}
+	}
 	spec.ID, spec.Queue = unit.Job(id), *q
 	return spec, nil
 }
--- a/scheduler/process/process.go
+++ b/scheduler/process/process.go
@@ -27,6 +27,7 @@
 	"mimosadock/scheduler/control"
 	"mimosadock/scheduler/front"
 	"mimosadock/scheduler/peer"
+	"mimosadock/scheduler/record"
 )
 
 // Settings configure the process itself. The platform's settings come from the
@@ -108,7 +109,7 @@
 	counters, requests := new(control.Counters), new(front.Counters)
 	p.control = &control.Control{
 		Settings: control.Settings{
-			Member: member, Shards: p.settings.Shards, TTL: p.ttl(), Limits: p.limits(),
+			Member: member, Shards: p.settings.Shards, TTL: p.ttl(), Limits: p.limits(), Store: p.storeLimits(),
 		},
 		Store: p.store, Layouts: p.store, Owners: p.store, Executors: platform.NewExecutors(),
 		Advisor: platform.NewAdvisor(p.platform.Advisor), Operator: p.store.Operator(),
@@ -123,7 +124,7 @@
 	p.control.Router = directory
 	p.front = &front.Front{
 		Router: directory, Format: platform.Format{}, Config: p.control.Config, Layout: p.control.Layout,
-		Clock: p.clock, EventLog: p.eventLog, Counters: requests,
+		StoreLimits: p.storeLimits(), Clock: p.clock, EventLog: p.eventLog, Counters: requests,
 	}
 	p.server = peer.NewServer(p.control)
 	p.vars = new(expvar.Map)
@@ -131,6 +132,11 @@
 	requests.Publish(p.vars)
 }
 
+// storeLimits returns what the store accepts.
+func (p *Process) storeLimits() record.Limits {
+	return record.Limits{Record: p.platform.Store.RecordBytes, Request: p.platform.Store.RequestBytes}
+}
+
 // ttl returns the time without a join after which the store may assign the shards
 // of this process to others.
 func (p *Process) ttl() clock.Span { return max(p.settings.TTL, p.platform.Store.MinTTL) }
--- a/scheduler/record/record.go
+++ b/scheduler/record/record.go
@@ -2,7 +2,8 @@
 // interference models and the layout of shards for the store.
 //
 // A job has two keyed records: its spec, which is written once, and its state,
-// which is written after each change. All records are CBOR. The numbers of their
+// which is written after each change. A value that is larger than a record is
+// stored in parts, see [Writer]. All records are CBOR. The numbers of their
 // fields must not change.
 package record
 
@@ -47,12 +48,13 @@
 	Failures   int
 }
 
-// Encode appends the records of a change to dst. A record without a value deletes
-// its key.
-func Encode(dst []dispatch.Record, c *dispatch.Change) ([]dispatch.Record, error) {
+// encode returns the records of a change, with or without the checkpoints of tasks.
+// A record without a value deletes its key.
+func encode(c *dispatch.Change, withCheckpoints bool) ([]dispatch.Record, error) {
+	var dst []dispatch.Record
 	switch {
 	case c.Loan != nil:
-		return encodeLoan(dst, c)
+		return encodeLoan(c)
 	case c.Leases != nil:
 		b, err := cbor.Marshal(c.Leases)
 		if err != nil {
@@ -71,7 +73,7 @@
 		}
 		dst = append(dst, dispatch.Record{Key: specKey, Value: b})
 	}
-	b, err := cbor.Marshal(newState(c.Job))
+	b, err := cbor.Marshal(newState(c.Job, withCheckpoints))
 	if err != nil {
 		return nil, fmt.Errorf("state of %s: %w", c.ID, err)
 	}
@@ -82,22 +84,22 @@
 	return dst, nil
 }
 
-// encodeLoan appends the record of a loan to dst.
-func encodeLoan(dst []dispatch.Record, c *dispatch.Change) ([]dispatch.Record, error) {
+// encodeLoan returns the record of a loan.
+func encodeLoan(c *dispatch.Change) ([]dispatch.Record, error) {
 	key := loanPrefix + string(c.Loan.Executor)
 	if c.Drop {
-		return append(dst, dispatch.Record{Key: key}), nil
+		return []dispatch.Record{{Key: key}}, nil
 	}
 	b, err := cbor.Marshal(c.Loan)
 	if err != nil {
 		return nil, fmt.Errorf("loan of %s: %w", c.Loan.Executor, err)
 	}
-	return append(dst, dispatch.Record{Key: key, Value: b}), nil
+	return []dispatch.Record{{Key: key, Value: b}}, nil
 }
 
 // newState returns the record of a job's state. It leaves out the executors and
 // checkpoints of tasks that are done.
-func newState(j *dispatch.Job) *state {
+func newState(j *dispatch.Job, withCheckpoints bool) *state {
 	s := &state{Queue: j.Queue, State: j.State, AcceptedAt: j.AcceptedAt, EndedAt: j.EndedAt}
 	type incarnation struct {
 		id        unit.Executor
@@ -120,7 +122,7 @@
 					}
 					r.Executor = indexes[x]
 				}
-				if t.Checkpoint != "" && t.State != dispatch.TaskDone {
+				if withCheckpoints && t.Checkpoint != "" && t.State != dispatch.TaskDone {
 					s.Checkpoints = append(s.Checkpoints, t.Checkpoint)
 					r.Checkpoint = len(s.Checkpoints)
 				}
@@ -156,12 +158,15 @@
 	Loans              []dispatch.Loan
 	Leases             *dispatch.LeaseRecord // nil if there is none
 
-	jobs map[unit.Job]*SavedJob
+	jobs    map[unit.Job]*SavedJob
+	divided map[string]int            // number of parts of each value that is stored in parts
+	parts   map[string]map[int][]byte // by the key of the value and the number of the part
 }
 
 // Add decodes a record and adds it to the set. It ignores a record without a
 // value. It returns an error for an unknown kind of key, and for a value that
-// can't be decoded or is inconsistent.
+// can't be decoded or is inconsistent. After the last record, [Set.Join] adds the
+// values that are stored in parts.
 func (s *Set) Add(r dispatch.Record) error {
 	if len(r.Value) == 0 {
 		return nil
@@ -169,6 +174,9 @@
 	if s.jobs == nil {
 		s.jobs = make(map[unit.Job]*SavedJob)
 	}
+	if s.addPart(r) || s.addDivided(r) {
+		return nil
+	}
 	if r.Key == modelsKey {
 		if err := cbor.Unmarshal(r.Value, &s.InterferenceModels); err != nil {
 			return fmt.Errorf("record %s: %w", r.Key, err)
--- a/scheduler/record/record_test.go
+++ b/scheduler/record/record_test.go
@@ -20,12 +20,14 @@
 }
 
 // storeAndLoad encodes changes in order and decodes the newest record of each key.
-func storeAndLoad(is *is.I, changes []dispatch.Change) *Set {
+func storeAndLoad(is *is.I, limits Limits, changes []dispatch.Change) *Set {
 	newest := make(map[string][]byte)
+	w := NewWriter(limits, new(Set))
 	for i := range changes {
-		records, err := Encode(nil, &changes[i])
+		g, err := w.Encode(&changes[i])
 		is.NoErr(err)
-		for _, r := range records {
+		for _, r := range g.Records {
+			is.True(limits.Record == 0 || unit.Bytes(recordOverhead+len(r.Key)+len(r.Value)) <= limits.Record)
 			newest[r.Key] = r.Value
 		}
 	}
@@ -33,6 +35,7 @@
 	for k, v := range newest {
 		is.NoErr(set.Add(dispatch.Record{Key: k, Value: v}))
 	}
+	is.NoErr(set.Join())
 	return set
 }
 
@@ -51,7 +54,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			set := storeAndLoad(is, c.changes)
+			set := storeAndLoad(is, Limits{}, c.changes)
 			jobs := set.Jobs()
 			is.Equal(len(jobs), c.jobs)
 			if c.jobs == 0 {
@@ -72,9 +75,9 @@
 		Member: "b", Lease: 6000, Renewal: 1000, TTL: 1100, Bounds: []dispatch.LeaseBound{{Executor: "x", Remaining: 4321}},
 		References: []dispatch.ReferenceClock{{Executor: "y", Incarnation: 7, Reading: 99}},
 	}
-	set := storeAndLoad(is, []dispatch.Change{{Leases: first}, {Leases: last}})
+	set := storeAndLoad(is, Limits{}, []dispatch.Change{{Leases: first}, {Leases: last}})
 	is.Equal(set.Leases, last)
-	is.Equal(storeAndLoad(is, nil).Leases, (*dispatch.LeaseRecord)(nil)) // a version that stores none
+	is.Equal(storeAndLoad(is, Limits{}, nil).Leases, (*dispatch.LeaseRecord)(nil)) // a version that stores none
 }
 
 // TestLoans guards against a successor that uses an executor which is lent, or
@@ -92,7 +95,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			set := storeAndLoad(is, c.changes)
+			set := storeAndLoad(is, Limits{}, c.changes)
 			is.Equal(set.Loans, c.want)
 		})
 	}
@@ -113,7 +116,7 @@
 // FuzzAdd guards against a panic on records that another version of the software
 // wrote.
 func FuzzAdd(f *testing.F) {
-	records, err := Encode(nil, &dispatch.Change{ID: "j", Job: jobOf(dispatch.JobRunning), Spec: &dispatch.Spec{ID: "j"}})
+	records, err := encode(&dispatch.Change{ID: "j", Job: jobOf(dispatch.JobRunning), Spec: &dispatch.Spec{ID: "j"}}, true)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -123,6 +126,7 @@
 	f.Fuzz(func(_ *testing.T, key string, value []byte) {
 		var s Set
 		_ = s.Add(dispatch.Record{Key: key, Value: value}) // an error is allowed, a panic is not
+		_ = s.Join()
 		s.Jobs()
 	})
 }
