Count a failed run of a gang once

A gang was shown as failed after one failed run, with max_attempts 2.

Cause: failTask added up the failures of all members, so that a run counted as often as members failed in it.

Change: a step keeps the number of runs of its gang in which a member failed, and the last of them. The record of the job has both in a new field, since two owners can read the ends of one run. From a record without it, the count starts with the largest number of failures of one member.

The test fixture numbers ends on after some were acknowledged.

--- a/schedule/dispatch/incarnation_test.go
+++ b/schedule/dispatch/incarnation_test.go
@@ -20,6 +20,7 @@
 	running      map[TaskID]unit.Run
 	paces        map[TaskID]unit.Percent
 	finished     []FinishedRun
+	lastEnd      unit.EndNumber
 	silent       bool    // x0 carries out orders, and its answers are lost
 	ignoresStops bool    // x0 confirms stops without carrying them out
 	received     []Order // by x0
@@ -40,7 +41,7 @@
 	f.startedAt = f.now - 1
 	clear(f.running)
 	clear(f.paces)
-	f.finished = nil
+	f.finished, f.lastEnd = nil, 0
 }
 
 // runFor is [fixture.runFor] with x0 as a restartable executor.
@@ -98,7 +99,8 @@
 
 // end ends a run on x0.
 func (f *restartFixture) end(id TaskID, kind EndKind) {
-	f.finished = append(f.finished, FinishedRun{Number: unit.EndNumber(len(f.finished) + 1), Task: id, Run: f.running[id], Kind: kind})
+	f.lastEnd++
+	f.finished = append(f.finished, FinishedRun{Number: f.lastEnd, Task: id, Run: f.running[id], Kind: kind})
 	delete(f.running, id)
 }
 
--- a/schedule/dispatch/job.go
+++ b/schedule/dispatch/job.go
@@ -49,11 +49,42 @@
 // StepState holds the tasks of a step.
 type StepState struct {
 	Tasks []Task
+	Gang  GangFailures // of a step whose tasks are a gang
 
 	unblocked bool // all steps that it depends on are done
 	remaining int  // tasks that are not done
 }
 
+// GangFailures counts the failed runs of a gang. The members share the number of a
+// run, which fails once however many of them fail in it.
+type GangFailures struct {
+	Failed  int      // runs in which a member failed
+	LastRun unit.Run // last run in which a member failed, 0 if there is none
+}
+
+// add counts a failure of a member in a run. Ends of earlier runs can be read after
+// those of later ones only if the run was given up, which the caller excludes.
+func (g *GangFailures) add(run unit.Run) {
+	if run > g.LastRun {
+		g.Failed, g.LastRun = g.Failed+1, run
+	}
+}
+
+// restoreGang counts the failed runs of a gang whose record is that of a version
+// without the count. A member failed at most once in each of them.
+func (s *StepState) restoreGang() {
+	for i := range s.Tasks {
+		t := &s.Tasks[i]
+		if t.Failures <= s.Gang.Failed {
+			continue
+		}
+		s.Gang = GangFailures{Failed: t.Failures, LastRun: t.Run}
+		if t.State.assigned() {
+			s.Gang.LastRun-- // the current run has not failed
+		}
+	}
+}
+
 // done reports whether all tasks of o are done.
 func (o *Occurrence) done() bool {
 	for i := range o.Steps {
--- a/schedule/dispatch/restore.go
+++ b/schedule/dispatch/restore.go
@@ -34,6 +34,9 @@
 					o.Steps[i].remaining++
 				}
 			}
+			if spec.Steps[i].Gang {
+				o.Steps[i].restoreGang()
+			}
 		}
 		s.unblockSteps(now, id, row, k)
 	}
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -437,9 +437,8 @@
 	o.Steps[id.Step].remaining = 0
 }
 
-// failTask counts a failed run and requeues its task. The job fails if the
-// task, or the tasks of the gang together, reached the maximum number of
-// attempts. Perpetual tasks have no maximum.
+// failTask counts a failed run and requeues its task. The job fails if the task or
+// its gang reached the maximum number of attempts. Perpetual tasks have no maximum.
 func (s *Shard) failTask(now clock.Millis, wall unit.UnixMillis, id TaskID, j *Job, st *Step, t *Task, e *Executor) {
 	t.Failures++
 	t.avoidedExecutor = e.Executor
@@ -451,10 +450,9 @@
 	}
 	failures := t.Failures
 	if st.Gang {
-		failures = 0
-		for i := range j.Occurrences[id.Occurrence].Steps[id.Step].Tasks {
-			failures += j.Occurrences[id.Occurrence].Steps[id.Step].Tasks[i].Failures
-		}
+		gang := &j.Occurrences[id.Occurrence].Steps[id.Step].Gang
+		gang.add(t.Run)
+		failures = gang.Failed
 	}
 	s.requeueTask(now, id, j, t, e)
 	if !st.Perpetual && !j.State.Ended() && failures >= max(1, s.queue(j).MaxAttempts) {
--- a/schedule/dispatch/simulation_test.go
+++ b/schedule/dispatch/simulation_test.go
@@ -188,7 +188,7 @@
 	for k := range c.Job.Occurrences {
 		var o Occurrence
 		for _, st := range c.Job.Occurrences[k].Steps {
-			var s StepState
+			s := StepState{Gang: st.Gang}
 			for _, t := range st.Tasks {
 				s.Tasks = append(s.Tasks, Task{
 					State: t.State, Run: t.Run, Executor: t.Executor, Incarnation: t.Incarnation, Checkpoint: t.Checkpoint, Failures: t.Failures,
--- a/scheduler/record/record.go
+++ b/scheduler/record/record.go
@@ -36,6 +36,16 @@
 	Executors   []unit.Executor   `cbor:"6,keyasint,omitempty"` // referenced by index from the tasks
 	Lives       []unit.UnixMillis `cbor:"7,keyasint,omitempty"` // start times of the executors, by the same index
 	Checkpoints []unit.Checkpoint `cbor:"8,keyasint,omitempty"` // referenced by index from the tasks
+	Gangs       []gang            `cbor:"9,keyasint,omitempty"` // those with failures
+}
+
+// gang is the record of the failures of a gang.
+type gang struct {
+	_          struct{} `cbor:",toarray"`
+	Occurrence int
+	Step       int
+	Failed     int
+	LastRun    unit.Run
 }
 
 // task is the record of a task.
@@ -109,6 +119,9 @@
 	for k := range j.Occurrences {
 		steps := make([][]task, len(j.Occurrences[k].Steps))
 		for i := range steps {
+			if f := j.Occurrences[k].Steps[i].Gang; f.Failed > 0 {
+				s.Gangs = append(s.Gangs, gang{Occurrence: k, Step: i, Failed: f.Failed, LastRun: f.LastRun})
+			}
 			tasks := j.Occurrences[k].Steps[i].Tasks
 			steps[i] = make([]task, len(tasks))
 			for n := range tasks {
@@ -268,5 +281,11 @@
 		}
 		j.Occurrences = append(j.Occurrences, o)
 	}
+	for _, g := range s.Gangs {
+		if g.Occurrence < 0 || g.Occurrence >= len(j.Occurrences) || g.Step < 0 || g.Step >= len(j.Occurrences[g.Occurrence].Steps) {
+			return j, fmt.Errorf("gang %d.%d does not exist", g.Occurrence, g.Step)
+		}
+		j.Occurrences[g.Occurrence].Steps[g.Step].Gang = dispatch.GangFailures{Failed: g.Failed, LastRun: g.LastRun}
+	}
 	return j, nil
 }
--- a/scheduler/record/record_test.go
+++ b/scheduler/record/record_test.go
@@ -15,7 +15,7 @@
 			{State: dispatch.TaskRunning, Run: 3, Executor: "x", Incarnation: 7, Checkpoint: "c", Failures: 1},
 			{State: dispatch.TaskDone, Run: 1},
 			{State: dispatch.TaskReady},
-		}}}}},
+		}, Gang: dispatch.GangFailures{Failed: 2, LastRun: 3}}}}},
 	}
 }
 
