Take entries and tickets for the incarnation that they name

Cause: after an answer had shown a restart, the capacity and the labels of the former incarnation were in use until the entry of the new one came, which may be of another kind. A late entry of the former incarnation counted as one more restart and set the start time back. A ticket of the advisor was taken for the incarnation at the response, not for the one that the call was about.

Change: an executor takes new runs only while its entry describes the current incarnation. An entry of an ended incarnation changes nothing. A ticket is kept for the incarnation at the request.

TestEndsOfALaterIncarnationAreKept now registers the new incarnation, as executors do.

--- a/schedule/dispatch/advice.go
+++ b/schedule/dispatch/advice.go
@@ -82,9 +82,10 @@
 // it. The zero value is ready to use.
 type adviceTracker struct {
 	eligible map[stepKey]*eligibility
-	needed   bool         // a queue has an advice policy
-	inFlight bool         // a call has no response yet
-	retryAt  clock.Millis // earliest time of the next call
+	needed   bool                              // a queue has an advice policy
+	inFlight bool                              // a call has no response yet
+	retryAt  clock.Millis                      // earliest time of the next call
+	asked    map[unit.Executor]unit.UnixMillis // incarnations that the call in flight is about
 }
 
 // requestAdvice sends a request to the advisor for the most urgent step that has
@@ -104,6 +105,7 @@
 		}
 		if names := s.adviceCandidates(now, k, j, pools[s.queue(j).Service]); len(names) > 0 {
 			s.advice.inFlight = true
+			s.advice.asked = s.incarnationsOf(names)
 			id := StepID{k.job, k.occurrence, k.step}
 			s.pendingOrders = append(s.pendingOrders, Order{Advise: &AdviceRequest{id, names}})
 			s.report(Event{Kind: "adviceAsked", Task: TaskID{Job: k.job, Occurrence: k.occurrence, Step: k.step}})
@@ -112,6 +114,17 @@
 	}
 }
 
+// incarnationsOf returns the current incarnations of executors.
+func (s *Shard) incarnationsOf(ids []unit.Executor) map[unit.Executor]unit.UnixMillis {
+	out := make(map[unit.Executor]unit.UnixMillis, len(ids))
+	for _, id := range ids {
+		if e := s.executors.Get(id); e != nil {
+			out[id] = e.Incarnation
+		}
+	}
+	return out
+}
+
 // adviceCandidates returns the executors for the next call for a step, at most
 // adviceBatchSize. It returns none if the executors with tickets have capacity
 // for all waiting tasks. Executors whose ticket has expired come first. Executors
@@ -221,8 +234,8 @@
 		t, allowed := response.Tickets[id]
 		known.allowed[id] = allowed
 		delete(known.tickets, id)
-		if e := s.executors.Get(id); allowed && e != nil {
-			known.tickets[id] = ticket{t, e.Incarnation, now.Add(response.Valid)}
+		if incarnation, ok := s.advice.asked[id]; allowed && ok {
+			known.tickets[id] = ticket{t, incarnation, now.Add(response.Valid)}
 		}
 	}
 }
--- a/schedule/dispatch/advice_test.go
+++ b/schedule/dispatch/advice_test.go
@@ -107,3 +107,30 @@
 	f.runFor(3 * clock.Second)
 	is.Equal(f.shard.ticketOf(f.now, k, e), unit.Ticket("")) // expired
 }
+
+// Guards against a ticket for an incarnation that has ended while the call to the
+// advisor was in flight: a start with it is refused.
+func TestTicketsNameTheIncarnationThatWasAsked(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1)
+	f.allowed, f.ticketValidity, f.adviceUnanswered = map[unit.Executor]bool{"x0": true}, 2000, true
+	f.submitAdvised("j", Step{Count: 1, Size: resources(1000)})
+	var request *AdviceRequest
+	for range 10 {
+		_, orders := f.shard.Tick(f.now, unit.UnixMillis(f.now), true)
+		f.shard.HandleStored(f.now)
+		for _, o := range orders {
+			if o.Advise != nil {
+				request = o.Advise
+			}
+		}
+		f.now += 20
+	}
+	is.True(request != nil)
+	e := f.shard.executors.Get("x0")
+	entry := e.Registration
+	entry.Incarnation = 2
+	f.shard.ApplyRegistrations(f.now, Registrations{Entries: []Registration{entry}}, anyExecutor)
+	f.shard.HandleAdvice(f.now, request, &AdviceResponse{Tickets: map[unit.Executor]unit.Ticket{"x0": "t"}, Valid: 2000}, nil)
+	is.Equal(f.shard.ticketOf(f.now, stepKey{"j", 0, 0}, e), unit.Ticket(""))
+}
--- a/schedule/dispatch/incarnation_test.go
+++ b/schedule/dispatch/incarnation_test.go
@@ -44,6 +44,13 @@
 	f.finished, f.lastEnd = nil, 0
 }
 
+// register passes the entry of the current incarnation of x0 to the shard.
+func (f *restartFixture) register() {
+	entry := f.shard.executors.Get("x0").Registration
+	entry.Incarnation = f.incarnation
+	f.shard.ApplyRegistrations(f.now, Registrations{Entries: []Registration{entry}}, anyExecutor)
+}
+
 // runFor is [fixture.runFor] with x0 as a restartable executor.
 func (f *restartFixture) runFor(span clock.Span) {
 	for end := f.now.Add(span); f.now < end; f.now += 20 {
@@ -220,10 +227,55 @@
 		is.True(o.Hold == nil || o.Hold.LastSeen == 0)
 	}
 	f.silent = false
+	f.register()
 	f.runFor(2 * clock.Second)
 	is.Equal(len(f.running)+f.countRuns("j"), 8)
 }
 
+// Guards against runs on an executor whose capacity and labels are those of a former
+// incarnation, and against an entry of a former incarnation that undoes a restart.
+func TestEntriesDescribeOneIncarnation(t *testing.T) {
+	entry := func(incarnation unit.UnixMillis, label unit.Label) Registrations {
+		return Registrations{Entries: []Registration{{
+			Executor: "x0", Service: "s", Address: "a", Incarnation: incarnation, Labels: []unit.Label{label, "r0"}, Capacity: unit.Resources{CPU: 8000, Memory: 16000},
+		}}}
+	}
+	for name, c := range map[string]struct {
+		entries     []Registrations // after an answer has shown the restart
+		incarnation unit.UnixMillis
+		former, now int // runs that need the label of the former incarnation, and of the new one
+	}{
+		"no entry yet":       {nil, 2, 0, 0},
+		"late entry":         {[]Registrations{entry(1, "a")}, 2, 0, 0},
+		"new entry":          {[]Registrations{entry(2, "b")}, 2, 0, 1},
+		"new and late entry": {[]Registrations{entry(2, "b"), entry(1, "a")}, 2, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRestartFixture()
+			f.shard.ApplyRegistrations(f.now, Registrations{Removed: []unit.Executor{"x1"}}, anyExecutor)
+			f.runFor(reregistrationGrace + clock.Second)
+			f.submit("before", Step{Count: 1, Size: resources(100), Needs: "a"})
+			f.runFor(200)
+			f.restart()
+			f.runFor(clock.Second) // holds show it
+			f.submit("former", Step{Count: 1, Size: resources(100), Needs: "a"})
+			f.submit("now", Step{Count: 1, Size: resources(100), Needs: "b"})
+			for _, r := range c.entries {
+				f.shard.ApplyRegistrations(f.now, r, anyExecutor)
+			}
+			f.runFor(clock.Second)
+			is.Equal(f.shard.executors.Get("x0").Incarnation, c.incarnation)
+			runs := map[unit.Job]int{}
+			for id := range f.running {
+				runs[id.Job]++
+			}
+			is.Equal(runs["former"], c.former)
+			is.Equal(runs["now"], c.now)
+		})
+	}
+}
+
 // Guards against an answer of one incarnation that is applied to another one under
 // the same id.
 func TestAnswersOfOtherIncarnationsChangeNoRuns(t *testing.T) {
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -17,22 +17,23 @@
 const suspectPeriod = 4 * clock.Second
 
 // applyRegistration records an executor's entry in the platform's list. A new
-// start time means that the executor has restarted.
+// start time means that the executor has restarted. An entry of an incarnation that
+// has ended changes nothing: an answer of the next one can come before its entry.
 func (s *Shard) applyRegistration(now clock.Millis, r Registration) {
 	e := s.executors.Get(r.Executor)
 	if e == nil {
 		e = s.executors.Put(r.Executor, Executor{restarts: s.removedRestarts[r.Executor]})
 	}
+	if slices.Contains(e.formerIncarnations, r.Incarnation) {
+		return
+	}
 	if r.Draining && !e.Draining {
 		e.drainingSince = now
 		s.report(Event{Kind: "draining", Executor: r.Executor})
 	}
 	previous := e.Incarnation
-	e.Registration, e.registered = r, true
+	e.Registration, e.registered, e.describes = r, true, r.Incarnation
 	s.markAvailable(e)
-	if e.Incarnation == 0 {
-		e.Incarnation = previous
-	}
 	if previous != 0 && e.Incarnation != previous {
 		s.handleRestart(now, e, previous)
 	}
