Restart executors of the soak under their ids and addresses, without answers

The soak gave an executor that restarted a new address, so that no order reached a later incarnation than the one it was made for. An executor now keeps its address, and one after the other restarts while it carries out orders and its answers are lost.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -12,11 +12,11 @@
 // Proxy forwards TCP connections on loopback and can inject faults. Use
 // [OpenProxy].
 type Proxy struct {
-	target   string
 	listener net.Listener
 	group    *group.Group
 
 	mu          sync.Mutex
+	target      string
 	conns       map[net.Conn]bool
 	delay       time.Duration // added to each read of data
 	dropAll     bool          // drops the data of both directions
@@ -44,6 +44,9 @@
 	_ = p.group.Wait() // copying ends with the connections
 }
 
+// SetTarget sets the address to which later connections are forwarded.
+func (p *Proxy) SetTarget(address string) { p.withLock(func() { p.target = address }) }
+
 // SetDelay sets the delay of all data. Zero means no delay.
 func (p *Proxy) SetDelay(d time.Duration) { p.withLock(func() { p.delay = d }) }
 
@@ -92,7 +95,9 @@
 }
 
 func (p *Proxy) serve(in net.Conn) {
-	out, err := net.DialTimeout("tcp4", p.target, time.Second)
+	var target string
+	p.withLock(func() { target = p.target })
+	out, err := net.DialTimeout("tcp4", target, time.Second)
 	if err != nil {
 		_ = in.Close() // the client detects it
 		return
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -54,7 +54,7 @@
 }
 
 // executor is a simulated executor behind a proxy. It can crash and restart
-// under the same id, or leave and be replaced by one with another id.
+// under the same id and address, or leave and be replaced by one with another id.
 type executor struct {
 	scenario      *scenario
 	mu            sync.Mutex
@@ -79,6 +79,10 @@
 		Perpetual:  e.scenario.checker.IsPerpetual,
 		MaxRuns:    maxRuns,
 		AdvertisedAddress: func(address string) string {
+			if e.proxy != nil {
+				e.proxy.SetTarget(address)
+				return e.proxy.Address()
+			}
 			p, err := OpenProxy(address)
 			if err != nil {
 				e.scenario.t.Error(err)
@@ -107,14 +111,20 @@
 	return time.Duration(e.rng.Int63n(int64(e.maxOrderDelay)))
 }
 
-// crash ends the instance, if there is one, and its proxy.
+// crash ends the instance, if there is one, and its connections.
 func (e *executor) crash() {
 	if instance, proxy := e.take(""); instance != nil {
 		instance.Close()
-		proxy.Close()
+		proxy.Reset()
 	}
 }
 
+// close ends the instance, if there is one, and its proxy.
+func (e *executor) close() {
+	e.crash()
+	e.changeProxy((*Proxy).Close)
+}
+
 // leave makes the instance leave the service and reports whether there was one.
 // The next instance has the given id.
 func (e *executor) leave(next string) bool {
@@ -134,7 +144,7 @@
 	defer e.mu.Unlock()
 	instance, proxy := e.instance, e.proxy
 	if instance != nil && next != "" {
-		e.id = next
+		e.id, e.proxy = next, nil
 	}
 	e.instance = nil
 	return instance, proxy
@@ -147,11 +157,11 @@
 	return e.id
 }
 
-// changeProxy calls f with the proxy, if there is an instance.
+// changeProxy calls f with the proxy, if there is one. It stays over a crash.
 func (e *executor) changeProxy(f func(*Proxy)) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.instance != nil {
+	if e.proxy != nil {
 		f(e.proxy)
 	}
 }
@@ -182,7 +192,7 @@
 		p.kill()
 	}
 	for _, e := range s.executors {
-		e.crash()
+		e.close()
 	}
 	s.store.Close()
 }
@@ -256,6 +266,25 @@
 	}
 }
 
+// restartExecutors makes executors restart one after the other, under their ids and
+// addresses, while they carry out orders and their answers are lost.
+func (s *scenario) restartExecutors(r *rand.Rand, end time.Time) {
+	for time.Now().Before(end) {
+		e := s.executors[r.Intn(len(s.executors))]
+		before, down, after := time.Duration(r.Intn(1000))*time.Millisecond, time.Duration(r.Intn(400))*time.Millisecond, time.Duration(r.Intn(2500))*time.Millisecond
+		e.changeProxy(func(p *Proxy) { p.SetDropAnswers(true) })
+		s.runFault("restart without answers of "+e.name(), before+down+after, func() {
+			e.changeProxy(func(p *Proxy) { p.ClearFaults(); p.Reset() })
+		}, func() {
+			time.Sleep(before)
+			e.crash()
+			time.Sleep(down)
+			e.open()
+		})
+		time.Sleep(time.Duration(r.Intn(800)) * time.Millisecond)
+	}
+}
+
 // newExecutorID returns the id of the nth new executor, which is in the given
 // shard.
 func newExecutorID(n int, shard unit.Shard) string {
@@ -266,13 +295,18 @@
 	}
 }
 
-// runFault records a fault that has started, waits for its duration and ends it.
-func (s *scenario) runFault(name string, duration time.Duration, end func()) {
+// runFault records a fault that has started, runs its steps, waits until it has
+// lasted for its duration and ends it.
+func (s *scenario) runFault(name string, duration time.Duration, end func(), steps ...func()) {
+	startedAt := time.Now()
 	s.checker.RecordFault()
 	s.mu.Lock()
 	s.faultLog = append(s.faultLog, fmt.Sprintf("%.1f s: %s for %v", time.Since(s.startedAt).Seconds(), name, duration))
 	s.mu.Unlock()
-	time.Sleep(duration)
+	for _, step := range steps {
+		step()
+	}
+	time.Sleep(time.Until(startedAt.Add(duration)))
 	end()
 	s.checker.RecordFaultEnd(time.Now())
 }
@@ -324,6 +358,10 @@
 		s.replaceExecutors(rand.New(rand.NewSource(seed+3)), end)
 		return nil
 	})
+	s.faultGroup.Go("restart", func(context.Context) error {
+		s.restartExecutors(rand.New(rand.NewSource(seed+4)), end)
+		return nil
+	})
 	faultRNG := rand.New(rand.NewSource(seed + 2))
 	for time.Now().Before(end) {
 		name, duration, endFault := s.injectFault(faultRNG)
--- a/standin/fleet/executor.go
+++ b/standin/fleet/executor.go
@@ -234,7 +234,7 @@
 			}
 		}
 		status, reason := x.execute(f, &o)
-		writeJSON(w, status, map[string]any{"clock_ms": x.clockMillis(), "born": x.startedAt.UnixMilli(), "reason": reason})
+		writeJSON(w, status, map[string]any{"clock_ms": x.clockMillis(), "reason": reason})
 	}
 }
 
