Order maintenance only on the current status of an evacuation

An upkeep ended four tasks at work of a step with miss_budget 1, after the machines API had been unavailable for 4.9 s.

Cause: after a refused order, or one without an answer, the order was repeated on the status of the evacuation from before. The evacuation lapses 3 s after the last request, and the executor had new tasks.

Change: a status names its executor and the time of its request, counts for a second, and a refused order needs a new one.

--- a/schedule/maintenance/plan.go
+++ b/schedule/maintenance/plan.go
@@ -21,6 +21,10 @@
 	// evacuationTimeShare is the share of a batch's time that the evacuation of
 	// its machines may take.
 	evacuationTimeShare = 0.5
+	// maxStatusAge is how long the status of an evacuation counts, from the request
+	// on. The executor gets new runs 3 s after the last request, and an order to go
+	// down may take 2 s.
+	maxStatusAge = clock.Second
 	// retryDelay is the delay before another call for a machine after its order
 	// failed or while it is down for another reason.
 	retryDelay = 500 * clock.Millisecond
@@ -54,7 +58,8 @@
 	nextCallAt   clock.Millis // earliest time of the next call
 	callInFlight bool
 	status       EvacuationStatus // last status from the owner of the executor
-	hasStatus    bool             // status was received
+	evacuated    unit.Executor    // executor that status is about, empty if none was received
+	requestedAt  clock.Millis     // when status was requested
 }
 
 // Add adds a wave to the plan. It ignores a wave whose number the plan has.
@@ -145,7 +150,7 @@
 			if m, ok := p.machines[r.machine]; ok && !m.Up {
 				continue
 			}
-			r.state, r.stateSince, r.hasStatus = Evacuating, now, false
+			r.state, r.stateSince, r.evacuated = Evacuating, now, ""
 			active++
 		}
 		if r.state == Evacuating && !r.callInFlight && now >= r.nextCallAt {
@@ -167,12 +172,18 @@
 	case !m.Up || m.Executor == "":
 		r.nextCallAt = now.Add(retryDelay) // the machine is down for another reason
 		return actions
-	case r.hasStatus && (r.status.Remaining == 0 || r.status.Blocking == 0 && now.Sub(r.stateSince) >= w.evacuationTimeout()):
+	case r.hasStatus(now, m.Executor) && (r.status.Remaining == 0 || r.status.Blocking == 0 && now.Sub(r.stateSince) >= w.evacuationTimeout()):
 		r.state, r.stateSince, r.callInFlight = Ordered, now, true
 		return append(actions, Action{Begin: &Order{r.machine, m.Executor, w.Number}})
 	}
 	r.callInFlight, r.nextCallAt = true, now.Add(evacuationPollInterval)
-	return append(actions, Action{Evacuate: &EvacuationRequest{r.machine, m.Executor, w.Number}})
+	return append(actions, Action{Evacuate: &EvacuationRequest{r.machine, m.Executor, w.Number, now}})
+}
+
+// hasStatus reports whether the last status is about an executor and recent enough
+// for an order.
+func (r *machineProgress) hasStatus(now clock.Millis, e unit.Executor) bool {
+	return r.evacuated == e && now.Sub(r.requestedAt) <= maxStatusAge
 }
 
 // evacuationTimeout returns how long an evacuation waits for tasks to end. The
@@ -217,7 +228,7 @@
 	}
 	r.callInFlight = false
 	if err == nil {
-		r.status, r.hasStatus = status, true
+		r.status, r.evacuated, r.requestedAt = status, e.Executor, e.RequestedAt
 	}
 }
 
@@ -239,8 +250,8 @@
 		r.state, r.stateSince = Done, now // the platform excludes it from the wave
 	case Busy, Unknown:
 		// If the order was carried out, the outcome of a repeated order is
-		// Begun.
-		r.state, r.nextCallAt = Evacuating, now.Add(retryDelay)
+		// Begun. The evacuation may have lapsed meanwhile.
+		r.state, r.nextCallAt, r.evacuated = Evacuating, now.Add(retryDelay), ""
 	}
 }
 
--- a/schedule/maintenance/plan_test.go
+++ b/schedule/maintenance/plan_test.go
@@ -220,3 +220,55 @@
 		})
 	}
 }
+
+// Guards against an order to go down on the status of an evacuation that has lapsed
+// since: the executor may have new tasks, which the order would end.
+func TestOrdersNeedACurrentEvacuation(t *testing.T) {
+	for name, c := range map[string]struct {
+		outcome   Outcome    // of the orders for 5 s
+		took      clock.Span // by each of them
+		evacuated bool       // calls to the owner succeed meanwhile
+		replaced  bool       // another executor is on the machine after that
+	}{
+		"busy":                         {Busy, 50, true, false},
+		"no response":                  {Unknown, 2000, true, false},
+		"owner does not answer either": {Unknown, 50, false, false},
+		"other executor":               {Busy, 50, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := Wave{1, machines(1), 60_000, 1}
+			s := newSimulator(w)
+			calm, evacuatedAt, evacuated, orders := s.now.Add(5000), clock.Millis(0), unit.Executor(""), 0
+			for end := s.now.Add(20_000); s.now < end; s.now += 50 {
+				current := unit.Executor("e0")
+				if c.replaced && s.now >= calm {
+					current = "e1"
+				}
+				for _, a := range s.plan.NextActions(s.now) {
+					switch {
+					case a.List:
+						s.plan.HandleList(s.now, []Machine{{"m0", current, !s.isDown("m0")}}, nil)
+					case a.Evacuate != nil && (orders == 0 || s.now >= calm || c.evacuated):
+						evacuatedAt, evacuated = s.now, a.Evacuate.Executor
+						s.plan.HandleEvacuation(*a.Evacuate, EvacuationStatus{}, nil)
+					case a.Evacuate != nil:
+						s.plan.HandleEvacuation(*a.Evacuate, EvacuationStatus{}, errors.New("no answer"))
+					case a.Begin != nil:
+						orders++
+						is.True(s.now.Sub(evacuatedAt) <= clock.Second)
+						is.Equal(evacuated, a.Begin.Executor)
+						if s.now >= calm {
+							s.begin(*a.Begin)
+							continue
+						}
+						s.now = s.now.Add(c.took)
+						s.plan.HandleOutcome(s.now, *a.Begin, c.outcome)
+					}
+				}
+			}
+			is.True(!s.plan.HasOpenWave())
+			is.Equal(s.starts["m0"], 1)
+		})
+	}
+}
--- a/schedule/maintenance/wave.go
+++ b/schedule/maintenance/wave.go
@@ -69,9 +69,10 @@
 // EvacuationRequest is a request to the owner of an executor to evacuate it for a
 // wave.
 type EvacuationRequest struct {
-	Machine  unit.Machine
-	Executor unit.Executor
-	Wave     unit.Wave
+	Machine     unit.Machine
+	Executor    unit.Executor
+	Wave        unit.Wave
+	RequestedAt clock.Millis
 }
 
 // Order is an order to take a machine down.
