Close gaps in the handling of answers and refused jobs

A 421 whose body has a start time was taken for a restart under the id, although the start time is that of another executor; its runs stayed assigned until the lease expired. It is now handled before the start time is read.

A job that the store refused for good left its id in the lists of ended jobs and ready steps. A later submission under the id could be dropped after the retention, or be placed by steps that it does not have.

Evidence: "cancelled" of TestRefusedJobsLeaveNothing failed before.

--- a/schedule/dispatch/incarnation_test.go
+++ b/schedule/dispatch/incarnation_test.go
@@ -276,6 +276,26 @@
 	}
 }
 
+// Guards against runs that stay assigned to an executor, or a restart that is taken
+// for granted, when another executor answers at its address.
+func TestOtherExecutorAtTheAddress(t *testing.T) {
+	for name, incarnation := range map[string]unit.UnixMillis{"without start time": 0, "with start time": 9} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRestartFixture()
+			f.submit("j", Step{Count: 4, Size: resources(1000), Estimate: clock.Minute})
+			f.runFor(clock.Second)
+			x0 := f.shard.executors.Get("x0")
+			is.True(len(x0.runs) > 0)
+			o := Order{To: x0.target(), Hold: &HoldOrder{Sent: f.now}}
+			f.shard.HandleAnswer(f.now, unit.UnixMillis(f.now), &o, &Answer{Outcome: OutcomeOtherIncarnation, Incarnation: incarnation}, nil)
+			is.Equal(len(x0.runs), 0)
+			is.Equal(x0.Incarnation, unit.UnixMillis(1))
+			is.True(!x0.registered)
+		})
+	}
+}
+
 // Guards against an answer of one incarnation that is applied to another one under
 // the same id.
 func TestAnswersOfOtherIncarnationsChangeNoRuns(t *testing.T) {
@@ -287,6 +307,7 @@
 		silent    bool
 	}{
 		"other executor at the former address": {Answer{Outcome: OutcomeOtherIncarnation}, nil, 1, false, false},
+		"the same with its start time":         {Answer{Outcome: OutcomeOtherIncarnation, Incarnation: 9}, nil, 1, false, false},
 		"no answer of the former":              {Answer{}, errors.New("no answer"), 1, false, false},
 		"list of the former":                   {Answer{Outcome: OutcomeDone, Clock: 9000, Incarnation: 1}, nil, 1, false, false},
 		"list for the former":                  {Answer{Outcome: OutcomeDone, Clock: 9000, Incarnation: 2}, nil, 1, false, false},
--- a/schedule/dispatch/job.go
+++ b/schedule/dispatch/job.go
@@ -62,8 +62,7 @@
 	LastRun unit.Run // last run in which a member failed, 0 if there is none
 }
 
-// add counts a failure of a member in a run. Ends of earlier runs can be read after
-// those of later ones only if the run was given up, which the caller excludes.
+// add counts a failure of a member in a run.
 func (g *GangFailures) add(run unit.Run) {
 	if run > g.LastRun {
 		g.Failed, g.LastRun = g.Failed+1, run
--- a/schedule/dispatch/pressure.go
+++ b/schedule/dispatch/pressure.go
@@ -135,15 +135,15 @@
 	return max(0, 1-idleLatencyRatio*m.Least/latency)
 }
 
-// addImage adds an image to the rows and returns its index. In a full model it
-// replaces the image with the least information that is not in use. It returns
-// false if all are in use.
-func (m *InterferenceModel) addImage(image unit.Image, inUse map[unit.Image]float64) (int, bool) {
+// addImage adds an image to the rows. In a full model it replaces the image with the
+// least information that is not in use, unless all are.
+func (m *InterferenceModel) addImage(image unit.Image, inUse map[unit.Image]float64) {
 	if m.index == nil {
 		m.index = make(map[unit.Image]int)
 	}
 	if len(m.Images) == maxModelImages {
-		return m.replaceImage(image, inUse)
+		m.replaceImage(image, inUse)
+		return
 	}
 	n := len(m.Images)
 	m.index[image] = n
@@ -153,13 +153,12 @@
 	}
 	m.Sums = append(m.Sums, make([]float64, n+1))
 	m.Moments = append(m.Moments, 0)
-	return n, true
 }
 
-// replaceImage gives the row of the image with the smallest sum of squares to
-// another image. Sums decay, so that this is one that has not run for long or
-// hardly changed its usage.
-func (m *InterferenceModel) replaceImage(image unit.Image, inUse map[unit.Image]float64) (int, bool) {
+// replaceImage gives the row of the image with the smallest sum of squares, of those
+// not in use, to another image. Sums decay, so that this is one that has not run for
+// long or hardly changed its usage.
+func (m *InterferenceModel) replaceImage(image unit.Image, inUse map[unit.Image]float64) {
 	n := -1
 	for i, old := range m.Images {
 		if _, ok := inUse[old]; !ok && (n < 0 || m.Sums[i][i] < m.Sums[n][n]) {
@@ -167,7 +166,7 @@
 		}
 	}
 	if n < 0 {
-		return 0, false
+		return
 	}
 	delete(m.index, m.Images[n])
 	m.index[image], m.Images[n], m.Moments[n] = n, image, 0
@@ -178,7 +177,6 @@
 	if n < len(m.weights) {
 		m.weights[n] = priorWeight
 	}
-	return n, true
 }
 
 // addSample adds a change of usage by image, in executors, and the change of
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -122,9 +122,9 @@
 // remembered. Answers and entries of theirs are seconds late at most.
 const maxFormerIncarnations = 8
 
-// handleRestart records that an executor has restarted, and that a former
-// incarnation has ended. The runs of its former incarnation stay assigned until the new one has answered a hold, which
-// carries a higher fencing token.
+// handleRestart records that an executor has restarted, and that its former
+// incarnation has ended. The runs of that one stay assigned until the new one has
+// answered a hold, which carries a higher fencing token.
 func (s *Shard) handleRestart(now clock.Millis, e *Executor, former unit.UnixMillis) {
 	e.restarts++
 	e.formerIncarnations = append(e.formerIncarnations, former)
@@ -151,7 +151,11 @@
 		s.handleNoAnswer(now, e, o, err)
 		return
 	}
-	if !s.isMeantFor(now, e, o, a) {
+	if a.Outcome == OutcomeOtherIncarnation && o.To.Incarnation == e.Incarnation {
+		s.handleExecutorGone(now, e) // a start time in the answer is that of another executor
+		return
+	}
+	if a.Outcome == OutcomeOtherIncarnation || !s.isMeantFor(now, e, o, a) {
 		s.orderUndetermined(o)
 		return
 	}
@@ -169,10 +173,6 @@
 		// fell silent.
 		e.unresponsive, e.unansweredHolds = false, 0
 	}
-	if a.Outcome == OutcomeOtherIncarnation {
-		s.handleExecutorGone(now, e)
-		return
-	}
 	if !e.unresponsive {
 		e.updateClock(now, a)
 		s.leases.readReference(now, e, a)
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"mimosadock/schedule/clock"
@@ -371,6 +372,9 @@
 			s.removeRun(e, tid)
 		}
 	})
+	// The same id may be submitted again.
+	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(ended unit.Job) bool { return ended == id })
+	maps.DeleteFunc(s.readySteps, func(k stepKey, _ *readyStep) bool { return k.job == id })
 	s.report(Event{Kind: "refused", Task: TaskID{Job: id}})
 	s.jobs.Delete(id)
 }
