--- a/schedule/dispatch/order.go
+++ b/schedule/dispatch/order.go
@@ -35,19 +35,6 @@
 	Clock       unit.ExecutorMillis // reading of the clock of the incarnation before the order was sent, 0 if none
 }
 
-// answeredBy returns the start time of the incarnation that gave an answer to an
-// order to t. It returns false if that is another one than t, whose start time the
-// answer does not tell.
-func (t *Target) answeredBy(a *Answer) (unit.UnixMillis, bool) {
-	switch {
-	case a.Incarnation != 0:
-		return a.Incarnation, true
-	case a.Clock > 0 && a.Clock < t.Clock:
-		return 0, false
-	}
-	return t.Incarnation, true
-}
-
 // Order is an order to an executor: a [StartOrder], [StopOrder], [PaceOrder]
 // or [HoldOrder]. An [AdviceRequest] goes to the advisor instead, and a
 // [LoanRequest] to the owner of another shard; they have no target.
