Keep a soak's proxy from forwarding to the executor of another scenario

While an executor was down, its proxy forwarded to a port that another scenario could get, whose executors have the same ids. The proxy now has no target until the executor has started again.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -44,7 +44,8 @@
 	_ = p.group.Wait() // copying ends with the connections
 }
 
-// SetTarget sets the address to which later connections are forwarded.
+// SetTarget sets the address to which later connections are forwarded. Without an
+// address, they are closed.
 func (p *Proxy) SetTarget(address string) { p.withLock(func() { p.target = address }) }
 
 // SetDelay sets the delay of all data. Zero means no delay.
@@ -97,6 +98,10 @@
 func (p *Proxy) serve(in net.Conn) {
 	var target string
 	p.withLock(func() { target = p.target })
+	if target == "" {
+		_ = in.Close() // the client detects it
+		return
+	}
 	out, err := net.DialTimeout("tcp4", target, time.Second)
 	if err != nil {
 		_ = in.Close() // the client detects it
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -114,6 +114,7 @@
 // crash ends the instance, if there is one, and its connections.
 func (e *executor) crash() {
 	if instance, proxy := e.take(""); instance != nil {
+		proxy.SetTarget("") // another scenario may get the port of the instance
 		instance.Close()
 		proxy.Reset()
 	}
