Give up a shard whose loans or leases the store refuses for good

A record of a loan or of leases that the store refused for good was left out like that of a job, and the owner went on as if it were stored: two shards could use one executor, or a successor could take a lease for expired. Only the interference models can be left out. For any other group that is not that of a job the append fails, and the shard is released.

Evidence: TestRefusedGroups; "loan or lease" failed before.

--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -78,8 +78,9 @@
 }
 
 // appendBatch stores a batch in one append. If the store refuses it for good, it
-// stores each group on its own and leaves out those that are refused, so that they
-// hold up no others.
+// stores each group on its own and leaves out the jobs and the optional groups that
+// are refused, so that they hold up no others. It returns an error if another group
+// is refused.
 func (a *appender) appendBatch(ctx context.Context, batch []record.Group) error {
 	c := a.control
 	var records []dispatch.Record
@@ -101,10 +102,14 @@
 	case len(batch) == 1:
 		c.Counters.RefusedChanges.Add(1)
 		c.EventLog.LogChange("change can't be stored", "shard", a.shard, "job", batch[0].Job, "records", len(records), "err", err)
-		if batch[0].Job != "" {
+		switch {
+		case batch[0].Optional:
+		case batch[0].Job == "":
+			return err // who uses an executor, and until when, must not differ from the store
+		default:
 			a.refused = append(a.refused, batch[0].Job)
+			sleep(ctx, retryInterval) // the shard changes the job again
 		}
-		sleep(ctx, retryInterval) // the shard changes the job again
 		return nil
 	}
 	for i := range batch {
--- a/scheduler/control/storing_test.go
+++ b/scheduler/control/storing_test.go
@@ -178,6 +178,35 @@
 	is.NoErr(f.group.Wait())
 }
 
+// Guards against an owner that goes on with a loan or a lease record which the store
+// does not have, and against one that gives up its shard for records it can spare.
+func TestRefusedGroups(t *testing.T) {
+	for name, c := range map[string]struct {
+		group record.Group
+		fails bool
+	}{
+		"loan or lease": {record.Group{}, true},
+		"models":        {record.Group{Optional: true}, false},
+		"job":           {record.Group{Job: submittedJob(0)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newStoringFixture()
+			store := &refusingStore{refused: "bad", keys: make(map[string]bool)}
+			f.control.Store, f.control.EventLog = store, discardedLog{}
+			c.group.Records = []dispatch.Record{{Key: "bad", Value: []byte{1}}}
+			good := record.Group{Job: submittedJob(1), Records: []dispatch.Record{{Key: "good", Value: []byte{1}}}}
+			a := appender{control: f.control}
+			err := a.appendGroups(context.Background(), []record.Group{good, c.group})
+			is.Equal(err != nil, c.fails)
+			is.True(store.keys["good"])
+			is.Equal(len(a.refused) == 1, name == "job")
+			f.group.Stop()
+			is.NoErr(f.group.Wait())
+		})
+	}
+}
+
 // discardedLog is an [EventLog] that keeps nothing.
 type discardedLog struct{}
 
--- a/scheduler/record/writer.go
+++ b/scheduler/record/writer.go
@@ -61,8 +61,9 @@
 
 // Group holds records that are stored together or not at all.
 type Group struct {
-	Job     unit.Job // empty if the records are not those of a job
-	Records []dispatch.Record
+	Job      unit.Job // empty if the records are not those of a job
+	Records  []dispatch.Record
+	Optional bool // the shard can go on without the records
 }
 
 // size returns what the group takes of an append.
@@ -151,7 +152,7 @@
 		return Group{}, err
 	}
 	records, err = w.split(records)
-	return Group{Records: records}, err
+	return Group{Records: records, Optional: true}, err
 }
 
 // split replaces each record that is larger than the limit by its parts, and adds
