Rename what a newcomer would stumble over

longestCrossedLease, describes and divided are longestLeaseAfterRestart, entryIncarnation and manifests; two faults of the model say what they do. No logic changed; the tests of both packages pass.

--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -56,7 +56,7 @@
 	pacesChanged          bool                // target paces were set since the paces were last sent
 	servingImages         map[unit.Image]int  // number of serving tasks by image
 	formerIncarnations    []unit.UnixMillis   // ended ones, oldest first
-	describes             unit.UnixMillis     // incarnation whose entry gave the capacity and the labels
+	entryIncarnation      unit.UnixMillis     // incarnation whose entry gave the capacity and the labels
 }
 
 // assignment is a run of a task that is assigned to an executor. Its pointers
@@ -108,7 +108,7 @@
 
 // usable reports whether new runs may be placed on e.
 func (e *Executor) usable(now clock.Millis) bool {
-	return (e.registered || now < e.unregisteredAt.Add(reregistrationGrace)) && e.describes == e.Incarnation && e.reconciled && !e.unresponsive && !e.Draining && now >= e.suspectUntil && now >= e.evacuatingUntil
+	return (e.registered || now < e.unregisteredAt.Add(reregistrationGrace)) && e.entryIncarnation == e.Incarnation && e.reconciled && !e.unresponsive && !e.Draining && now >= e.suspectUntil && now >= e.evacuatingUntil
 }
 
 // serviceable reports whether e is usable, can be given deadlines on its clock and
--- a/schedule/dispatch/executor_sim_test.go
+++ b/schedule/dispatch/executor_sim_test.go
@@ -29,7 +29,7 @@
 	partitionedUntil clock.Millis
 	cutOffFrom       unit.Generation // owners from this epoch on do not reach it until cutOffUntil
 	cutOffUntil      clock.Millis
-	muteUntil        clock.Millis // its answers are lost until then
+	silentUntil      clock.Millis // its answers are lost until then
 	restartAt        clock.Millis // when it restarts, 0 if it does not
 	leavesAt         clock.Millis // when it leaves for good, 0 if it does not drain
 	user             simulatedUse // last use by a current owner
@@ -63,8 +63,8 @@
 // advance ends the runs and leases of x that are due. It may also restart or
 // partition x.
 func (sim *simulation) advance(x *simulatedExecutor) {
-	if sim.chance(sim.faults.mute) && sim.now >= x.muteUntil {
-		x.muteUntil, x.restartAt = sim.now.Add(clock.Span(1000+sim.random.Intn(5000))), sim.now.Add(clock.Span(sim.random.Intn(1500)))
+	if sim.chance(sim.faults.silentRestart) && sim.now >= x.silentUntil {
+		x.silentUntil, x.restartAt = sim.now.Add(clock.Span(1000+sim.random.Intn(5000))), sim.now.Add(clock.Span(sim.random.Intn(1500)))
 	}
 	if sim.chance(sim.faults.crash) || x.restartAt > 0 && sim.now >= x.restartAt {
 		x.reset()
--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -135,7 +135,7 @@
 func (s *Shard) adoptRun(now clock.Millis, e *Executor, id TaskID, j *Job, t *Task) {
 	s.report(Event{Kind: "runAdopted", Task: id, Run: t.Run, Executor: e.Executor})
 	t.Incarnation = e.Incarnation
-	e.leaseExpiresBy = max(e.leaseExpiresBy, now.Add(s.longestCrossedLease()))
+	e.leaseExpiresBy = max(e.leaseExpiresBy, now.Add(s.longestLeaseAfterRestart()))
 	t.orderedPace, t.targetPace = fullPace, fullPace
 	if t.State == TaskStopping {
 		t.confirmedAt, t.inFlight = 0, false
--- a/schedule/dispatch/incarnation.go
+++ b/schedule/dispatch/incarnation.go
@@ -101,7 +101,7 @@
 	}
 	s.markSilent(now, e)
 	if o.Start != nil && verdict.Of(err) != verdict.DidNotRun {
-		e.leaseExpiresBy = max(e.leaseExpiresBy, now.Add(s.longestCrossedLease())) // another incarnation may have carried it out
+		e.leaseExpiresBy = max(e.leaseExpiresBy, now.Add(s.longestLeaseAfterRestart())) // another incarnation may have carried it out
 	}
 	if o.Hold != nil {
 		e.unansweredHolds++
--- a/schedule/dispatch/lease.go
+++ b/schedule/dispatch/lease.go
@@ -87,10 +87,10 @@
 	return lease + clock.Span(float64(lease)*maxClockDrift) + leaseMargin
 }
 
-// longestCrossedLease returns the time that a lease can last on the clock of an
+// longestLeaseAfterRestart returns the time that a lease can last on the clock of an
 // owner after a later incarnation has carried out a start. On its clock the deadline
 // can lie far ahead, and it shortens the lease to MaxHold only.
-func (s *Shard) longestCrossedLease() clock.Span {
+func (s *Shard) longestLeaseAfterRestart() clock.Span {
 	return longestLease(max(s.Limits.Lease, s.Limits.MaxHold))
 }
 
--- a/schedule/dispatch/registrations.go
+++ b/schedule/dispatch/registrations.go
@@ -23,7 +23,7 @@
 		s.report(Event{Kind: "draining", Executor: r.Executor})
 	}
 	previous := e.Incarnation
-	e.Registration, e.registered, e.describes = r, true, r.Incarnation
+	e.Registration, e.registered, e.entryIncarnation = r, true, r.Incarnation
 	s.markAvailable(e)
 	if previous != 0 && e.Incarnation != previous {
 		s.handleRestart(now, e, previous)
--- a/schedule/dispatch/simulation_test.go
+++ b/schedule/dispatch/simulation_test.go
@@ -56,13 +56,13 @@
 type faults struct {
 	lost, late, crash, partition, replaceOwner float64
 
-	// crossing is the probability that an order in transit when an executor restarts
-	// reaches the next incarnation.
-	crossing float64
+	// misdelivered is the probability that an order in transit when an executor
+	// restarts reaches the next incarnation.
+	misdelivered float64
 
-	// mute is the probability that an executor falls silent: for seconds it carries
-	// out orders and its answers are lost. It restarts meanwhile.
-	mute float64
+	// silentRestart is the probability that an executor restarts while it carries out
+	// orders and its answers are lost, for seconds.
+	silentRestart float64
 
 	// cutOff is the probability that an executor answers the former owner only.
 	cutOff float64
@@ -365,7 +365,7 @@
 			}
 			continue
 		}
-		if m.sentAt < x.startedAt && (m.deliverAt.Sub(m.sentAt) >= orderTimeout || !sim.chance(sim.faults.crossing)) {
+		if m.sentAt < x.startedAt && (m.deliverAt.Sub(m.sentAt) >= orderTimeout || !sim.chance(sim.faults.misdelivered)) {
 			// An order that an executor has deferred is lost when the executor
 			// restarts.
 			if m.answerArrives {
@@ -374,7 +374,7 @@
 			continue
 		}
 		a := sim.execute(x, &m.order)
-		if m.answerArrives && sim.now < x.muteUntil {
+		if m.answerArrives && sim.now < x.silentUntil {
 			sim.messages = append(sim.messages, message{deliverAt: m.sentAt.Add(orderTimeout), order: m.order, from: m.from})
 			sim.messages[len(sim.messages)-1].order.To.Address = "timeout"
 			continue
@@ -481,8 +481,8 @@
 		"replaced owners": {replaceOwner: 0.005},
 		"cut off":         {replaceOwner: 0.003, cutOff: 0.4},
 		"cut off, late":   {replaceOwner: 0.003, cutOff: 0.4, late: 0.05, partition: 0.0005, crash: 0.0003},
-		"restarts":        {lost: 0.02, crash: 0.002, crossing: 0.8},
-		"mute restarts":   {mute: 0.0015, crossing: 0.5},
+		"restarts":        {lost: 0.02, crash: 0.002, misdelivered: 0.8},
+		"silent restarts": {silentRestart: 0.0015, misdelivered: 0.5},
 		"all":             {lost: 0.03, late: 0.03, crash: 0.0005, partition: 0.0005, replaceOwner: 0.002},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/scheduler/record/record.go
+++ b/scheduler/record/record.go
@@ -171,9 +171,9 @@
 	Loans              []dispatch.Loan
 	Leases             *dispatch.LeaseRecord // nil if there is none
 
-	jobs    map[unit.Job]*SavedJob
-	divided map[string]int            // number of parts of each value that is stored in parts
-	parts   map[string]map[int][]byte // by the key of the value and the number of the part
+	jobs      map[unit.Job]*SavedJob
+	manifests map[string]int            // number of parts of each value that is stored in parts
+	parts     map[string]map[int][]byte // by the key of the value and the number of the part
 }
 
 // Add decodes a record and adds it to the set. It ignores a record without a
@@ -187,7 +187,7 @@
 	if s.jobs == nil {
 		s.jobs = make(map[unit.Job]*SavedJob)
 	}
-	if s.addPart(r) || s.addDivided(r) {
+	if s.addPart(r) || s.addManifest(r) {
 		return nil
 	}
 	if r.Key == modelsKey {
--- a/scheduler/record/writer.go
+++ b/scheduler/record/writer.go
@@ -102,8 +102,8 @@
 // a record. The key of the value, a slash and the number of the part follow.
 const partPrefix = "p/"
 
-// partsTag is the CBOR tag of the record that a value in parts has under its own
-// key. It contains the number of parts. No other value begins with a tag.
+// partsTag is the CBOR tag of a manifest, the record that a value in parts has under
+// its own key. It contains the number of parts. No other value begins with a tag.
 const partsTag = 27500
 
 func partKey(key string, n int) string { return partPrefix + key + "/" + strconv.Itoa(n) }
@@ -212,17 +212,17 @@
 	return true
 }
 
-// addDivided adds the record of a value in parts and reports whether r is one.
-func (s *Set) addDivided(r dispatch.Record) bool {
+// addManifest adds the manifest of a value in parts and reports whether r is one.
+func (s *Set) addManifest(r dispatch.Record) bool {
 	var tag cbor.RawTag
 	var n int
 	if r.Value[0]>>5 != 6 || cbor.Unmarshal(r.Value, &tag) != nil || tag.Number != partsTag || cbor.Unmarshal(tag.Content, &n) != nil {
 		return false
 	}
-	if s.divided == nil {
-		s.divided = make(map[string]int)
+	if s.manifests == nil {
+		s.manifests = make(map[string]int)
 	}
-	s.divided[r.Key] = n
+	s.manifests[r.Key] = n
 	return true
 }
 
@@ -230,7 +230,7 @@
 // returns an error for a value of which a part is missing or that can't be decoded.
 func (s *Set) Join() error {
 	var errs error
-	for key, n := range s.divided {
+	for key, n := range s.manifests {
 		var value []byte
 		for i := range n {
 			part, ok := s.parts[key][i]
@@ -242,6 +242,6 @@
 		}
 		errs = errors.Join(errs, s.Add(dispatch.Record{Key: key, Value: value}))
 	}
-	s.divided = nil
+	s.manifests = nil
 	return errs
 }
