Report runs that outlive the end of their job, and runs that no task has

The users saw a run that went on after the cancel of its job, and no log told which of the hypotheses holds: a run that is stopped because the tables do not have it left no line, nor did a stop that waits.

unexpectedRun names a run that an executor lists and its owner does not have there, with the reason. stopDelayed names each run that is left 1.5 s after the end of its job was stored, with what the stop waits for. runsStopped gives the time that it took. The first two are not subject to the limit of lines, which can drop every other line of a job.

The systems that stop the runs of ended jobs move to a file of their own, unchanged.

--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -105,6 +105,7 @@
 func (s *Shard) reconcileRun(now clock.Millis, e *Executor, h *HoldOrder, r *RunningRun, sample *interferenceSample) bool {
 	j, st, t := s.findTask(r.Task)
 	if t == nil || t.Run != r.Run || t.Executor != e.Executor || !t.State.assigned() {
+		s.reportAnomaly(Event{Kind: "unexpectedRun", Task: r.Task, Run: r.Run, Executor: e.Executor, Reason: s.whyUnexpected(e, r)})
 		s.pendingOrders = append(s.pendingOrders, Order{To: e.target(), Stop: &StopOrder{r.Task, r.Run, s.token(e)}})
 		return false
 	}
@@ -195,47 +196,6 @@
 	}
 }
 
-// stopEndedJobs marks the runs of jobs that have ended to be stopped, once the
-// end is stored. A job without runs loses its spec and its occurrences.
-func (s *Shard) stopEndedJobs(_ clock.Millis) {
-	remaining := s.stoppingJobs[:0]
-	for _, id := range s.stoppingJobs {
-		j := s.jobs.Get(id)
-		if j == nil || !j.hasRunsToStop {
-			continue
-		}
-		if j.storedState != j.State {
-			remaining = append(remaining, id)
-			continue
-		}
-		hasRuns := false
-		s.forEachTask(id, j, func(tid TaskID, _ *Step, t *Task) {
-			switch {
-			case t.State == TaskReady || t.State == TaskBlocked || t.State == TaskPlaced:
-				if t.State == TaskPlaced {
-					if e := s.executors.Get(t.Executor); e != nil {
-						s.removeRun(e, tid)
-					}
-				}
-				t.State = TaskEnded
-			case t.State == TaskStarting || t.State == TaskRunning:
-				hasRuns = true
-				t.State, t.confirmedAt, t.inFlight = TaskStopping, 0, false
-				s.markUnsettled(tid)
-			case t.State == TaskStopping:
-				hasRuns = true
-			}
-		})
-		if !hasRuns {
-			j.hasRunsToStop, j.Spec, j.Occurrences = false, nil, nil
-			s.markDirty(id, j)
-			continue
-		}
-		remaining = append(remaining, id)
-	}
-	s.stoppingJobs = remaining
-}
-
 // forEachTask calls visit for each task of a job that has a spec.
 func (s *Shard) forEachTask(id unit.Job, j *Job, visit func(TaskID, *Step, *Task)) {
 	for k := range j.Occurrences {
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -72,6 +72,8 @@
 	endedJobs          []unit.Job               // ended jobs whose states are kept, oldest first
 	stoppingJobs       []unit.Job               // ended jobs of which runs may be left
 	nextExpiryAt       clock.Millis             // next time for expireEndedJobs
+	nextStopReportAt   clock.Millis             // next time for reportDelayedStops
+	anomalies          int                      // since the last call of reportDelayedStops that was due
 	waitReportedAt     map[stepKey]clock.Millis // last report of each step that waits for an executor
 	capacityReportedAt clock.Millis             // last report of the capacity
 	loans              table.Table[unit.Executor, homeLoan]
@@ -114,7 +116,8 @@
 	Run      unit.Run
 	Executor unit.Executor
 	Reason   string
-	Age      clock.Span // age of the clock reading that a start used, or time since the lease expired for runLapsed
+	Age      clock.Span // age of the clock reading that a start used, time since the lease expired for runLapsed, or since the end of the job was stored for stopDelayed and runsStopped
+	Anomaly  bool       // should not occur without a fault; at most maxAnomalies in a second
 }
 
 // report passes an event to the Report function, if there is one.
@@ -245,6 +248,7 @@
 func (s *Shard) Tick(now clock.Millis, wall unit.UnixMillis, canStore bool) (changes []Change, orders []Order) {
 	s.releaseExpiredRuns(now)
 	s.stopEndedJobs(now)
+	s.reportDelayedStops(now)
 	s.resendOrders(now)
 	s.moveRuns(now)
 	s.sendPaces()
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -390,8 +390,8 @@
 	}
 }
 
-// logEvent counts and logs an event of a shard. An event without a task is
-// logged as a change, any other as a decision.
+// logEvent counts and logs an event of a shard. An event without a task and an
+// anomaly are logged as changes, any other as a decision.
 func (c *Control) logEvent(e dispatch.Event) {
 	fields := make([]any, 0, 10)
 	if e.Task.Job != "" {
@@ -410,7 +410,7 @@
 		fields = append(fields, "ageMs", int64(e.Age))
 	}
 	c.Counters.Event(e.Kind)
-	if e.Task.Job == "" {
+	if e.Task.Job == "" || e.Anomaly {
 		c.EventLog.LogChange(e.Kind, fields...)
 		return
 	}
