Add a failing test: a start from before the removal of an executor is not fenced

An executor that loses its entry is dropped from the tables 2.5 s later if no run is assigned to it. If it comes back under its id, its row is made again with the number of restarts that the dropped one had, and so with the same fencing token. The job may have been cancelled long before.

Found by reading the paths from a cancel to the stop of a run. Not shown to be what the users saw. It fails with 'highest > late.Token' in both cases.

--- a/schedule/dispatch/stop_test.go
+++ b/schedule/dispatch/stop_test.go
@@ -10,6 +10,54 @@
 	"mimosadock/schedule/unit"
 )
 
+// Guards against a run of a cancelled job that starts unnoticed: an executor loses its
+// row, comes back under its id and accepts a start from before, unless its token is higher.
+func TestStartsFromBeforeTheRemovalOfAnExecutorAreFenced(t *testing.T) {
+	for name, c := range map[string]struct {
+		restarts int // of the executor before the start
+	}{
+		"first incarnation":  {0},
+		"second incarnation": {1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRestartFixture()
+			for range c.restarts {
+				f.restart()
+				f.register()
+				f.runFor(clock.Second)
+			}
+			f.submit("j", Step{Count: 4, Size: resources(3000), Estimate: clock.Minute})
+			f.silent = true
+			f.runFor(500)
+			var late *StartOrder
+			for _, o := range f.received {
+				if o.Start != nil {
+					late = o.Start
+				}
+			}
+			is.True(late != nil)
+			clear(f.running) // the executor defers the start
+			f.shard.Cancel(f.now, unit.UnixMillis(f.now), "j")
+			f.shard.ApplyRegistrations(f.now, Registrations{Removed: []unit.Executor{"x0"}}, anyExecutor)
+			entry := f.shard.executors.Get("x0").Registration
+			f.runFor(20 * clock.Second)
+			is.True(f.shard.executors.Get("x0") == nil)
+
+			f.restart()
+			f.silent, f.received = false, nil
+			entry.Incarnation = f.incarnation
+			f.shard.ApplyRegistrations(f.now, Registrations{Entries: []Registration{entry}}, anyExecutor)
+			f.runFor(clock.Second)
+			highest := unit.Token(0)
+			for i := range f.received {
+				highest = max(highest, f.received[i].token())
+			}
+			is.True(highest > late.Token) // the executor refuses the late start
+		})
+	}
+}
+
 // Guards against a run of an ended job that stays without a trace of what its stop
 // waits for.
 func TestDelayedStopsAreReported(t *testing.T) {
