Raise the fencing token for an executor that comes back after its row was dropped

What callers would see: a task runs on an executor for up to 10 s although its job was cancelled or has ended, since a start from before is carried out there late.

Cause: the fencing token for an executor rises with each restart that its owner sees. The row of an executor without an entry and without runs is dropped, with its incarnation, so that a restart in between is not seen when the entry comes back. The next incarnation is held with the token of the orders that the former one never received, and accepts them.

The number of restarts that is kept for a dropped row now includes one that may have happened since. The first hold then fences all earlier orders.

--- a/schedule/dispatch/registrations.go
+++ b/schedule/dispatch/registrations.go
@@ -81,19 +81,18 @@
 }
 
 // removeUnregistered drops the rows of executors that have no entry, no runs
-// and no hold in flight, after the grace period. It keeps the number of their
-// restarts: an executor whose entry comes back remembers its highest token.
+// and no hold in flight, after the grace period. An executor whose entry comes back
+// may be a later incarnation, so that the fencing token for it has to be above that
+// of orders which the former one never received.
 func (s *Shard) removeUnregistered(now clock.Millis) {
 	s.executors.DeleteFunc(func(id unit.Executor, e *Executor) bool {
 		if e.registered || len(e.runs) > 0 || e.holdInFlight || now < e.unregisteredAt.Add(reregistrationGrace) {
 			return false
 		}
-		if e.restarts > 0 {
-			if s.removedRestarts == nil {
-				s.removedRestarts = make(map[unit.Executor]unit.Token)
-			}
-			s.removedRestarts[id] = e.restarts
+		if s.removedRestarts == nil {
+			s.removedRestarts = make(map[unit.Executor]unit.Token)
 		}
+		s.removedRestarts[id] = e.restarts + 1
 		return true
 	})
 }
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -85,7 +85,7 @@
 	wants              []LoanWant                   // computed at loadsAt
 	loadsAt            clock.Millis                 // 0 if the loads have to be computed
 	expiredLoans       []unit.Executor              // records of loans to delete
-	removedRestarts    map[unit.Executor]unit.Token // restarts of executors whose rows were dropped
+	removedRestarts    map[unit.Executor]unit.Token // restarts of executors whose rows were dropped, the possible one since included
 	collected          int64                        // jobs in all appends so far
 	ratings            int64                        // executors rated for a task so far
 }
