Answer that a job is unknown only with a proof of the ownership

What callers saw: a cancel is answered with 410 although the job was accepted, and its tasks run on.

Cause: an owner took a confirmed membership for a proof that no other process owns the shard, and answered requests for jobs that it does not have at once. The platform's store can assign all partitions anew at any moment, so that the next owner serves the shard and accepts jobs while the former one has not learned of it. That lasts until its next join, append or order is refused, at most for the TTL of 1.2 s.

The reply now waits for the next append, which the store refuses for a former owner. If the shard has nothing to store, a record that changes nothing is appended.

--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -163,6 +163,8 @@
 	changes int64    // number of changes of the shard that must be stored before
 	replyTo chan<- Reply
 	reply   Reply
+
+	provesOwnership bool // waits for an append also if the shard has no changes
 }
 
 // Config returns the current configuration, or nil if none has been received.
@@ -352,10 +354,11 @@
 	now := c.Clock.Now()
 	canStore := !owned.appending && now >= owned.lastAppendAt.Add(minAppendInterval)
 	changes, orders := owned.shard.Tick(now, wallNow(), canStore)
-	if len(changes) > 0 {
+	proves := canStore && slices.ContainsFunc(owned.queuedWaiters, func(w waiter) bool { return w.provesOwnership })
+	switch {
+	case len(changes) > 0 || proves:
 		c.startAppend(owned, now, changes)
-	}
-	if len(changes) == 0 && canStore && len(owned.queuedWaiters) > 0 {
+	case canStore:
 		// The changes that the waiters depend on are already stored.
 		sendReplies(owned.queuedWaiters)
 		owned.queuedWaiters = nil
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -29,7 +29,8 @@
 }
 
 // handleRequest applies a request and replies to it. The reply to an accepted
-// submission or cancellation is sent after the append of its changes.
+// submission or cancellation is sent after the append of its changes, and the reply
+// that a job is unknown after an append that proves the ownership.
 func (c *Control) handleRequest(m requestMessage) {
 	owned := c.owned[m.request.Shard]
 	if owned == nil || !owned.restored {
@@ -53,15 +54,20 @@
 			m.replyTo <- refusal(err)
 			return
 		}
-		owned.queuedWaiters = append(owned.queuedWaiters, waiter{m.request.Job, owned.shard.QueuedChanges(), m.replyTo, Reply{Status: StatusAccepted}})
+		owned.queuedWaiters = append(owned.queuedWaiters, waiter{job: m.request.Job, changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted}})
 	case KindCancel:
 		if !owned.shard.Cancel(now, wall, m.request.Job) {
-			m.replyTo <- Reply{Status: StatusNotFound}
+			owned.replyIfOwner(m, Reply{Status: StatusNotFound})
 			return
 		}
-		owned.queuedWaiters = append(owned.queuedWaiters, waiter{m.request.Job, owned.shard.QueuedChanges(), m.replyTo, Reply{Status: StatusAccepted}})
+		owned.queuedWaiters = append(owned.queuedWaiters, waiter{job: m.request.Job, changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted}})
 	case KindState:
-		m.replyTo <- stateReply(owned.shard, m.request.Job)
+		r := stateReply(owned.shard, m.request.Job)
+		if r.Status == StatusNotFound {
+			owned.replyIfOwner(m, r)
+			return
+		}
+		m.replyTo <- r
 	case KindLend:
 		if m.request.Loan == nil {
 			m.replyTo <- Reply{Status: StatusRefused, Reason: "request has no loan"}
@@ -72,7 +78,7 @@
 			m.replyTo <- Reply{Status: StatusRefused, Reason: "a later request was handled before"}
 			return
 		}
-		owned.queuedWaiters = append(owned.queuedWaiters, waiter{"", owned.shard.QueuedChanges(), m.replyTo, Reply{Status: StatusAccepted, Loans: &loans}})
+		owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted, Loans: &loans}})
 	case KindEvacuate:
 		if borrower, lent := owned.shard.Borrower(m.request.Executor); lent {
 			m.replyTo <- Reply{Status: StatusLent, Borrower: borrower}
@@ -89,6 +95,14 @@
 	}
 }
 
+// replyIfOwner sends a reply once an append that starts later has shown that no
+// other owner has served the shard before the request came. The store can assign the
+// shard to another member at once, so that a confirmed membership proves less: the
+// next owner may have accepted the job.
+func (owned *ownedShard) replyIfOwner(m requestMessage, r Reply) {
+	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: r, provesOwnership: true})
+}
+
 // isCurrent reports whether the reply to a request is certain to be up to date.
 // If the membership is not confirmed, a successor may own the shard and have
 // accepted jobs that this process does not have. The state of a job that this
--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -21,7 +21,8 @@
 }
 
 // startAppend encodes the changes of a shard and appends them to the store in
-// another goroutine. It releases the shard if a change can't be encoded.
+// another goroutine. Without changes, it appends a record that only proves the
+// ownership. It releases the shard if a change can't be encoded.
 func (c *Control) startAppend(owned *ownedShard, now clock.Millis, changes []dispatch.Change) {
 	groups := make([]record.Group, 0, len(changes)+1)
 	for i := range changes {
@@ -33,6 +34,9 @@
 		}
 		groups = append(groups, g)
 	}
+	if len(groups) == 0 {
+		groups = append(groups, record.OwnershipProof())
+	}
 	if models := owned.shard.InterferenceModels(); len(models) > 0 && now >= owned.modelsStoredAt.Add(modelStoreInterval) {
 		owned.modelsStoredAt = now
 		if g, err := owned.writer.EncodeInterferenceModels(models); err != nil {
--- a/scheduler/record/record.go
+++ b/scheduler/record/record.go
@@ -24,6 +24,7 @@
 	loanPrefix  = "x/"
 	modelsKey   = "l" // the interference models of the shard
 	leasesKey   = "e" // the lease record of the owner
+	proofKey    = "o" // never has a value, see OwnershipProof
 )
 
 // state is the record of a job's state.
--- a/scheduler/record/writer.go
+++ b/scheduler/record/writer.go
@@ -66,6 +66,11 @@
 	Optional bool // the shard can go on without the records
 }
 
+// OwnershipProof returns a group that changes nothing: it deletes a key that has no
+// value. The store refuses the append of a former owner. An append without any record
+// might not use up its sequence number.
+func OwnershipProof() Group { return Group{Records: []dispatch.Record{{Key: proofKey}}} }
+
 // size returns what the group takes of an append.
 func (g *Group) size() unit.Bytes {
 	var size unit.Bytes
