--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -103,10 +103,10 @@
 	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: r, provesOwnership: true})
 }
 
-// isCurrent reports whether the reply to a request is certain to be up to date.
-// If the membership is not confirmed, a successor may own the shard and have
-// accepted jobs that this process does not have. The state of a job that this
-// process has stored remains valid, also during an outage of the store.
+// isCurrent reports whether a request may be handled here. If the membership is not
+// confirmed, a successor is likely to own the shard and to have jobs that this
+// process does not have. The state of a job that this process has stored is
+// reported also during an outage of the store.
 func (c *Control) isCurrent(owned *ownedShard, request *Request) bool {
 	if c.membership.isConfirmed(c.BootClock(), c.Settings.TTL) {
 		return true
