Find the current incarnation again after an outdated entry

What callers would see: a run of a cancelled job goes on until the lease of its executor ends, up to 7.2 s, and the executor gets no work from this owner any more.

Cause: an entry of an earlier incarnation that this owner has not seen before was taken for a restart. The incarnation that really runs then counted as a former one, so that all its answers and entries were ignored as late: no lists, no stops, no renewals, until the executor restarted again. It takes an owner that has not seen the earlier incarnation, such as one that has just taken over, and a read of the list that is seconds behind, as after a compaction, when executors restart under their ids.

An answer of a later incarnation to an order made for the current one now counts as its restart, known or not.

--- a/schedule/dispatch/incarnation.go
+++ b/schedule/dispatch/incarnation.go
@@ -30,6 +30,7 @@
 // answered a hold, which carries a higher fencing token.
 func (s *Shard) handleRestart(now clock.Millis, e *Executor, former unit.UnixMillis) {
 	e.restarts++
+	e.formerIncarnations = slices.DeleteFunc(e.formerIncarnations, func(i unit.UnixMillis) bool { return i == e.Incarnation })
 	e.formerIncarnations = append(e.formerIncarnations, former)
 	if n := len(e.formerIncarnations) - maxFormerIncarnations; n > 0 {
 		e.formerIncarnations = slices.Delete(e.formerIncarnations, 0, n)
@@ -42,7 +43,9 @@
 
 // isMeantFor reports whether an order was made for the current incarnation of e and
 // answered by it. An answer of another incarnation says nothing about the order,
-// only that e has restarted, unless it is late.
+// only that e has restarted, unless it is late. A later incarnation that answers an
+// order made for the current one is not late: the current one is known from an
+// outdated entry.
 func (s *Shard) isMeantFor(now clock.Millis, e *Executor, o *Order, a *Answer) bool {
 	answered, known := o.To.answeredBy(a)
 	switch {
@@ -53,7 +56,7 @@
 		return false
 	case answered == o.To.Incarnation:
 		return answered == e.Incarnation
-	case answered != e.Incarnation && !slices.Contains(e.formerIncarnations, answered):
+	case answered != e.Incarnation && (!slices.Contains(e.formerIncarnations, answered) || o.To.Incarnation == e.Incarnation && answered > e.Incarnation):
 		previous := e.Incarnation
 		e.Incarnation = answered
 		s.handleRestart(now, e, previous)
