Keep runs assigned if the first answer names a later incarnation

What callers would see: after a takeover a run is stopped as unexpected, and its work is lost. If the executor does not answer the next hold, its tasks start elsewhere while their runs go on (TWICE), and the runs of a cancelled job are not asked to stop.

Cause: an owner whose list of executors is behind takes the incarnation that answers for one that has restarted under it. Such an executor counted as one without a lease of an earlier owner, and since it had no lease of this owner either, its runs were released at the next tick, before the hold with the higher fencing token. The runs may be those of the incarnation that answered: they were started there before the takeover.

Only an executor that was reconciled under this owner now has no leases of earlier ones. A hold that is answered still releases the runs of ended incarnations at once.

TestRunsStayAssignedIfTheEntryIsOutdated failed before: the runs were stopped.

--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -17,6 +17,7 @@
 	vacatingUntil         clock.Millis        // gets no new runs before, because it is to be lent to another shard
 	lastListAt            clock.Millis        // when the last run lists came
 	reconciled            bool                // its run lists were reconciled with the tables under the token of this owner
+	reconciledBefore      bool                // it was reconciled under this owner, so that leaseExpiresBy includes the leases of earlier ones
 	restarts              unit.Token          // restarts under this id since the start of the ownership; part of the fencing token
 	runs                  []assignment        // one for each task assigned to it
 	allocated             unit.Resources      // to assigned tasks; best-effort tasks are allocated no processor time
--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -87,7 +87,7 @@
 	}
 	s.releaseMissingRuns(now, e, h, reported)
 	if !e.reconciled {
-		e.reconciled = true
+		e.reconciled, e.reconciledBefore = true, true
 		// The former owner may have renewed the lease just before.
 		e.leaseExpiresBy = max(e.leaseExpiresBy, now.Add(longestLease(max(s.Limits.Lease, s.leases.predecessor.Lease))))
 		s.report(Event{Kind: "executorKnown", Executor: e.Executor})
--- a/schedule/dispatch/incarnation_test.go
+++ b/schedule/dispatch/incarnation_test.go
@@ -372,3 +372,28 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice after a takeover: the list of executors still
+// has the entry of an earlier incarnation, so that a restart is taken for a new one.
+func TestRunsStayAssignedIfTheEntryIsOutdated(t *testing.T) {
+	is := is.New(t)
+	f := newRestartFixture()
+	f.restart()
+	f.register()
+	f.submit("j", Step{Count: 4, Size: resources(3000), Estimate: clock.Minute})
+	f.runFor(clock.Second)
+	runs := maps.Clone(f.running)
+	is.True(len(runs) > 0)
+	current := f.incarnation
+	f.incarnation = 1
+	f.takeOver("j")
+	f.incarnation = current
+	for range 50 {
+		f.runFor(20)
+		for id := range f.running {
+			_, elsewhere := f.runs["x1"][id]
+			is.True(!elsewhere)
+		}
+	}
+	is.True(maps.Equal(f.running, runs))
+}
--- a/schedule/dispatch/lease.go
+++ b/schedule/dispatch/lease.go
@@ -139,8 +139,7 @@
 
 // leaseEnd returns the time by which the lease of e must have expired.
 func (s *Shard) leaseEnd(e *Executor) clock.Millis {
-	if e.reconciled || e.restarts > 0 {
-		// An executor that has restarted under this owner has no lease of an earlier one.
+	if e.reconciledBefore {
 		return e.leaseExpiresBy
 	}
 	return max(e.leaseExpiresBy, s.inheritedLeaseEnd(e.Executor))
