Hold executors that restart in a service that no queue uses

What callers would see: a run of a cancelled job starts late and goes on until its lease ends, up to max_hold_ms (10 s).

Cause: an executor without assigned runs whose service no queue names was not held. If it restarts under its id, it knows no fencing token, so that it carries out a start from before, and nobody reads its lists. It takes a configuration that removes the last queue of a service within 12 s of the start, which got no answer.

An executor that was reconciled under this owner, and may thus have orders under way, is now held again after a restart, which sends the higher token and shows what it runs. Others of such services are still not called.

TestLateStartsOfAnUnusedServiceAreStopped failed before in both cases: two runs of the cancelled job were left.

--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -12,9 +12,10 @@
 const stopTimeout = clock.Second
 
 // sendHolds sends a hold to each executor that has runs (assigned or unknown),
-// has ends to acknowledge, is not reconciled and in a service that is needed, or
-// is listed but did not answer the last order. No hold is sent while ends of the
-// executor wait to be stored.
+// has ends to acknowledge, is not reconciled and in a service that is needed or was
+// reconciled before, or is listed but did not answer the last order. An executor that
+// has restarted carries out starts from before until it receives the higher fencing
+// token. No hold is sent while ends of the executor wait to be stored.
 func (s *Shard) sendHolds(now clock.Millis) {
 	for _, e := range s.executors.All() {
 		if e.holdInFlight || now < e.holdRetryAt || e.Address == "" || e.processedEndNumber > e.storedEndNumber {
@@ -23,7 +24,7 @@
 		if e.reconciled && !(e.unresponsive && e.registered) && len(e.runs) == 0 && e.unknownRuns == 0 && e.acknowledgedEndNumber == e.storedEndNumber {
 			continue
 		}
-		if !e.reconciled && len(e.runs) == 0 && !s.needsService(e.Service) {
+		if !e.reconciled && len(e.runs) == 0 && !e.reconciledBefore && !s.needsService(e.Service) {
 			continue
 		}
 		h := &HoldOrder{Token: s.token(e), Sent: now}
--- a/schedule/dispatch/registrations.go
+++ b/schedule/dispatch/registrations.go
@@ -13,7 +13,8 @@
 func (s *Shard) applyRegistration(now clock.Millis, r Registration) {
 	e := s.executors.Get(r.Executor)
 	if e == nil {
-		e = s.executors.Put(r.Executor, Executor{restarts: s.removedRestarts[r.Executor]})
+		removed := s.removedExecutors[r.Executor]
+		e = s.executors.Put(r.Executor, Executor{restarts: removed.restarts, reconciledBefore: removed.reconciledBefore})
 	}
 	if slices.Contains(e.formerIncarnations, r.Incarnation) {
 		return
@@ -80,6 +81,12 @@
 	return false
 }
 
+// removedExecutor is what is kept of an executor whose row was dropped.
+type removedExecutor struct {
+	restarts         unit.Token // with the possible one since
+	reconciledBefore bool
+}
+
 // removeUnregistered drops the rows of executors that have no entry, no runs
 // and no hold in flight, after the grace period. An executor whose entry comes back
 // may be a later incarnation, so that the fencing token for it has to be above that
@@ -89,10 +96,10 @@
 		if e.registered || len(e.runs) > 0 || e.holdInFlight || now < e.unregisteredAt.Add(reregistrationGrace) {
 			return false
 		}
-		if s.removedRestarts == nil {
-			s.removedRestarts = make(map[unit.Executor]unit.Token)
+		if s.removedExecutors == nil {
+			s.removedExecutors = make(map[unit.Executor]removedExecutor)
 		}
-		s.removedRestarts[id] = e.restarts + 1
+		s.removedExecutors[id] = removedExecutor{e.restarts + 1, e.reconciledBefore}
 		return true
 	})
 }
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -79,15 +79,15 @@
 	loans              table.Table[unit.Executor, homeLoan]
 	borrowed           table.Table[unit.Executor, borrowedExecutor]
 	lenders            map[unit.Shard]*lender
-	loanSessions       map[unit.Shard]loanSession   // last request of each borrower
-	gained             []unit.Executor              // executors that may be used since the last call to Gained
-	loads              []ServiceLoad                // computed at loadsAt
-	wants              []LoanWant                   // computed at loadsAt
-	loadsAt            clock.Millis                 // 0 if the loads have to be computed
-	expiredLoans       []unit.Executor              // records of loans to delete
-	removedRestarts    map[unit.Executor]unit.Token // restarts of executors whose rows were dropped, the possible one since included
-	collected          int64                        // jobs in all appends so far
-	ratings            int64                        // executors rated for a task so far
+	loanSessions       map[unit.Shard]loanSession // last request of each borrower
+	gained             []unit.Executor            // executors that may be used since the last call to Gained
+	loads              []ServiceLoad              // computed at loadsAt
+	wants              []LoanWant                 // computed at loadsAt
+	loadsAt            clock.Millis               // 0 if the loads have to be computed
+	expiredLoans       []unit.Executor            // records of loans to delete
+	removedExecutors   map[unit.Executor]removedExecutor
+	collected          int64 // jobs in all appends so far
+	ratings            int64 // executors rated for a task so far
 }
 
 // stepKey identifies a step of one occurrence of a job in the tables. It has the
--- a/schedule/dispatch/stop_test.go
+++ b/schedule/dispatch/stop_test.go
@@ -94,3 +94,34 @@
 		})
 	}
 }
+
+// Guards against a run of a cancelled job that starts unnoticed: an executor restarts,
+// carries out a start from before, and is not held since no queue uses its service.
+func TestLateStartsOfAnUnusedServiceAreStopped(t *testing.T) {
+	for name, removed := range map[string]bool{"restart": false, "restart, row dropped": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRestartFixture()
+			f.submit("j", Step{Count: 4, Size: resources(3000), Estimate: clock.Minute})
+			f.runFor(clock.Second)
+			is.True(len(f.running) > 0)
+			runs := maps.Clone(f.running)
+			f.shard.Cancel(f.now, unit.UnixMillis(f.now), "j")
+			f.shard.Configure(&Config{Version: 1, Queues: []Queue{{Name: "other", Service: "other"}}})
+			f.runFor(clock.Second)
+			is.Equal(len(f.running), 0)
+			entry := f.shard.executors.Get("x0").Registration
+			if removed {
+				f.shard.ApplyRegistrations(f.now, Registrations{Removed: []unit.Executor{"x0"}}, anyExecutor)
+				f.runFor(5 * clock.Second)
+				is.True(f.shard.executors.Get("x0") == nil)
+			}
+			f.restart()
+			entry.Incarnation = f.incarnation
+			f.shard.ApplyRegistrations(f.now, Registrations{Entries: []Registration{entry}}, anyExecutor)
+			maps.Copy(f.running, runs) // copies of the start orders arrive late
+			f.runFor(clock.Second)
+			is.Equal(len(f.running), 0)
+		})
+	}
+}
