Store a job whole that is submitted again while its row is deleted

What callers would see: an accepted job is unknown after a takeover (LOST), and a cancel of it is answered with 410.

Cause: a job whose id comes again while the append that deletes its former state is in flight got the row that the append was taken to have stored. It counted as stored with an unknown state, so that its spec was never written; a later owner ignores an open job without a spec. It takes a submission after status_s (120 s on the sites at hand) within the time of one append.

TestJobsSubmittedAgainAreStoredWhole failed before. It was found by reading; no play has shown it.

--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -330,7 +330,8 @@
 // orders the starts of the runs in them.
 func (s *Shard) HandleStored(now clock.Millis) {
 	for _, id := range s.storingJobs {
-		if j := s.jobs.Get(id); j != nil {
+		// A job without a state in the append was submitted again since its row was dropped.
+		if j := s.jobs.Get(id); j != nil && j.appendingState != JobUnknown {
 			j.stored, j.storedState = true, j.appendingState
 		}
 	}
