Tick at short intervals while requests wait for an append

What callers would see: a GET or DELETE of an unknown job takes up to 0.5 s longer.

Cause: since such a reply waits for an append, which starts at a tick at least 20 ms after the one before. A shard without open jobs ticks every 500 ms, unless a message comes.

TestRepliesOfAnIdleShardComeSoon failed before: the next tick was 500 ms away.

--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -334,7 +334,7 @@
 			continue
 		}
 		c.tickShard(owned)
-		if !owned.shard.Idle() {
+		if !owned.shard.Idle() || len(owned.queuedWaiters) > 0 {
 			next = busyTickInterval
 		}
 		if owned.shard.Fenced() {
--- a/scheduler/control/reply_test.go
+++ b/scheduler/control/reply_test.go
@@ -122,3 +122,22 @@
 		})
 	}
 }
+
+// Guards against a request whose reply waits for an append, and that an idle shard
+// answers with the next of its rare ticks only.
+func TestRepliesOfAnIdleShardComeSoon(t *testing.T) {
+	is := is.New(t)
+	f := newStoringFixture()
+	f.tick()
+	f.control.membership.confirmedBootAt.Store(int64(f.now.Now()))
+	replies := make(chan Reply, 2)
+	request := requestMessage{&Request{Kind: KindState, Job: submittedJob(1)}, replies}
+	f.control.handleRequest(request)
+	f.control.tick()
+	f.control.handleMessage(<-f.control.messages)
+	is.Equal(len(replies), 1)
+	f.control.handleRequest(request) // too early for another append
+	is.Equal(f.control.tick(), busyTickInterval)
+	f.group.Stop()
+	is.NoErr(f.group.Wait())
+}
