Prove the ownership of a shard after each reassignment

What callers would see: the jobs that another member accepted, and the cancels that it confirmed, have no effect until the owner has something to store.

Cause: an owner that lost a shard and got it back between two joins kept it under its old epoch, with the jobs of before. It found out at its next append or order; an idle shard has none.

An owner now makes an append after a join under another generation, which the store refuses if another member has owned the shard.

TestOwnersNoticeAnOwnerInBetween failed before.

--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -142,6 +142,7 @@
 	if expired && m.generation != c.membership.generation {
 		c.releaseAll("membership had lapsed")
 	}
+	reassigned := m.generation != c.membership.generation
 	c.membership.generation, c.membership.confirmedAt = m.generation, m.sentAt
 	listed := make(map[unit.Shard]bool)
 	for _, s := range m.shards {
@@ -159,7 +160,11 @@
 	// theirs would be renewed for longer than their next owner expects.
 	c.membership.confirmedBootAt.Store(int64(m.sentBootAt))
 	for id := range listed {
-		if c.owned[id] != nil {
+		if owned := c.owned[id]; owned != nil {
+			if reassigned {
+				// Another member may have owned the shard since the last join.
+				owned.replyIfOwner(make(chan Reply, 1), Reply{})
+			}
 			continue
 		}
 		// Appends and orders of the previous ownership may still be in flight.
--- a/scheduler/control/membership_test.go
+++ b/scheduler/control/membership_test.go
@@ -87,3 +87,33 @@
 		})
 	}
 }
+
+// Guards against an owner that goes on with outdated jobs, because another member
+// owned the shard between two of its joins and it has nothing to store.
+func TestOwnersNoticeAnOwnerInBetween(t *testing.T) {
+	for name, c := range map[string]struct {
+		generation unit.Generation // of the join; the last one was 5
+		fenced     bool            // another owner has used a higher epoch
+		appends    int
+	}{
+		"no change":              {5, false, 0},
+		"change of other shards": {7, false, 1},
+		"owner in between":       {7, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newStoringFixture()
+			store := &replacedOwnerStore{fenced: c.fenced}
+			f.control.Store, f.control.EventLog = store, discardedLog{}
+			f.control.layout.Store(&dispatch.Layout{Shards: 1})
+			f.control.membership.generation = 5
+			f.owned.cancel = func() {}
+			f.control.handleJoined(joinedMessage{generation: c.generation, shards: []unit.Shard{0}, outcome: make(chan joinOutcome, 1)})
+			f.tick()
+			is.Equal(store.appends, c.appends)
+			is.Equal(f.control.owned[0] == nil, c.fenced)
+			f.group.Stop()
+			is.NoErr(f.group.Wait())
+		})
+	}
+}
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -57,14 +57,14 @@
 		owned.queuedWaiters = append(owned.queuedWaiters, waiter{job: m.request.Job, changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted}})
 	case KindCancel:
 		if !owned.shard.Cancel(now, wall, m.request.Job) {
-			owned.replyIfOwner(m, Reply{Status: StatusNotFound})
+			owned.replyIfOwner(m.replyTo, Reply{Status: StatusNotFound})
 			return
 		}
 		owned.queuedWaiters = append(owned.queuedWaiters, waiter{job: m.request.Job, changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted}})
 	case KindState:
 		r := stateReply(owned.shard, m.request.Job)
 		if r.Status == StatusNotFound {
-			owned.replyIfOwner(m, r)
+			owned.replyIfOwner(m.replyTo, r)
 			return
 		}
 		m.replyTo <- r
@@ -99,8 +99,8 @@
 // other owner has served the shard before the request came. The store can assign the
 // shard to another member at once, so that a confirmed membership proves less: the
 // next owner may have accepted the job.
-func (owned *ownedShard) replyIfOwner(m requestMessage, r Reply) {
-	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: r, provesOwnership: true})
+func (owned *ownedShard) replyIfOwner(replyTo chan<- Reply, r Reply) {
+	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: replyTo, reply: r, provesOwnership: true})
 }
 
 // isCurrent reports whether a request may be handled here. If the membership is not
