Keep a shard unproven until its next append after a reassignment

The proof after a join under another generation was a reply to nobody. It is a state of the owned shard now, which any append ends. TestUnknownJobsAreReportedByTheOwnerOnly becomes TestDenialsComeFromTheOwnerOnly and shares the fixture of the storing tests; its cases are the same.

--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -148,6 +148,7 @@
 	sequence        int64 // sequence number of the last append
 	writer          *record.Writer
 	appending       bool         // an append is in flight
+	unproven        bool         // another member may have owned the shard since the last append
 	gainedAt        clock.Millis // when the store had assigned the shard
 	lastAppendAt    clock.Millis // start of the last append, or gainedAt before the first append
 	modelsStoredAt  clock.Millis // when the interference models were last stored
@@ -334,7 +335,7 @@
 			continue
 		}
 		c.tickShard(owned)
-		if !owned.shard.Idle() || len(owned.queuedWaiters) > 0 {
+		if !owned.shard.Idle() || owned.needsProof() || len(owned.queuedWaiters) > 0 {
 			next = busyTickInterval
 		}
 		if owned.shard.Fenced() {
@@ -354,9 +355,8 @@
 	now := c.Clock.Now()
 	canStore := !owned.appending && now >= owned.lastAppendAt.Add(minAppendInterval)
 	changes, orders := owned.shard.Tick(now, wallNow(), canStore)
-	proves := canStore && slices.ContainsFunc(owned.queuedWaiters, func(w waiter) bool { return w.provesOwnership })
 	switch {
-	case len(changes) > 0 || proves:
+	case len(changes) > 0 || canStore && owned.needsProof():
 		c.startAppend(owned, now, changes)
 	case canStore:
 		// The changes that the waiters depend on are already stored.
@@ -368,6 +368,12 @@
 	}
 }
 
+// needsProof reports whether an append has to show that no other member has owned
+// the shard, also if there is nothing to store.
+func (owned *ownedShard) needsProof() bool {
+	return owned.unproven || slices.ContainsFunc(owned.queuedWaiters, func(w waiter) bool { return w.provesOwnership })
+}
+
 // Dump returns a summary of the state of the control goroutine, or the error of
 // ctx if it ends first.
 func (c *Control) Dump(ctx context.Context) (Dump, error) {
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -161,10 +161,7 @@
 	c.membership.confirmedBootAt.Store(int64(m.sentBootAt))
 	for id := range listed {
 		if owned := c.owned[id]; owned != nil {
-			if reassigned {
-				// Another member may have owned the shard since the last join.
-				owned.replyIfOwner(make(chan Reply, 1), Reply{})
-			}
+			owned.unproven = owned.unproven || reassigned
 			continue
 		}
 		// Appends and orders of the previous ownership may still be in flight.
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -29,8 +29,8 @@
 }
 
 // handleRequest applies a request and replies to it. The reply to an accepted
-// submission or cancellation is sent after the append of its changes, and the reply
-// that a job is unknown after an append that proves the ownership.
+// submission or cancellation is sent after the append of its changes. The reply that
+// a job is unknown is sent after an append that proves the ownership.
 func (c *Control) handleRequest(m requestMessage) {
 	owned := c.owned[m.request.Shard]
 	if owned == nil || !owned.restored {
--- a/scheduler/control/reply_test.go
+++ b/scheduler/control/reply_test.go
@@ -9,9 +9,7 @@
 
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
-	"mimosadock/schedule/group"
 	"mimosadock/schedule/unit"
-	"mimosadock/scheduler/record"
 )
 
 // TestRepliesOfAReplacedOwner guards against a replaced owner that replies for
@@ -72,53 +70,40 @@
 	return nil
 }
 
-// Guards against a cancel that is confirmed without effect: the store gives a shard to
-// another member at once, and the former owner answers that it does not know the job.
-func TestUnknownJobsAreReportedByTheOwnerOnly(t *testing.T) {
+// Guards against a cancel that is confirmed without effect: a former owner denies a job
+// that its successor has accepted.
+func TestDenialsComeFromTheOwnerOnly(t *testing.T) {
+	cancel, state := Request{Kind: KindCancel, Job: submittedJob(2)}, Request{Kind: KindState, Job: submittedJob(2)}
 	for name, c := range map[string]struct {
-		kind    Kind
+		request Request
 		changes bool // the shard has other changes to store
-		fenced  bool
+		fenced  bool // another owner has used a higher epoch
 		want    Status
 	}{
-		"cancel, owner":            {KindCancel, false, false, StatusNotFound},
-		"cancel, owner with work":  {KindCancel, true, false, StatusNotFound},
-		"cancel, former":           {KindCancel, false, true, StatusUndetermined},
-		"cancel, former with work": {KindCancel, true, true, StatusUndetermined},
-		"state, owner":             {KindState, false, false, StatusNotFound},
-		"state, former":            {KindState, false, true, StatusUndetermined},
+		"cancel, owner":            {cancel, false, false, StatusNotFound},
+		"cancel, owner with work":  {cancel, true, false, StatusNotFound},
+		"cancel, former":           {cancel, false, true, StatusUndetermined},
+		"cancel, former with work": {cancel, true, true, StatusUndetermined},
+		"state, owner":             {state, false, false, StatusNotFound},
+		"state, former":            {state, false, true, StatusUndetermined},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			g := group.New(context.Background())
-			now := new(clock.Manual)
+			f := newStoringFixture()
 			store := &replacedOwnerStore{fenced: c.fenced}
-			control := &Control{
-				Settings: Settings{TTL: 1200, Limits: dispatch.DefaultLimits}, Clock: now, BootClock: now.Now, Counters: new(Counters),
-				Store: store, EventLog: discardedLog{},
-			}
-			control.Init(g)
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			owned := &ownedShard{
-				writer: record.NewWriter(record.Limits{}, new(record.Set)), shard: &dispatch.Shard{Limits: dispatch.DefaultLimits},
-				restored: true, ctx: ctx, cancel: cancel,
-			}
-			control.owned[0] = owned
+			f.control.Store, f.control.EventLog, f.owned.cancel = store, discardedLog{}, func() {}
 			if c.changes {
-				is.NoErr(owned.shard.Submit(0, 0, &dispatch.Spec{ID: submittedJob(1), Steps: []dispatch.Step{{Count: 1}}}))
+				f.submit(1)
 			}
 			reply := make(chan Reply, 1)
-			control.handleRequest(requestMessage{&Request{Kind: c.kind, Job: submittedJob(2)}, reply})
+			f.control.handleRequest(requestMessage{&c.request, reply})
 			is.Equal(len(reply), 0) // the store has not confirmed the ownership yet
-			now.Advance(100)
-			control.tickShard(owned)
-			control.handleMessage(<-control.messages)
+			f.tick()
 			is.Equal(len(reply), 1)
 			is.Equal((<-reply).Status, c.want)
 			is.Equal(store.appends, 1)
-			g.Stop()
-			is.NoErr(g.Wait())
+			f.group.Stop()
+			is.NoErr(f.group.Wait())
 		})
 	}
 }
--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -45,7 +45,7 @@
 			groups = append(groups, g)
 		}
 	}
-	owned.appending, owned.lastAppendAt = true, now
+	owned.appending, owned.unproven, owned.lastAppendAt = true, false, now
 	// The changes that later waiters depend on are left for another append.
 	n, _ := slices.BinarySearchFunc(owned.queuedWaiters, owned.shard.CollectedChanges()+1, func(w waiter, changes int64) int {
 		return cmp.Compare(w.changes, changes)
