Report an executor without runs only with a proof of the ownership

What callers would see: maintenance shuts down a machine with runs, and their work is lost.

An owner whose shard the store has assigned to another member answers a request to evacuate an executor from its own tables, in which the runs that its successor has placed are missing.

TestDenialsComeFromTheOwnerOnly/evacuation failed before for both owners: the reply came without an append.

--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -30,7 +30,8 @@
 
 // handleRequest applies a request and replies to it. The reply to an accepted
 // submission or cancellation is sent after the append of its changes. The reply that
-// a job is unknown is sent after an append that proves the ownership.
+// a job is unknown, or that an executor has no runs, is sent after an append that
+// proves the ownership.
 func (c *Control) handleRequest(m requestMessage) {
 	owned := c.owned[m.request.Shard]
 	if owned == nil || !owned.restored {
@@ -89,7 +90,12 @@
 			m.replyTo <- Reply{Status: StatusNotFound}
 			return
 		}
-		m.replyTo <- Reply{Status: StatusAccepted, Count: remaining, Held: blocking}
+		r := Reply{Status: StatusAccepted, Count: remaining, Held: blocking}
+		if remaining == 0 {
+			owned.replyIfOwner(m.replyTo, r)
+			return
+		}
+		m.replyTo <- r
 	case KindPending:
 		m.replyTo <- Reply{Status: StatusAccepted, Count: owned.shard.Pending(m.request.Queue)}
 	}
@@ -98,7 +104,7 @@
 // replyIfOwner sends a reply once an append that starts later has shown that no
 // other owner has served the shard before the request came. The store can assign the
 // shard to another member at once, so that a confirmed membership proves less: the
-// next owner may have accepted the job.
+// next owner may have accepted the job or placed runs on the executor.
 func (owned *ownedShard) replyIfOwner(replyTo chan<- Reply, r Reply) {
 	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: replyTo, reply: r, provesOwnership: true})
 }
--- a/scheduler/control/reply_test.go
+++ b/scheduler/control/reply_test.go
@@ -70,10 +70,11 @@
 	return nil
 }
 
-// Guards against a cancel that is confirmed without effect: a former owner denies a job
-// that its successor has accepted.
+// Guards against a cancel that is confirmed without effect, and against maintenance of an
+// executor with runs: a former owner denies what its successor has accepted or placed.
 func TestDenialsComeFromTheOwnerOnly(t *testing.T) {
 	cancel, state := Request{Kind: KindCancel, Job: submittedJob(2)}, Request{Kind: KindState, Job: submittedJob(2)}
+	evacuation := Request{Kind: KindEvacuate, Executor: "x"}
 	for name, c := range map[string]struct {
 		request Request
 		changes bool // the shard has other changes to store
@@ -86,12 +87,15 @@
 		"cancel, former with work": {cancel, true, true, StatusUndetermined},
 		"state, owner":             {state, false, false, StatusNotFound},
 		"state, former":            {state, false, true, StatusUndetermined},
+		"evacuation, owner":        {evacuation, false, false, StatusAccepted},
+		"evacuation, former":       {evacuation, false, true, StatusUndetermined},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newStoringFixture()
 			store := &replacedOwnerStore{fenced: c.fenced}
 			f.control.Store, f.control.EventLog, f.owned.cancel = store, discardedLog{}, func() {}
+			f.owned.shard.ApplyRegistrations(0, dispatch.Registrations{Entries: []dispatch.Registration{{Executor: "x"}}}, func(unit.Executor) bool { return true })
 			if c.changes {
 				f.submit(1)
 			}
