Cancel jobs in the model of dispatch, with late orders across restarts

TestCancelledRunsEndUnderFaults cancels jobs at random times in ten mixes of faults and checks the platform's bounds: no start by the owner after the acknowledgement, none by a replaced owner later than 3 s after it, no run left 3.2 s after it (or after a late start) once nothing but late orders has disturbed the owner or the executor for 6.2 s. The perpetual jobs of TestLoansUnderFaults are checked in the same way.

Near are faults of the executor (restart, partition, cut from an owner, silence, missing or undecodable entry, lost order) until they end, and of the owners (replacement, slow append, fault of a request for loans). Late orders are none: the platform carries them out seconds after the fault.

New faults: entries that are removed and come back, orders that are late by up to 30 s and survive a restart, executors cut off without a takeover, owners replaced while they still start runs, appends that take seconds, entries that can't be decoded after a takeover. A start made for an earlier incarnation that comes before an owner has reconciled this one can't be fenced by anyone; only the checks of tasks that run twice leave it out.

--- a/schedule/dispatch/executor_sim_test.go
+++ b/schedule/dispatch/executor_sim_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 
 	"mimosadock/schedule/clock"
@@ -35,6 +34,13 @@
 	user             simulatedUse // last use by a current owner
 	usedAt           clock.Millis // when exactly one current owner used it
 	capacity         unit.Resources
+	unlistedFrom     clock.Millis            // has no entry from then on
+	unlistedUntil    clock.Millis            // has no entry until then
+	undecodableUntil clock.Millis            // its entry can't be decoded until then
+	lostAt           clock.Millis            // when an order to it was last lost
+	unfencedEnds     map[unit.EndNumber]bool // ends of runs with isUnfenced
+	hasRow           bool                    // the current owner has a row of it
+	isUnfenced       bool                    // the order that it carries out is one for isUnfenced
 }
 
 // simulatedRun is a run on a simulatedExecutor.
@@ -42,6 +48,11 @@
 	run    unit.Run
 	endsAt clock.Millis
 	size   unit.Resources
+
+	startedAt  clock.Millis
+	isLate     bool // started after the cancel of its job was acknowledged
+	isUnfenced bool // started by an order for isUnfenced
+	isOverdue  bool // was reported by checkCancelledRuns
 }
 
 // isCutOff reports whether an owner does not reach x.
@@ -49,9 +60,29 @@
 	return now < x.cutOffUntil && owner.Epoch >= x.cutOffFrom
 }
 
+// runningTasks returns the tasks that run on x, in a fixed order.
+func (x *simulatedExecutor) runningTasks() []TaskID {
+	if len(x.running) == 0 {
+		return nil
+	}
+	tasks := make([]TaskID, 0, len(x.running))
+	for id := range x.running {
+		tasks = append(tasks, id)
+	}
+	slices.SortFunc(tasks, TaskID.compare)
+	return tasks
+}
+
+// isCut reports whether orders of an owner do not reach an executor.
+func (sim *simulation) isCut(owner *Shard, id unit.Executor) bool {
+	x := sim.executors[id]
+	return x != nil && (sim.now < x.partitionedUntil || x.isCutOff(owner, sim.now))
+}
+
 // reset clears the state that a restart loses.
 func (x *simulatedExecutor) reset() {
 	x.token, x.lease, x.finished, x.lastEnd, x.lapsedEnd = 0, 0, nil, 0, 0
+	x.unfencedEnds = make(map[unit.EndNumber]bool)
 	x.running, x.highestRuns = make(map[TaskID]*simulatedRun), make(map[TaskID]unit.Run)
 }
 
@@ -70,13 +101,14 @@
 		x.reset()
 		x.startedAt, x.incarnation, x.restartAt = sim.now, x.incarnation+100, 0
 	}
+	sim.injectFaults(x)
 	if x.clock(sim.now) > x.lease {
 		x.lapsedEnd = x.lastEnd
 	}
 	if sim.chance(sim.faults.partition) {
 		x.partitionedUntil = sim.now.Add(clock.Span(sim.random.Intn(9000)))
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(x.running), func(a, b TaskID) int { return a.Index - b.Index }) {
+	for _, id := range x.runningTasks() {
 		r := x.running[id]
 		switch {
 		case x.clock(sim.now) > x.lease:
@@ -95,6 +127,7 @@
 func (x *simulatedExecutor) endRun(id TaskID, how EndKind) {
 	x.lastEnd++
 	x.finished = append(x.finished, FinishedRun{Number: x.lastEnd, Task: id, Run: x.running[id].run, Kind: how, Checkpoint: "c"})
+	x.unfencedEnds[x.lastEnd] = x.running[id].isUnfenced
 	delete(x.running, id)
 }
 
@@ -129,14 +162,14 @@
 		x.lease = max(x.lease, min(o.Hold.Deadline, x.clock(sim.now)+maxSimulatedHold))
 		x.finished = slices.DeleteFunc(x.finished, func(f FinishedRun) bool {
 			acknowledged := f.Number <= o.Hold.LastSeen
-			if acknowledged && f.Kind == EndDone && f.Number > x.lapsedEnd {
+			if acknowledged && !x.isUnfenced && !x.unfencedEnds[f.Number] && f.Kind == EndDone && f.Number > x.lapsedEnd {
 				sim.noted[f.Task] = true
 			}
 			return acknowledged
 		})
 		a.Finished = slices.Clone(x.finished)
-		for id, r := range x.running {
-			a.Running = append(a.Running, RunningRun{Task: id, Run: r.run, Progress: unit.Percent(sim.now % 97)})
+		for _, id := range x.runningTasks() {
+			a.Running = append(a.Running, RunningRun{Task: id, Run: x.running[id].run, Progress: unit.Percent(sim.now % 97)})
 		}
 	}
 	return a
@@ -163,9 +196,13 @@
 	if !used.Fits(x.capacity) {
 		return OutcomeNoRoom
 	}
-	sim.checkStart(x, o, spec)
+	if x.isUnfenced {
+		sim.cancels.unfencedStarts++
+	} else {
+		sim.checkStart(x, o, spec)
+	}
 	x.highestRuns[o.Task] = o.Run
-	r := &simulatedRun{run: o.Run, size: step.Size, endsAt: sim.now.Add(clock.Span(100 + sim.random.Intn(1500)))}
+	r := &simulatedRun{run: o.Run, size: step.Size, startedAt: sim.now, isUnfenced: x.isUnfenced, endsAt: sim.now.Add(clock.Span(100 + sim.random.Intn(1500)))}
 	if step.Perpetual {
 		r.endsAt = clock.Never
 	}
--- a/schedule/dispatch/loan_sim_test.go
+++ b/schedule/dispatch/loan_sim_test.go
@@ -143,7 +143,7 @@
 
 // saveForUndo saves the records that a change replaces.
 func (sim *simulation) saveForUndo(sh *simulatedShard, c *Change) {
-	if len(sim.shards) == 1 {
+	if len(sim.shards) == 1 && sim.faults.lostAppend == 0 {
 		return
 	}
 	if c.Leases != nil {
@@ -194,16 +194,17 @@
 }
 
 // interruptAppend drops the replies that wait for an append of a replaced owner.
-// The append in flight may be lost.
-func (sim *simulation) interruptAppend(sh *simulatedShard) {
+// The append in flight may be lost; then it returns true.
+func (sim *simulation) interruptAppend(sh *simulatedShard) bool {
 	undo := sh.loanRequests.undo
 	sh.loanRequests = simulatedLoanRequests{formerStores: sh.storing != nil}
-	if sh.storing == nil || len(sim.shards) == 1 || !sim.chance(sim.faults.lostAppend) {
-		return
+	if sh.storing == nil || len(sim.shards) == 1 && sim.faults.lostAppend == 0 || !sim.chance(sim.faults.lostAppend) {
+		return false
 	}
 	for _, restore := range slices.Backward(undo) {
 		restore()
 	}
+	return true
 }
 
 // acknowledgeAppend sends the replies that waited for an append.
@@ -229,13 +230,16 @@
 	copies := 1
 	if sim.chance(sim.faults.duplicateLoan) {
 		copies = 2
+		sim.disturbLoans()
 	}
 	for range copies {
 		if sim.chance(sim.faults.lostLoan) {
+			sim.disturbLoans()
 			continue
 		}
 		m.deliverAt = sim.now.Add(clock.Span(1 + sim.random.Intn(15)))
 		if sim.chance(sim.faults.lateLoan) {
+			sim.disturbLoans()
 			m.deliverAt = m.deliverAt.Add(clock.Span(500 + sim.random.Intn(6000)))
 		}
 		sim.loans.messages = append(sim.loans.messages, m)
@@ -343,6 +347,7 @@
 		if sim.chance(0.3) {
 			sim.loans.cancelAt[id] = clock.Never
 		}
+		sim.cancelLater(sh, id, sim.loans.cancelAt[id], true)
 	}
 	sim.submitTo(sh, spec)
 }
--- a/schedule/dispatch/simulation_test.go
+++ b/schedule/dispatch/simulation_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"maps"
@@ -34,6 +35,7 @@
 	failures   map[TaskID]int
 	jobs       []*Spec
 	faults     faults
+	cancels    cancelSimulation
 	violations error
 }
 
@@ -49,6 +51,10 @@
 	storedAt     clock.Millis // when the append in flight is stored
 	storedLoans  map[unit.Executor]Loan
 	loanRequests simulatedLoanRequests
+
+	formerConfirmedUntil clock.Millis // formerOwner starts runs until then
+	formerStoredAt       clock.Millis // when the last append of formerOwner is stored, 0 if none is in flight
+	slowUntil            clock.Millis // when the last slow append was stored
 }
 
 // faults holds the probability of each fault, for each order or tick of the
@@ -69,6 +75,31 @@
 
 	// Only simulated with several shards.
 	lostLoan, lateLoan, duplicateLoan, staleRoute, lostAppend, drain, join float64
+
+	// Only simulated with cancels; see [simulation.injectFaults].
+	removed, cutOffNow float64
+
+	// deferred is the probability that a late order is carried out also by a later
+	// incarnation or an executor that is cut off, and that an order to a cut off
+	// executor is late instead of lost.
+	deferred float64
+
+	// lateStart is the probability that a start is late, in addition to late.
+	lateStart float64
+
+	// maxLate bounds the delay of late orders; 0 means 12 s.
+	maxLate clock.Span
+
+	// rebalance is the probability that an owner is replaced at once while its
+	// membership still counts as confirmed, so that it continues to start runs.
+	rebalance float64
+
+	// slowAppend is the probability that an append takes seconds.
+	slowAppend float64
+
+	// undecodable is the probability that the entry of an executor can't be decoded
+	// for a time after a takeover.
+	undecodable float64
 }
 
 // stored is the record of a job in the store.
@@ -89,6 +120,7 @@
 	order         Order
 	from          *Shard
 	answerArrives bool // the answer reaches the sender
+	deferred      bool // survives a restart and reaches an executor that is cut off
 }
 
 // newSimulation returns a simulation with four executors and one shard.
@@ -134,6 +166,13 @@
 		if len(sim.shards) > 1 && x.partitionedUntil.Sub(sim.now) > unlistedPeriod {
 			continue
 		}
+		if x.isUnlisted(sim.now) {
+			continue
+		}
+		if sim.now < x.undecodableUntil {
+			r.Undecodable = append(r.Undecodable, UndecodableEntry{Executor: x.id, Reason: "simulated"})
+			continue
+		}
 		r.Entries = append(r.Entries, Registration{
 			Executor: x.id, Service: "s", Address: x.address, Capacity: x.capacity, Incarnation: x.incarnation,
 			Draining: x.leavesAt > 0, TimeLeft: max(0, x.leavesAt.Sub(sim.now)),
@@ -154,7 +193,10 @@
 
 // takeOver replaces the owner of a shard by one that has only the stored state.
 func (sim *simulation) takeOver(sh *simulatedShard) {
-	sim.interruptAppend(sh)
+	sh.formerConfirmedUntil, sh.formerStoredAt = 0, 0
+	if lost := sim.interruptAppend(sh); sh.storing != nil && !lost {
+		sh.formerStoredAt = sh.storedAt
+	}
 	sh.formerOwner, sh.storing, sh.replacedAt = sh.owner, nil, sim.now
 	sim.epoch++
 	sh.owner = &Shard{ID: sh.id, Epoch: sim.epoch, Member: unit.Member(strconv.Itoa(int(sim.epoch))), Shards: len(sim.shards), Limits: simulatedLimits()}
@@ -167,11 +209,16 @@
 	for _, id := range slices.Sorted(maps.Keys(sh.storedLoans)) {
 		sh.owner.RestoreLoan(sh.storedLoans[id])
 	}
+	for _, id := range slices.Sorted(maps.Keys(sim.executors)) {
+		if sim.rarely(sim.faults.undecodable) {
+			sim.executors[id].undecodableUntil = sim.now.Add(sim.span(300, 8*clock.Second))
+		}
+	}
 	sh.owner.RestoreLeaseRecord(sim.now, sh.storedLeases)
 	sh.owner.ApplyRegistrations(sim.now, sim.registrations(), sim.homeOf(sh))
 	sh.owner.StartOwnership(sim.now)
-	for _, x := range sim.executors {
-		if sim.chance(sim.faults.cutOff) {
+	for _, id := range slices.Sorted(maps.Keys(sim.executors)) {
+		if x := sim.executors[id]; sim.chance(sim.faults.cutOff) {
 			x.cutOffFrom, x.cutOffUntil = sim.epoch, sim.now.Add(clock.Span(1000+sim.random.Intn(12_000)))
 		}
 	}
@@ -221,11 +268,17 @@
 		if sim.chance(sim.faults.replaceOwner) {
 			sim.takeOver(sh)
 		}
+		if sim.rarely(sim.faults.rebalance) {
+			sim.takeOver(sh)
+			sh.formerConfirmedUntil = sim.now.Add(DefaultLimits.MemberTTL)
+		}
 		sim.tickOwner(sh, sh.owner, true)
 		if sh.formerOwner != nil {
 			sim.tickOwner(sh, sh.formerOwner, false)
 		}
 	}
+	sim.handleCancels()
+	sim.checkCancelledRuns()
 	if len(sim.shards) > 1 {
 		sim.changeExecutors()
 		sim.checkUsers()
@@ -253,11 +306,17 @@
 	}
 	sim.registerGained(sh, s)
 	if !current {
+		if sh.formerConfirmedUntil > 0 && sh.formerStoredAt > 0 && sim.now >= sh.formerStoredAt {
+			sh.formerStoredAt = 0
+			s.HandleStored(sim.now)
+		}
 		// A process starts no runs while its membership is unconfirmed. It
 		// continues to send holds, stops and requests for loans.
 		changes, orders := s.Tick(sim.now, sim.wall(), len(sim.shards) > 1 && !sh.loanRequests.formerStores)
 		sh.loanRequests.formerStores = sh.loanRequests.formerStores || len(changes) > 0
-		orders = slices.DeleteFunc(orders, func(o Order) bool { return o.Start != nil })
+		if sim.now >= sh.formerConfirmedUntil {
+			orders = slices.DeleteFunc(orders, func(o Order) bool { return o.Start != nil })
+		}
 		if sim.now.Sub(sh.replacedAt) >= DefaultLimits.RenewalTimeout {
 			for i := range orders {
 				if orders[i].Hold != nil {
@@ -278,6 +337,10 @@
 	}
 	if len(changes) > 0 {
 		sh.storing, sh.storedAt = changes, sim.now.Add(clock.Span(10*sim.random.Intn(4)))
+		if sim.rarely(sim.faults.slowAppend) {
+			sh.storedAt = sim.now.Add(sim.span(500, 4*clock.Second))
+			sh.slowUntil = sh.storedAt
+		}
 	} else if canStore {
 		sim.acknowledgeAppend(sh)
 	}
@@ -320,20 +383,28 @@
 
 // send puts orders in transit, some of them lost or late.
 func (sim *simulation) send(from *Shard, orders []Order) {
+	slices.SortStableFunc(orders, compareOrders) // repeated ones come in random order
 	for _, o := range orders {
 		if o.Loan != nil {
 			sim.sendLoanRequest(from, o.Loan)
 			continue
 		}
+		if o.Start != nil {
+			sim.checkStartOrder(from, o.Start)
+		}
 		m := message{sentAt: sim.now, deliverAt: sim.now.Add(clock.Span(1 + sim.random.Intn(15))), order: o, from: from, answerArrives: true}
 		switch {
 		case sim.chance(sim.faults.lost):
 			m.answerArrives = false
+			if x := sim.executors[o.To.Executor]; x != nil {
+				x.lostAt = sim.now
+			}
 			if sim.chance(0.5) {
 				m.deliverAt = clock.Never
 			}
-		case sim.chance(sim.faults.late):
-			m.deliverAt, m.answerArrives = sim.now.Add(clock.Span(2000+sim.random.Intn(10_000))), false
+		case sim.chance(sim.faults.late) || o.Start != nil && sim.rarely(sim.faults.lateStart) || sim.isCut(from, o.To.Executor) && sim.rarely(sim.faults.deferred):
+			m.deliverAt, m.answerArrives = sim.now.Add(sim.span(2*clock.Second, cmp.Or(sim.faults.maxLate, 12*clock.Second))), false
+			m.deferred = sim.rarely(sim.faults.deferred)
 		}
 		if !m.answerArrives {
 			// The sender times out long before a late order is carried out.
@@ -346,6 +417,33 @@
 	}
 }
 
+// compareOrders orders stops and starts by task, before all other orders.
+func compareOrders(a, b Order) int {
+	kind := func(o Order) int {
+		switch {
+		case o.Stop != nil:
+			return 0
+		case o.Start != nil:
+			return 1
+		}
+		return 2
+	}
+	switch k := kind(a); {
+	case k != kind(b):
+		return k - kind(b)
+	case k == 0:
+		return a.Stop.Task.compare(b.Stop.Task)
+	case k == 1:
+		return a.Start.Task.compare(b.Start.Task)
+	}
+	return 0
+}
+
+// compare orders tasks by job, occurrence, step and index.
+func (t TaskID) compare(u TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, u.Job), cmp.Compare(t.Occurrence, u.Occurrence), cmp.Compare(t.Step, u.Step), cmp.Compare(t.Index, u.Index))
+}
+
 // deliver carries out the orders that have arrived.
 func (sim *simulation) deliver() {
 	var due, remaining []message
@@ -359,13 +457,13 @@
 	sim.messages = remaining
 	for _, m := range due {
 		x := sim.executors[m.order.To.Executor]
-		if m.order.To.Address == "timeout" || m.order.To.Address == "" || x == nil || sim.now < x.partitionedUntil || x.isCutOff(m.from, sim.now) {
+		if m.order.To.Address == "timeout" || m.order.To.Address == "" || x == nil || !m.deferred && sim.isCut(m.from, x.id) {
 			if m.answerArrives || m.order.To.Address == "timeout" {
 				m.from.HandleAnswer(sim.now, sim.wall(), &m.order, &Answer{}, errors.New("no answer"))
 			}
 			continue
 		}
-		if m.sentAt < x.startedAt && (m.deliverAt.Sub(m.sentAt) >= orderTimeout || !sim.chance(sim.faults.misdelivered)) {
+		if m.sentAt < x.startedAt && !m.deferred && (m.deliverAt.Sub(m.sentAt) >= orderTimeout || !sim.chance(sim.faults.misdelivered)) {
 			// An order that an executor has deferred is lost when the executor
 			// restarts.
 			if m.answerArrives {
@@ -373,6 +471,7 @@
 			}
 			continue
 		}
+		x.isUnfenced = sim.isUnfenced(x, &m)
 		a := sim.execute(x, &m.order)
 		if m.answerArrives && sim.now < x.silentUntil {
 			sim.messages = append(sim.messages, message{deliverAt: m.sentAt.Add(orderTimeout), order: m.order, from: m.from})
@@ -398,7 +497,7 @@
 // checkStart checks the invariants at the start of a run.
 func (sim *simulation) checkStart(x *simulatedExecutor, o *StartOrder, spec *Spec) {
 	for _, y := range sim.executors {
-		if y != x && y.running[o.Task] != nil {
+		if r := y.running[o.Task]; y != x && r != nil && !r.isUnfenced {
 			sim.reportViolation("%s runs on %s and starts on %s", o.Task, y.id, x.id)
 		}
 	}
