Complete a released task whose run is listed as done

What callers would see: TWICE, a task starts again after a run of it has ended done and the end is acknowledged.

Cause: an executor that has restarted under its id carries out a start late, after the owner took the lease for expired and released the task. handleRunEnd ignored the end of this run, since the task was not assigned any more; the owner acknowledged it and placed the task again. The end of the current run of a task that waits to be placed now completes the task.

--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -162,9 +162,17 @@
 }
 
 // handleRunEnd applies the end of a run. It ignores ends of runs other than
-// the current run of the task. A perpetual task starts again after any end.
+// the current run of the task. A perpetual task starts again after any end. A task
+// that was taken from its executor and has not been placed again is done if the
+// executor lists its run as done: once the end is acknowledged, it must not start.
 func (s *Shard) handleRunEnd(now clock.Millis, wall unit.UnixMillis, e *Executor, f *FinishedRun) {
 	j, st, t := s.findTask(f.Task)
+	if t != nil && t.Run == f.Run && t.State == TaskReady && f.Kind == EndDone && !st.Perpetual && !st.Gang {
+		// The task was taken from e, which has carried out the start late.
+		s.report(Event{Kind: "runEnded", Task: f.Task, Run: f.Run, Executor: e.Executor, Reason: f.Kind.String()})
+		s.completeTask(now, wall, f.Task, j, st, t, e)
+		return
+	}
 	if t == nil || t.Run != f.Run || t.Executor != e.Executor || !t.State.assigned() {
 		return
 	}
