--- a/schedule/dispatch/cancel_sim_test.go
+++ b/schedule/dispatch/cancel_sim_test.go
@@ -111,7 +111,7 @@
 // disturbedUntil returns the time at which the last fault of x ended. Late orders
 // do not count: the platform carries out orders late long after a fault.
 func (x *simulatedExecutor) disturbedUntil() clock.Millis {
-	return max(x.startedAt, x.partitionedUntil, x.cutOffUntil, x.silentUntil, x.unlistedUntil, x.undecodableUntil, x.lostAt)
+	return max(x.startedAt, x.partitionedUntil, x.cutOffUntil, x.silentUntil, x.unlistedUntil, x.undecodableUntil, x.outdatedUntil, x.lostAt)
 }
 
 // disturbedUntil returns the time at which the last fault ended that touches x or
@@ -315,6 +315,7 @@
 	"cut off":             {cutOffNow: 0.001, late: 0.05, lateStart: 0.2, deferred: 0.9, replaceOwner: 0.001, cutOff: 0.3},
 	"rebalanced owners":   {rebalance: 0.005, late: 0.05, lateStart: 0.2, deferred: 0.5, crash: 0.0005},
 	"slow appends":        {slowAppend: 0.1, replaceOwner: 0.002, lostAppend: 0.5, lost: 0.02},
+	"outdated entries":    {outdated: 0.9, late: 0.2, crash: 0.004, misdelivered: 0.5, replaceOwner: 0.006},
 	"undecodable entries": {replaceOwner: 0.003, undecodable: 0.4, late: 0.05, lateStart: 0.2, deferred: 0.5, crash: 0.0005},
 	"all": {
 		lost: 0.02, late: 0.05, lateStart: 0.2, deferred: 0.6, maxLate: 14 * clock.Second, crash: 0.0005, silentRestart: 0.0003, misdelivered: 0.5,
--- a/schedule/dispatch/executor_sim_test.go
+++ b/schedule/dispatch/executor_sim_test.go
@@ -13,34 +13,36 @@
 
 // simulatedExecutor is an executor of the [simulation].
 type simulatedExecutor struct {
-	id               unit.Executor
-	address          string
-	incarnation      unit.UnixMillis
-	startedAt        clock.Millis
-	clockRate        float64 // its clock relative to the actual time; below 1 it is slow
-	token            unit.Token
-	lease            unit.ExecutorMillis
-	running          map[TaskID]*simulatedRun
-	highestRuns      map[TaskID]unit.Run // highest run of each task that was started or stopped
-	finished         []FinishedRun
-	lastEnd          unit.EndNumber // number of the last end
-	lapsedEnd        unit.EndNumber // number of the last end before the lease lapsed
-	partitionedUntil clock.Millis
-	cutOffFrom       unit.Generation // owners from this epoch on do not reach it until cutOffUntil
-	cutOffUntil      clock.Millis
-	silentUntil      clock.Millis // its answers are lost until then
-	restartAt        clock.Millis // when it restarts, 0 if it does not
-	leavesAt         clock.Millis // when it leaves for good, 0 if it does not drain
-	user             simulatedUse // last use by a current owner
-	usedAt           clock.Millis // when exactly one current owner used it
-	capacity         unit.Resources
-	unlistedFrom     clock.Millis            // has no entry from then on
-	unlistedUntil    clock.Millis            // has no entry until then
-	undecodableUntil clock.Millis            // its entry can't be decoded until then
-	lostAt           clock.Millis            // when an order to it was last lost
-	unfencedEnds     map[unit.EndNumber]bool // ends of runs with isUnfenced
-	hasRow           bool                    // the current owner has a row of it
-	isUnfenced       bool                    // the order that it carries out is one for isUnfenced
+	id                unit.Executor
+	address           string
+	incarnation       unit.UnixMillis
+	startedAt         clock.Millis
+	clockRate         float64 // its clock relative to the actual time; below 1 it is slow
+	token             unit.Token
+	lease             unit.ExecutorMillis
+	running           map[TaskID]*simulatedRun
+	highestRuns       map[TaskID]unit.Run // highest run of each task that was started or stopped
+	finished          []FinishedRun
+	lastEnd           unit.EndNumber // number of the last end
+	lapsedEnd         unit.EndNumber // number of the last end before the lease lapsed
+	partitionedUntil  clock.Millis
+	cutOffFrom        unit.Generation // owners from this epoch on do not reach it until cutOffUntil
+	cutOffUntil       clock.Millis
+	silentUntil       clock.Millis // its answers are lost until then
+	restartAt         clock.Millis // when it restarts, 0 if it does not
+	leavesAt          clock.Millis // when it leaves for good, 0 if it does not drain
+	user              simulatedUse // last use by a current owner
+	usedAt            clock.Millis // when exactly one current owner used it
+	capacity          unit.Resources
+	unlistedFrom      clock.Millis            // has no entry from then on
+	unlistedUntil     clock.Millis            // has no entry until then
+	undecodableUntil  clock.Millis            // its entry can't be decoded until then
+	outdatedUntil     clock.Millis            // its entry may be that of formerIncarnation until then
+	formerIncarnation unit.UnixMillis         // incarnation before the last restart
+	lostAt            clock.Millis            // when an order to it was last lost
+	unfencedEnds      map[unit.EndNumber]bool // ends of runs with isUnfenced
+	hasRow            bool                    // the current owner has a row of it
+	isUnfenced        bool                    // the order that it carries out is one for isUnfenced
 }
 
 // simulatedRun is a run on a simulatedExecutor.
@@ -99,7 +101,11 @@
 	}
 	if sim.chance(sim.faults.crash) || x.restartAt > 0 && sim.now >= x.restartAt {
 		x.reset()
+		x.formerIncarnation = x.incarnation
 		x.startedAt, x.incarnation, x.restartAt = sim.now, x.incarnation+100, 0
+		if sim.rarely(sim.faults.outdated) {
+			x.outdatedUntil = sim.now.Add(sim.span(0, 6*clock.Second))
+		}
 	}
 	sim.injectFaults(x)
 	if x.clock(sim.now) > x.lease {
--- a/schedule/dispatch/simulation_test.go
+++ b/schedule/dispatch/simulation_test.go
@@ -97,6 +97,10 @@
 	// slowAppend is the probability that an append takes seconds.
 	slowAppend float64
 
+	// outdated is the probability that the list shows the entry of the former
+	// incarnation at times after a restart.
+	outdated float64
+
 	// undecodable is the probability that the entry of an executor can't be decoded
 	// for a time after a takeover.
 	undecodable float64
@@ -173,8 +177,12 @@
 			r.Undecodable = append(r.Undecodable, UndecodableEntry{Executor: x.id, Reason: "simulated"})
 			continue
 		}
+		incarnation := x.incarnation
+		if sim.now < x.outdatedUntil && sim.chance(0.5) {
+			incarnation = x.formerIncarnation
+		}
 		r.Entries = append(r.Entries, Registration{
-			Executor: x.id, Service: "s", Address: x.address, Capacity: x.capacity, Incarnation: x.incarnation,
+			Executor: x.id, Service: "s", Address: x.address, Capacity: x.capacity, Incarnation: incarnation,
 			Draining: x.leavesAt > 0, TimeLeft: max(0, x.leavesAt.Sub(sim.now)),
 		})
 	}
