Give each process and each scenario of the soak a loopback address of its own

While one p0 was down, the other one answered its callers and its peers. A proxy or an executor of another scenario could get a port of a process that is down in the same way.

Processes, and the store with the executors and proxies of a scenario, now have loopback addresses that are reserved as long as the test runs, also against other test programs.

--- a/scheduler/process/process_test.go
+++ b/scheduler/process/process_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -63,14 +62,14 @@
 
 // start starts a scheduler process and stops it at the end of the test.
 func (s *cluster) start() *testProcess {
-	port, err := fleet.FreePorts(4)
+	host, err := fleet.ReserveLoopback()
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	at := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port+i)) }
+	s.t.Cleanup(host.Close)
 	path := filepath.Join(s.t.TempDir(), "node.yaml")
-	text := fmt.Sprintf("node_name: n\nip: 127.0.0.1\nbind_addresses: {frontend: %q, ready: %q}\nport_range: [%d, %d]\nbounds: {max_hold_ms: 6000, grace_s: 2}\nplatform: {address: %q, min_ttl_ms: 1000}\ncloud_api: {address: %q}\nadvice: %q\n",
-		at(0), at(1), port+2, port+3, s.store.Address(), s.machines, s.advisor)
+	text := fmt.Sprintf("node_name: n\nip: %s\nbind_addresses: {frontend: %q, ready: %q}\nport_range: [%d, %d]\nbounds: {max_hold_ms: 6000, grace_s: 2}\nplatform: {address: %q, min_ttl_ms: 1000}\ncloud_api: {address: %q}\nadvice: %q\n",
+		host.IP(), host.Address(0), host.Address(1), host.Port(2), host.Port(3), s.store.Address(), s.machines, s.advisor)
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -79,7 +78,7 @@
 		s.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &testProcess{callerAddress: at(0), peerAddress: at(2), stop: cancel, done: make(chan struct{})}
+	r := &testProcess{callerAddress: host.Address(0), peerAddress: host.Address(2), stop: cancel, done: make(chan struct{})}
 	g := new(group.Group)
 	g.Go("process", func(context.Context) error {
 		defer close(r.done)
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -56,23 +55,24 @@
 }
 
 // newProcess returns a process with its settings file and its proxy to the
-// store. The process is not started.
+// store. The process is not started. It has a loopback address of its own, so that
+// nothing else gets its ports while it is down.
 func newProcess(t *testing.T, n int, store string) *process {
 	proxy, err := OpenProxy(store)
 	if err != nil {
 		t.Fatal(err)
 	}
-	port, err := fleet.FreePorts(4)
+	host, err := fleet.ReserveLoopback()
 	if err != nil {
 		t.Fatal(err)
 	}
-	at := func(i int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port+i)) }
+	t.Cleanup(host.Close)
 	p := &process{
-		t: t, name: "p" + strconv.Itoa(n), callerAddress: at(0), storeProxy: proxy, settings: filepath.Join(t.TempDir(), "node.yaml"),
+		t: t, name: "p" + strconv.Itoa(n), callerAddress: host.Address(0), storeProxy: proxy, settings: filepath.Join(t.TempDir(), "node.yaml"),
 		client: &http.Client{Timeout: 4 * time.Second},
 	}
-	text := fmt.Sprintf("node_name: %q\nip: 127.0.0.1\nbind_addresses: {frontend: %q, ready: %q}\nport_range: [%d, %d]\nbounds: {max_hold_ms: 6000, grace_s: 2}\nplatform: {address: %q, min_ttl_ms: 1000}\n",
-		p.name, at(0), at(1), port+2, port+3, proxy.Address())
+	text := fmt.Sprintf("node_name: %q\nip: %s\nbind_addresses: {frontend: %q, ready: %q}\nport_range: [%d, %d]\nbounds: {max_hold_ms: 6000, grace_s: 2}\nplatform: {address: %q, min_ttl_ms: 1000}\n",
+		p.name, host.IP(), host.Address(0), host.Address(1), host.Port(2), host.Port(3), proxy.Address())
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mimosadock/schedule/group"
+	"mimosadock/standin/fleet"
 )
 
 // Proxy forwards TCP connections on loopback and can inject faults. Use
@@ -23,9 +24,10 @@
 	dropAnswers bool          // drops the data from the target
 }
 
-// OpenProxy starts a proxy on a free port that forwards to the target address.
+// OpenProxy starts a proxy that forwards to the target address. It listens on a
+// free port of the same IP.
 func OpenProxy(target string) (*Proxy, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := fleet.ListenBeside(target)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -169,7 +169,12 @@
 
 // newScenario starts a store, the executors and the processes.
 func newScenario(t *testing.T, seed int64) *scenario {
-	s := &scenario{t: t, store: fleet.NewStore(), group: group.New(context.Background()), startedAt: time.Now()}
+	host, err := fleet.ReserveLoopback()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(host.Close)
+	s := &scenario{t: t, store: fleet.NewStoreAt(host.IP()), group: group.New(context.Background()), startedAt: time.Now()}
 	s.store.Put("keyed.op", "config", fleet.Config(1, "s", "q.example", "/q/"))
 	for i := range executorCount {
 		e := &executor{scenario: s, id: "i-" + strconv.Itoa(i), rng: rand.New(rand.NewSource(seed + int64(i)))}
--- a/standin/fleet/executor.go
+++ b/standin/fleet/executor.go
@@ -130,7 +130,11 @@
 	mux.HandleFunc("POST /-/run-stop", x.orderHandler(x.stopRun))
 	mux.HandleFunc("POST /-/pace", x.orderHandler(func(*order) (int, string) { return http.StatusOK, "" }))
 	mux.HandleFunc("POST /-/hold", x.serveHold)
-	x.server = httptest.NewServer(x.onlyForThis(mux))
+	listener, err := ListenBeside(store.Address())
+	if err != nil {
+		panic("fleet: the store's address has no free port: " + err.Error())
+	}
+	x.server = serveOn(listener, x.onlyForThis(mux))
 	x.register(service)
 	return x
 }
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -45,8 +46,16 @@
 	offset   int            // of the first record of the last append
 }
 
-// NewStore starts an empty store on a free loopback port.
-func NewStore() *Store {
+// NewStore starts an empty store on a free port of 127.0.0.1.
+func NewStore() *Store { return NewStoreAt("127.0.0.1") }
+
+// NewStoreAt starts an empty store on a free port of a loopback address, which its
+// executors use too.
+func NewStoreAt(ip string) *Store {
+	listener, err := net.Listen("tcp4", addressAt(ip, 0))
+	if err != nil {
+		panic("fleet: the loopback address is not available: " + err.Error())
+	}
 	s := &Store{changed: make(chan struct{}), partitions: make(map[partitionKey]*partition)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/log-append", s.serveAppend)
@@ -55,7 +64,7 @@
 	mux.HandleFunc("POST /-/log-join", s.serveJoin)
 	mux.HandleFunc("POST /-/log-leave", s.serveLeave)
 	mux.HandleFunc("GET /-/log-owners", s.serveOwners)
-	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.server = serveOn(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.Down.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
