Play cancels beside faults of one kind in the soak

The checker is stricter: 410 for the first cancel of an accepted job is a violation and confirms the cancel; a run may go on for 3.2 s after it in calm (4.2 s before, still in force for a run that started after it); an order to start may arrive 3 s after it (5 s to the start before).

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -11,16 +11,18 @@
 )
 
 // maxStartAfterCancel bounds the time from the confirmation of a cancellation to
-// the last start of a task of the job. It covers the platform's bound and the
-// longest delay of an order in the scenarios, 2 s.
-const maxStartAfterCancel = 5 * time.Second
+// the arrival of the last order to start a task of the job.
+const maxStartAfterCancel = 3 * time.Second
 
 // Bounds for the tasks of perpetual and cancelled jobs. They hold in calm times,
 // in which no fault is active.
 const (
 	maxRestart        = 9 * time.Second                      // from the end of a run of a perpetual task to its next run
 	minCalmToRestart  = 7 * time.Second                      // of maxRestart, calm and with room
-	maxRunAfterCancel = 4*time.Second + 200*time.Millisecond // the bounds to cancel a job and to stop a task
+	maxRunAfterCancel = 3*time.Second + 200*time.Millisecond // the bounds to cancel a job and to stop a task
+	// maxLateRunAfterCancel is maxRunAfterCancel for runs that started after the
+	// confirmation of the cancellation, which the owner has to find first.
+	maxLateRunAfterCancel = 4*time.Second + 200*time.Millisecond
 )
 
 // Checker checks the guarantees of the scheduler against the events that callers
@@ -33,16 +35,19 @@
 //	         run whose end as done was acknowledged. The acknowledgement may be
 //	         later than the start.
 //	LOST     An accepted job is reported as unknown, or a job is reported as
-//	         failed, or as cancelled without a cancellation. Or a task of a
+//	         failed, or as cancelled without a cancellation. Or the first
+//	         cancellation of an accepted job is answered as that of an unknown
+//	         one. Or a task of a
 //	         perpetual job does not run again within maxRestart of its last run,
 //	         of which the last minCalmToRestart were calm and an executor had
 //	         room for two such tasks.
 //	MIXED    A job is reported as completed before all its tasks are done, or,
 //	         without a cancellation, in another known state after that report.
 //	ORDER    A task of a later step started before the first step was done.
-//	UNASKED  A task ran of a job that no caller submitted, or started later than
-//	         maxStartAfterCancel after the cancellation, or still runs after
-//	         maxRunAfterCancel of calm since the cancellation.
+//	UNASKED  A task ran of a job that no caller submitted, or was ordered to start
+//	         later than maxStartAfterCancel after the cancellation, or still runs
+//	         after maxRunAfterCancel of calm since the cancellation,
+//	         maxLateRunAfterCancel if it started after the cancellation.
 //	REFUSED  A task ran of a job whose submissions were all refused.
 //
 // The scenarios also report LOST for accepted batch jobs that are not completed
@@ -90,13 +95,13 @@
 
 // task holds the events of a task that executors observed.
 type task struct {
-	running       map[string]int // number of the current run, by executor
-	completedRuns map[string]int // number of the run that ended as done, by executor, until the executor or its lease ends
-	restarted     bool           // another run started while completedRuns was not empty
-	acknowledged  bool           // an end as done was acknowledged
-	completions   int            // number of runs that ended as done
-	endedAt       time.Time      // end of the last run
-	overdue       bool           // a violation of a bound has been added since the last start
+	running       map[string]fleet.Run // the current run, by executor
+	completedRuns map[string]int       // number of the run that ended as done, by executor, until the executor or its lease ends
+	restarted     bool                 // another run started while completedRuns was not empty
+	acknowledged  bool                 // an end as done was acknowledged
+	completions   int                  // number of runs that ended as done
+	endedAt       time.Time            // end of the last run
+	overdue       bool                 // a violation of a bound has been added since the last start
 }
 
 var _ fleet.Observer = (*Checker)(nil)
@@ -120,7 +125,7 @@
 	}
 	t := c.tasks[name]
 	if t == nil {
-		t = &task{running: make(map[string]int), completedRuns: make(map[string]int)}
+		t = &task{running: make(map[string]fleet.Run), completedRuns: make(map[string]int)}
 		c.tasks[name] = t
 	}
 	return t
@@ -184,7 +189,8 @@
 }
 
 // CheckStops checks that no task of a cancelled job runs after maxRunAfterCancel
-// of calm. It adds at most one violation for each run.
+// of calm, or maxLateRunAfterCancel if it started late. It adds at most one
+// violation for each run.
 func (c *Checker) CheckStops(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -198,8 +204,15 @@
 			continue
 		}
 		cancelled := now.Sub(j.cancelledAt)
-		if t.overdue = min(calm, cancelled) > maxRunAfterCancel; t.overdue {
-			c.addViolation("UNASKED: %s still runs %v after its cancellation, calm for %v", name, cancelled, calm)
+		for x, run := range t.running {
+			limit := maxRunAfterCancel
+			if run.At.After(j.cancelledAt) {
+				limit = maxLateRunAfterCancel
+			}
+			if !t.overdue && min(calm, cancelled) > limit {
+				t.overdue = true
+				c.addViolation("UNASKED: run %d of %s on %s still runs %v after its cancellation, calm for %v, started %v before now", run.Number, name, x, cancelled, calm, now.Sub(run.At))
+			}
 		}
 	}
 }
@@ -272,6 +285,18 @@
 	c.jobs[id].cancelledAt = at
 }
 
+// RecordCancelUnknown records that a caller's cancellation of an accepted job was
+// answered as that of an unknown job, which confirms it like any other answer.
+// first means that it was the first attempt to cancel the job.
+func (c *Checker) RecordCancelUnknown(id string, first bool, at time.Time) {
+	c.RecordCancelled(id, at)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if first && c.jobs[id].accepted {
+		c.addViolation("LOST: %s is accepted but its cancellation was answered as that of an unknown job", id)
+	}
+}
+
 // RecordState checks and records a state that a caller received for a job. The
 // state is empty if the job was unknown.
 func (c *Checker) RecordState(id, state string) {
@@ -330,14 +355,14 @@
 		return
 	case j.refused:
 		c.addViolation("REFUSED: %s runs although its submission was refused", r.Task)
-	case !j.cancelledAt.IsZero() && r.At.Sub(j.cancelledAt) > maxStartAfterCancel:
-		c.addViolation("UNASKED: %s was started %v after its cancellation", r.Task, r.At.Sub(j.cancelledAt))
+	case !j.cancelledAt.IsZero() && r.OrderedAt.Sub(j.cancelledAt) > maxStartAfterCancel:
+		c.addViolation("UNASKED: %s was ordered to start %v after its cancellation", r.Task, r.OrderedAt.Sub(j.cancelledAt))
 	}
-	for x, n := range t.running {
-		c.addViolation("TWICE: run %d of %s on %s started during run %d on %s", r.Number, r.Task, r.Executor, n, x)
+	for x, other := range t.running {
+		c.addViolation("TWICE: run %d of %s on %s started during run %d on %s", r.Number, r.Task, r.Executor, other.Number, x)
 	}
 	if t.acknowledged {
-		c.addViolation("TWICE: run %d of %s started after an acknowledged end", r.Number, r.Task)
+		c.addViolation("TWICE: run %d of %s on %s started at %s after an acknowledged end, ordered %v before", r.Number, r.Task, r.Executor, r.At.Format("05.000"), r.At.Sub(r.OrderedAt))
 	}
 	if !strings.HasPrefix(rest, "0.0.") {
 		for i := range j.firstStepTasks {
@@ -347,7 +372,7 @@
 		}
 	}
 	t.restarted = t.restarted || len(t.completedRuns) > 0
-	t.running[r.Executor] = r.Number
+	t.running[r.Executor] = r
 	t.overdue = false
 }
 
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -5,7 +5,8 @@
 // loopback proxies reset connections or drop data in one or both directions;
 // signals stop, pause, kill and restart processes; the store is down, slow or
 // loses answers; executors crash, restart, leave for new ones and execute
-// orders late. Faults come in series and overlap. Meanwhile a [Checker] checks
+// orders late. Faults come in series and overlap; other scenarios have one kind of
+// faults and cancel most jobs. Meanwhile a [Checker] checks
 // the guarantees against the events that callers and executors observe. All
 // choices follow from a seed. After the last fault, the checker also checks the
 // bounds on the times until tasks of perpetual jobs run again and those of
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -18,10 +18,12 @@
 
 	mu          sync.Mutex
 	target      string
-	conns       map[net.Conn]bool
-	delay       time.Duration // added to each read of data
-	dropAll     bool          // drops the data of both directions
-	dropAnswers bool          // drops the data from the target
+	conns       map[net.Conn]bool // with true for those of clients
+	dropFrom    int               // process whose data is dropped in both directions, 0 for none
+	dropped     map[net.Conn]bool // connections of that process
+	delay       time.Duration     // added to each read of data
+	dropAll     bool              // drops the data of both directions
+	dropAnswers bool              // drops the data from the target
 }
 
 // OpenProxy starts a proxy that forwards to the target address. It listens on a
@@ -59,10 +61,21 @@
 // SetDropAnswers sets whether the data from the target is dropped.
 func (p *Proxy) SetDropAnswers(on bool) { p.withLock(func() { p.dropAnswers = on }) }
 
+// SetDropFrom drops the data of the connections of a process of this machine, of
+// both directions.
+func (p *Proxy) SetDropFrom(pid int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dropFrom, p.dropped = pid, make(map[net.Conn]bool)
+	for c := range p.conns {
+		p.dropped[c] = p.conns[c] && ownsSocket(pid, c.RemoteAddr(), p.listener.Addr())
+	}
+}
+
 // ClearFaults ends all faults. Connections that lost data stay open and forward
 // nothing until they are reset.
 func (p *Proxy) ClearFaults() {
-	p.withLock(func() { p.delay, p.dropAll, p.dropAnswers = 0, false, false })
+	p.withLock(func() { p.delay, p.dropAll, p.dropAnswers, p.dropFrom = 0, false, false, 0 })
 }
 
 // withLock calls f with the lock held.
@@ -109,18 +122,23 @@
 		_ = in.Close() // the client detects it
 		return
 	}
-	p.withLock(func() { p.conns[in], p.conns[out] = true, true })
+	p.withLock(func() {
+		p.conns[in], p.conns[out] = true, false
+		if p.dropFrom != 0 {
+			p.dropped[in] = ownsSocket(p.dropFrom, in.RemoteAddr(), p.listener.Addr())
+		}
+	})
 	defer p.withLock(func() { delete(p.conns, in); delete(p.conns, out) })
 	var g group.Group
-	g.Go("requests", func(context.Context) error { p.copy(out, in, false); return nil })
-	g.Go("answers", func(context.Context) error { p.copy(in, out, true); return nil })
+	g.Go("requests", func(context.Context) error { p.copy(out, in, in, false); return nil })
+	g.Go("answers", func(context.Context) error { p.copy(in, out, in, true); return nil })
 	_ = g.Wait() // copying returns no error
 }
 
-// copy copies data until one end closes. Once it has dropped data, it drops all
+// copy copies data of a client until one end closes. Once it has dropped data, it drops all
 // later data of the connection too, because the receiver cannot detect a gap in
 // the byte stream.
-func (p *Proxy) copy(to, from net.Conn, answers bool) {
+func (p *Proxy) copy(to, from, client net.Conn, answers bool) {
 	defer func() { _ = to.Close(); _ = from.Close() }() // both ends are done
 	b := make([]byte, 32<<10)
 	dropped := false
@@ -129,7 +147,7 @@
 		var delay time.Duration
 		p.withLock(func() {
 			delay = p.delay
-			dropped = dropped || p.dropAll || p.dropAnswers && answers
+			dropped = dropped || p.dropAll || p.dropAnswers && answers || p.dropFrom != 0 && p.dropped[client]
 		})
 		time.Sleep(delay)
 		if n > 0 && !dropped {
--- a/standin/fleet/group.go
+++ b/standin/fleet/group.go
@@ -16,7 +16,8 @@
 	// holders are the members that hold the partitions, or "". A member keeps a
 	// partition that is assigned to another one until it joins again with the
 	// current generation. The API of the store calls them owners.
-	holders [PartitionCount]string
+	holders       [PartitionCount]string
+	reassignments int // how often all partitions were reassigned at once
 }
 
 // member is a member of a group. It expires if it does not join again within
@@ -36,13 +37,18 @@
 }
 
 // assignee returns the member that a partition is assigned to, or "" if the
-// group has no members.
+// group has no members. Each reassignment moves half of the partitions to the next
+// member and the others to the previous one.
 func (g *group) assignee(part int) string {
 	names := slices.Sorted(maps.Keys(g.members))
 	if len(names) == 0 {
 		return ""
 	}
-	return names[part%len(names)]
+	n, moved := len(names), g.reassignments%len(names)
+	if part/n%2 == 1 {
+		moved = n - moved
+	}
+	return names[(part+moved)%n]
 }
 
 // remove removes a member, frees its partitions and starts a new generation.
@@ -79,6 +85,20 @@
 	}
 }
 
+// Reassign reassigns all partitions to other members at once, in a new generation
+// and without a request, unless there is only one member.
+func (s *Store) Reassign() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := &s.group
+	g.expire(time.Now())
+	g.generation++
+	g.reassignments++
+	for p := range g.holders {
+		g.holders[p] = g.assignee(p)
+	}
+}
+
 func (s *Store) serveJoin(w http.ResponseWriter, r *http.Request) {
 	var b memberRequest
 	if json.NewDecoder(r.Body).Decode(&b) != nil || len(b.Topics) != 1 {
