Let executors come back beside late orders in the soak

Four executors now leave and come back under their ids after 6 to 7 s, while orders arrive up to 10 s late.

--- a/soak/cancels_test.go
+++ b/soak/cancels_test.go
@@ -11,9 +11,11 @@
 )
 
 const (
-	stopsCalmSpan     = 6 * time.Second // more than maxLateRunAfterCancel
-	maxLongOrderDelay = 7 * time.Second // longer than any lease
+	stopsCalmSpan     = 6 * time.Second  // more than maxLateRunAfterCancel
+	maxLongOrderDelay = 10 * time.Second // longer than any lease and the absence of an executor
 	cutOffExecutors   = 3
+	leavingExecutors  = 4
+	minAbsence        = 6 * time.Second // of an executor that comes back: its owner drops the row before
 )
 
 // shardPartitions are the partitions of the shards, as in package platform.
@@ -32,6 +34,7 @@
 		"owner cut off from executors":                         (*scenario).cutOffOwner,
 		"owner removed for good":                               (*scenario).removeOwners,
 		"late orders reach restarted executors":                (*scenario).restartBesideLateOrders,
+		"late orders reach executors that come back":           (*scenario).removeBesideLateOrders,
 	} {
 		for i := range envInt("MIMOSA_SOAK_SEEDS", 2) {
 			seed := first + i
@@ -147,6 +150,38 @@
 // restartBesideLateOrders restarts executors under their ids while orders are
 // delayed, some until after the restart. It waits for the last order.
 func (s *scenario) restartBesideLateOrders(r *rand.Rand, end time.Time) {
+	s.delayOrders(func() {
+		for time.Now().Before(end) {
+			e := s.executors[r.Intn(len(s.executors))]
+			s.runFault("restart of "+e.name(), time.Duration(r.Intn(400))*time.Millisecond, e.open, e.crash)
+			time.Sleep(time.Duration(r.Intn(500)) * time.Millisecond)
+		}
+	})
+}
+
+// removeBesideLateOrders makes executors leave one after the other while orders are
+// delayed. Each comes back under its id after its owner has dropped its row. It
+// waits for the last order.
+func (s *scenario) removeBesideLateOrders(r *rand.Rand, end time.Time) {
+	s.delayOrders(func() {
+		time.Sleep(time.Second) // until there are delayed orders
+		for _, i := range r.Perm(len(s.executors))[:leavingExecutors] {
+			e, duration := s.executors[i], minAbsence+time.Duration(r.Intn(1000))*time.Millisecond
+			if e.leave(e.name()) {
+				s.faultGroup.Go("leave", func(context.Context) error {
+					s.runFault("removal of "+e.name(), duration, e.open)
+					return nil
+				})
+			}
+			time.Sleep(time.Duration(r.Intn(400)) * time.Millisecond)
+		}
+		time.Sleep(time.Until(end))
+	})
+}
+
+// delayOrders delays orders of all executors while f runs. It waits for the last
+// one.
+func (s *scenario) delayOrders(f func()) {
 	for _, e := range s.executors {
 		e.setMaxOrderDelay(maxLongOrderDelay)
 	}
@@ -155,13 +190,7 @@
 			e.setMaxOrderDelay(0)
 		}
 		time.Sleep(maxLongOrderDelay)
-	}, func() {
-		for time.Now().Before(end) {
-			e := s.executors[r.Intn(len(s.executors))]
-			s.runFault("restart of "+e.name(), time.Duration(r.Intn(400))*time.Millisecond, e.open, e.crash)
-			time.Sleep(time.Duration(r.Intn(500)) * time.Millisecond)
-		}
-	})
+	}, f)
 }
 
 // randomOwner returns a random process that owns a shard, or any process if none
