--- a/soak/cancels_test.go
+++ b/soak/cancels_test.go
@@ -27,7 +27,7 @@
 func TestCancels(t *testing.T) {
 	span := time.Duration(envInt("MIMOSA_SOAK_MS", 9000)) * time.Millisecond
 	first := envInt("MIMOSA_FIRST_SEED", 1)
-	running := make(chan struct{}, concurrentScenarios)
+	t.Parallel()
 	for name, inject := range map[string]func(s *scenario, r *rand.Rand, end time.Time){
 		"shards reassigned at once":                            (*scenario).reassignShards,
 		"shards reassigned without the knowledge of the owner": (*scenario).reassignShardsOfCutOffOwner,
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -39,6 +39,9 @@
 	concurrentScenarios = 5
 )
 
+// running bounds the scenarios of all tests that play at a time.
+var running = make(chan struct{}, concurrentScenarios)
+
 // scenario is a run of the scheduler processes under the faults of a seed.
 type scenario struct {
 	t          *testing.T
@@ -508,7 +511,7 @@
 	for i := range envInt("MIMOSA_SOAK_SEEDS", 2) {
 		played[first+i] = true
 	}
-	running := make(chan struct{}, concurrentScenarios)
+	t.Parallel()
 	for seed := range played {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
