Let an executor be shut down only with a proof of the ownership

What callers would see: maintenance shuts down a machine with runs, beyond the miss budget of a step.

A former owner that has no row for the executor answers that it is not found, which maintenance takes for no runs. One that has runs there, none of which blocks, does not have those of its successor; maintenance shuts the machine down after the timeout of the evacuation. Both replies came without an append.

TestDenialsComeFromTheOwnerOnly/no_such_executor and /runs_left failed before for both owners.

--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -30,8 +30,8 @@
 
 // handleRequest applies a request and replies to it. The reply to an accepted
 // submission or cancellation is sent after the append of its changes. The reply that
-// a job is unknown, or that an executor has no runs, is sent after an append that
-// proves the ownership.
+// a job is unknown, or that no run keeps an executor from being shut down, is sent
+// after an append that proves the ownership.
 func (c *Control) handleRequest(m requestMessage) {
 	owned := c.owned[m.request.Shard]
 	if owned == nil || !owned.restored {
@@ -87,11 +87,11 @@
 		}
 		remaining, blocking, ok := owned.shard.Evacuate(now, m.request.Executor)
 		if !ok {
-			m.replyTo <- Reply{Status: StatusNotFound}
+			owned.replyIfOwner(m.replyTo, Reply{Status: StatusNotFound})
 			return
 		}
 		r := Reply{Status: StatusAccepted, Count: remaining, Held: blocking}
-		if remaining == 0 {
+		if blocking == 0 {
 			owned.replyIfOwner(m.replyTo, r)
 			return
 		}
--- a/scheduler/control/reply_test.go
+++ b/scheduler/control/reply_test.go
@@ -74,7 +74,8 @@
 // executor with runs: a former owner denies what its successor has accepted or placed.
 func TestDenialsComeFromTheOwnerOnly(t *testing.T) {
 	cancel, state := Request{Kind: KindCancel, Job: submittedJob(2)}, Request{Kind: KindState, Job: submittedJob(2)}
-	evacuation := Request{Kind: KindEvacuate, Executor: "x"}
+	evacuation, unlisted := Request{Kind: KindEvacuate, Executor: "x"}, Request{Kind: KindEvacuate, Executor: "y"}
+	occupied := Request{Kind: KindEvacuate, Executor: "z"}
 	for name, c := range map[string]struct {
 		request Request
 		changes bool // the shard has other changes to store
@@ -89,6 +90,10 @@
 		"state, former":            {state, false, true, StatusUndetermined},
 		"evacuation, owner":        {evacuation, false, false, StatusAccepted},
 		"evacuation, former":       {evacuation, false, true, StatusUndetermined},
+		"no such executor, owner":  {unlisted, false, false, StatusNotFound},
+		"no such executor, former": {unlisted, false, true, StatusUndetermined},
+		"runs left, owner":         {occupied, false, false, StatusAccepted},
+		"runs left, former":        {occupied, false, true, StatusUndetermined},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -96,6 +101,7 @@
 			store := &replacedOwnerStore{fenced: c.fenced}
 			f.control.Store, f.control.EventLog, f.owned.cancel = store, discardedLog{}, func() {}
 			f.owned.shard.ApplyRegistrations(0, dispatch.Registrations{Entries: []dispatch.Registration{{Executor: "x"}}}, func(unit.Executor) bool { return true })
+			f.restoreRun("z")
 			if c.changes {
 				f.submit(1)
 			}
@@ -112,6 +118,14 @@
 	}
 }
 
+// restoreRun restores a job with a run on an executor.
+func (f *storingFixture) restoreRun(e unit.Executor) {
+	spec := &dispatch.Spec{ID: submittedJob(9), Steps: []dispatch.Step{{Count: 1}}}
+	task := dispatch.Task{State: dispatch.TaskRunning, Run: 1, Executor: e}
+	j := dispatch.Job{State: dispatch.JobRunning, Occurrences: []dispatch.Occurrence{{Steps: []dispatch.StepState{{Tasks: []dispatch.Task{task}}}}}}
+	f.owned.shard.Restore(f.now.Now(), 0, spec.ID, j, spec)
+}
+
 // Guards against a request whose reply waits for an append, and that an idle shard
 // answers with the next of its rare ticks only.
 func TestRepliesOfAnIdleShardComeSoon(t *testing.T) {
