Add the proof of the ownership to an append whose records may be refused

Cause: an append whose only changes are too large or refused for good ends without an error although the store has accepted nothing, or was not asked. The replies that wait for a proof were sent then, and a shard to be proven counted as proven.

The record that proves the ownership is now part of each append that is to prove it, also beside changes.

TestRefusedRecordsProveNoOwnership failed before for the owner and the former one.

--- a/scheduler/control/reply_test.go
+++ b/scheduler/control/reply_test.go
@@ -10,6 +10,7 @@
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
 	"mimosadock/schedule/unit"
+	"mimosadock/scheduler/record"
 )
 
 // TestRepliesOfAReplacedOwner guards against a replaced owner that replies for
@@ -126,6 +127,35 @@
 	f.owned.shard.Restore(f.now.Now(), 0, spec.ID, j, spec)
 }
 
+// Guards against a denial without a proof: the only records of the append that the
+// reply waits for are left out of it, so that the store is not asked who the owner is.
+func TestRefusedRecordsProveNoOwnership(t *testing.T) {
+	for name, c := range map[string]struct {
+		fenced bool // another owner has used a higher epoch
+		want   Status
+	}{
+		"owner":  {false, StatusNotFound},
+		"former": {true, StatusUndetermined},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newStoringFixture()
+			store := &replacedOwnerStore{fenced: c.fenced}
+			f.control.Store, f.control.EventLog, f.owned.cancel = store, discardedLog{}, func() {}
+			f.owned.writer = record.NewWriter(record.Limits{Record: 60, Request: 60}, new(record.Set))
+			f.submit(1) // too large for the store
+			reply := make(chan Reply, 1)
+			f.control.handleRequest(requestMessage{&Request{Kind: KindCancel, Job: submittedJob(2)}, reply})
+			f.tick()
+			is.Equal(len(reply), 1)
+			is.Equal((<-reply).Status, c.want)
+			is.Equal(store.appends, 1) // of the proof
+			f.group.Stop()
+			is.NoErr(f.group.Wait())
+		})
+	}
+}
+
 // Guards against a request whose reply waits for an append, and that an idle shard
 // answers with the next of its rare ticks only.
 func TestRepliesOfAnIdleShardComeSoon(t *testing.T) {
--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -21,8 +21,8 @@
 }
 
 // startAppend encodes the changes of a shard and appends them to the store in
-// another goroutine. Without changes, it appends a record that only proves the
-// ownership. It releases the shard if a change can't be encoded.
+// another goroutine, with a record that proves the ownership if that is needed. It
+// releases the shard if a change can't be encoded.
 func (c *Control) startAppend(owned *ownedShard, now clock.Millis, changes []dispatch.Change) {
 	groups := make([]record.Group, 0, len(changes)+1)
 	for i := range changes {
@@ -34,7 +34,8 @@
 		}
 		groups = append(groups, g)
 	}
-	if len(groups) == 0 {
+	if owned.needsProof() {
+		// The store may refuse all other groups.
 		groups = append(groups, record.OwnershipProof())
 	}
 	if models := owned.shard.InterferenceModels(); len(models) > 0 && now >= owned.modelsStoredAt.Add(modelStoreInterval) {
