Prove the ownership again once an owner in between can't accept jobs any more

What callers would see: the jobs that another member accepted, and the cancels that it confirmed, have no effect until the owner has something to store.

Cause: proves the ownership once after a reassignment. A member that was assigned the shard between two joins of its owner may use its higher epoch only after that proof: its join or its first append was slow. It serves the shard until its next join, and the owner that kept the shard, if it is idle, does not notice.

The shard is to be proven again a TTL later, when the membership of the other member no longer counts as confirmed. An append of its that is carried out still later is not covered.

TestOwnersNoticeALateOwnerInBetween failed before.

--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -149,6 +149,7 @@
 	writer          *record.Writer
 	appending       bool         // an append is in flight
 	unproven        bool         // another member may have owned the shard since the last append
+	unprovenAt      clock.Millis // when it is unproven again, 0 if it is not; see [Control.handleJoined]
 	gainedAt        clock.Millis // when the store had assigned the shard
 	lastAppendAt    clock.Millis // start of the last append, or gainedAt before the first append
 	modelsStoredAt  clock.Millis // when the interference models were last stored
@@ -353,6 +354,9 @@
 func (c *Control) tickShard(owned *ownedShard) {
 	c.registerGained(owned)
 	now := c.Clock.Now()
+	if owned.unprovenAt > 0 && now >= owned.unprovenAt {
+		owned.unproven, owned.unprovenAt = true, 0
+	}
 	canStore := !owned.appending && now >= owned.lastAppendAt.Add(minAppendInterval)
 	changes, orders := owned.shard.Tick(now, wallNow(), canStore)
 	switch {
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -161,7 +161,11 @@
 	c.membership.confirmedBootAt.Store(int64(m.sentBootAt))
 	for id := range listed {
 		if owned := c.owned[id]; owned != nil {
-			owned.unproven = owned.unproven || reassigned
+			if reassigned {
+				// A member that was assigned the shard in between may serve it later than
+				// the first proof, as long as its last join confirms its membership.
+				owned.unproven, owned.unprovenAt = true, c.Clock.Now().Add(c.Settings.TTL)
+			}
 			continue
 		}
 		// Appends and orders of the previous ownership may still be in flight.
--- a/scheduler/control/membership_test.go
+++ b/scheduler/control/membership_test.go
@@ -117,3 +117,31 @@
 		})
 	}
 }
+
+// Guards against an owner that goes on with outdated jobs, because the member that
+// owned the shard between two of its joins served it only after the proof.
+func TestOwnersNoticeALateOwnerInBetween(t *testing.T) {
+	is := is.New(t)
+	f := newStoringFixture()
+	store := new(replacedOwnerStore)
+	f.control.Store, f.control.EventLog = store, discardedLog{}
+	f.control.layout.Store(&dispatch.Layout{Shards: 1})
+	f.control.membership.generation = 5
+	f.owned.cancel = func() {}
+	for f.now.Now() < 1000 {
+		f.tick() // the lease record is stored
+	}
+	join := joinedMessage{generation: 7, shards: []unit.Shard{0}, outcome: make(chan joinOutcome, 100)}
+	f.control.handleJoined(join)
+	is.True(f.tick())
+	is.True(!f.tick())  // one append is enough
+	store.fenced = true // the join of the other member, under generation 6, was late
+	for f.control.owned[0] != nil && f.now.Now() < 3000 {
+		join.sentAt = f.now.Now()
+		f.control.handleJoined(join)
+		f.tick()
+	}
+	is.True(f.control.owned[0] == nil)
+	f.group.Stop()
+	is.NoErr(f.group.Wait())
+}
