Refuse requests for unknown jobs while the store takes no appends

What callers would see: since a GET or DELETE of an unknown job is held until the attempt of its process ends, up to 2.6 s, while the store does not answer, and counts as an owner that can't be reached.

The reply that needs a proof of the ownership is a refusal with when to come back, as for new jobs, once the append in flight has had no answer for 0.4 s.

TestDenialsAreRefusedWhileTheStoreStalls failed before. TestRepliesOfAnIdleShardComeSoon fails instead of waiting for ever if no append is started.

--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -100,7 +100,7 @@
 	messageQueueSize         = 4096                    // messages; requests are refused while the queue is full
 	predecessorCheckInterval = 300 * time.Millisecond  // between two checks whether a former owner is still a member
 	predecessorChecks        = 5
-	storeStallTimeout        = 400 * clock.Millisecond // after the start of an append; new jobs are refused until it completes
+	storeStallTimeout        = 400 * clock.Millisecond // after the start of an append; new jobs and unknown ones are refused until it completes
 )
 
 // Control owns the shards that are assigned to this process and runs the control
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -47,8 +47,8 @@
 	case KindProbe:
 		m.replyTo <- Reply{Status: StatusAccepted}
 	case KindSubmit:
-		if owned.appending && now.Sub(owned.lastAppendAt) > storeStallTimeout && !owned.shard.HasJob(m.request.Job) {
-			m.replyTo <- Reply{Status: StatusRefused, Reason: "store does not answer", RetryAfter: clock.Second}
+		if owned.isStalled(now) && !owned.shard.HasJob(m.request.Job) {
+			m.replyTo <- storeStalled
 			return
 		}
 		if err := owned.shard.Submit(now, wall, m.request.Spec); err != nil {
@@ -58,14 +58,14 @@
 		owned.queuedWaiters = append(owned.queuedWaiters, waiter{job: m.request.Job, changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted}})
 	case KindCancel:
 		if !owned.shard.Cancel(now, wall, m.request.Job) {
-			owned.replyIfOwner(m.replyTo, Reply{Status: StatusNotFound})
+			owned.replyIfOwner(now, m.replyTo, Reply{Status: StatusNotFound})
 			return
 		}
 		owned.queuedWaiters = append(owned.queuedWaiters, waiter{job: m.request.Job, changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted}})
 	case KindState:
 		r := stateReply(owned.shard, m.request.Job)
 		if r.Status == StatusNotFound {
-			owned.replyIfOwner(m.replyTo, r)
+			owned.replyIfOwner(now, m.replyTo, r)
 			return
 		}
 		m.replyTo <- r
@@ -87,12 +87,12 @@
 		}
 		remaining, blocking, ok := owned.shard.Evacuate(now, m.request.Executor)
 		if !ok {
-			owned.replyIfOwner(m.replyTo, Reply{Status: StatusNotFound})
+			owned.replyIfOwner(now, m.replyTo, Reply{Status: StatusNotFound})
 			return
 		}
 		r := Reply{Status: StatusAccepted, Count: remaining, Held: blocking}
 		if blocking == 0 {
-			owned.replyIfOwner(m.replyTo, r)
+			owned.replyIfOwner(now, m.replyTo, r)
 			return
 		}
 		m.replyTo <- r
@@ -101,11 +101,24 @@
 	}
 }
 
+// storeStalled is the reply to requests that can't be handled without the store.
+var storeStalled = Reply{Status: StatusRefused, Reason: "store does not answer", RetryAfter: clock.Second}
+
+// isStalled reports whether the append in flight has had no answer for too long.
+func (owned *ownedShard) isStalled(now clock.Millis) bool {
+	return owned.appending && now.Sub(owned.lastAppendAt) > storeStallTimeout
+}
+
 // replyIfOwner sends a reply once an append that starts later has shown that no
 // other owner has served the shard before the request came. The store can assign the
 // shard to another member at once, so that a confirmed membership proves less: the
-// next owner may have accepted the job or placed runs on the executor.
-func (owned *ownedShard) replyIfOwner(replyTo chan<- Reply, r Reply) {
+// next owner may have accepted the job or placed runs on the executor. While the
+// store does not answer, the request is refused.
+func (owned *ownedShard) replyIfOwner(now clock.Millis, replyTo chan<- Reply, r Reply) {
+	if owned.isStalled(now) {
+		replyTo <- storeStalled
+		return
+	}
 	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: replyTo, reply: r, provesOwnership: true})
 }
 
--- a/scheduler/control/reply_test.go
+++ b/scheduler/control/reply_test.go
@@ -156,6 +156,34 @@
 	}
 }
 
+// Guards against requests for unknown jobs that are held while the store takes no
+// appends, until their callers give up.
+func TestDenialsAreRefusedWhileTheStoreStalls(t *testing.T) {
+	for name, c := range map[string]struct {
+		age  clock.Span // of the append in flight
+		want int        // number of replies
+	}{
+		"append is new":        {storeStallTimeout, 0},
+		"append has no answer": {storeStallTimeout + 1, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newStoringFixture()
+			f.now.Advance(clock.Second)
+			f.owned.appending, f.owned.lastAppendAt = true, f.now.Now().Add(-c.age)
+			f.control.membership.confirmedBootAt.Store(int64(f.now.Now()))
+			reply := make(chan Reply, 1)
+			f.control.handleRequest(requestMessage{&Request{Kind: KindCancel, Job: submittedJob(1)}, reply})
+			is.Equal(len(reply), c.want)
+			if c.want > 0 {
+				is.Equal((<-reply).Status, StatusRefused)
+			}
+			f.group.Stop()
+			is.NoErr(f.group.Wait())
+		})
+	}
+}
+
 // Guards against a request whose reply waits for an append, and that an idle shard
 // answers with the next of its rare ticks only.
 func TestRepliesOfAnIdleShardComeSoon(t *testing.T) {
@@ -167,6 +195,7 @@
 	request := requestMessage{&Request{Kind: KindState, Job: submittedJob(1)}, replies}
 	f.control.handleRequest(request)
 	f.control.tick()
+	is.True(f.owned.appending)
 	f.control.handleMessage(<-f.control.messages)
 	is.Equal(len(replies), 1)
 	f.control.handleRequest(request) // too early for another append
