--- a/soak/checker.go
+++ b/soak/checker.go
@@ -37,10 +37,9 @@
 //	LOST     An accepted job is reported as unknown, or a job is reported as
 //	         failed, or as cancelled without a cancellation. Or the first
 //	         cancellation of an accepted job is answered as that of an unknown
-//	         one. Or a task of a
-//	         perpetual job does not run again within maxRestart of its last run,
-//	         of which the last minCalmToRestart were calm and an executor had
-//	         room for two such tasks.
+//	         one. Or a task of a perpetual job does not run again within
+//	         maxRestart of its last run, of which the last minCalmToRestart were
+//	         calm and an executor had room for two such tasks.
 //	MIXED    A job is reported as completed before all its tasks are done, or,
 //	         without a cancellation, in another known state after that report.
 //	ORDER    A task of a later step started before the first step was done.
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -135,9 +135,9 @@
 	_ = g.Wait() // copying returns no error
 }
 
-// copy copies data of a client until one end closes. Once it has dropped data, it drops all
-// later data of the connection too, because the receiver cannot detect a gap in
-// the byte stream.
+// copy copies data of a client until one end closes. Once it has dropped data, it
+// drops all later data of the connection too, because the receiver cannot detect a
+// gap in the byte stream.
 func (p *Proxy) copy(to, from, client net.Conn, answers bool) {
 	defer func() { _ = to.Close(); _ = from.Close() }() // both ends are done
 	b := make([]byte, 32<<10)
