--- a/schedule/dispatch/settle_test.go
+++ b/schedule/dispatch/settle_test.go
@@ -83,3 +83,32 @@
 		})
 	}
 }
+
+// Guards against a task that starts again although a run of it is listed as done: the
+// start was carried out late, after the task had been taken from its executor.
+func TestEndsOfReleasedRunsCount(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind EndKind
+		want JobState
+	}{
+		"done":   {EndDone, JobCompleted},
+		"failed": {EndFailed, JobRunning},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newRestartFixture()
+			f.shard.executors.Get("x1").suspectUntil = clock.Never // takes no runs
+			f.submit("j", Step{Count: 1, Size: resources(1000), Estimate: clock.Minute})
+			f.silent = true
+			f.runFor(20 * clock.Second)
+			f.restart()
+			f.running[TaskID{Job: "j"}] = 1
+			f.end(TaskID{Job: "j"}, c.kind)
+			f.silent = false
+			f.register()
+			f.runFor(clock.Second)
+			state, _ := f.shard.State("j")
+			is.Equal(state, c.want)
+		})
+	}
+}
