--- a/soak/cancels_test.go
+++ b/soak/cancels_test.go
@@ -28,23 +28,31 @@
 	span := time.Duration(envInt("MIMOSA_SOAK_MS", 9000)) * time.Millisecond
 	first := envInt("MIMOSA_FIRST_SEED", 1)
 	t.Parallel()
-	for name, inject := range map[string]func(s *scenario, r *rand.Rand, end time.Time){
-		"shards reassigned at once":                            (*scenario).reassignShards,
-		"shards reassigned without the knowledge of the owner": (*scenario).reassignShardsOfCutOffOwner,
-		"owner cut off from executors":                         (*scenario).cutOffOwner,
-		"owner removed for good":                               (*scenario).removeOwners,
-		"late orders reach restarted executors":                (*scenario).restartBesideLateOrders,
-		"late orders reach executors that come back":           (*scenario).removeBesideLateOrders,
+	for name, kind := range map[string]struct {
+		inject func(s *scenario, r *rand.Rand, end time.Time)
+		failed seeds
+	}{
+		"shards reassigned at once": {inject: (*scenario).reassignShards},
+		"shards reassigned without the knowledge of the owner": {(*scenario).reassignShardsOfCutOffOwner, seeds{
+			"former owner answered that an accepted job is unknown": {1, 2, 3, 4, 5, 6},
+		}},
+		"owner cut off from executors": {inject: (*scenario).cutOffOwner},
+		"owner removed for good":       {inject: (*scenario).removeOwners},
+		"late orders reach restarted executors": {(*scenario).restartBesideLateOrders, seeds{
+			"late start that nobody had fenced, which is not delivered any more": {1, 2},
+		}},
+		"late orders reach executors that come back": {(*scenario).removeBesideLateOrders, seeds{
+			"token did not rise for an executor whose row was dropped": {1, 3},
+		}},
 	} {
-		for i := range envInt("MIMOSA_SOAK_SEEDS", 2) {
-			seed := first + i
+		for seed := range kind.failed.with(first, envInt("MIMOSA_SOAK_SEEDS", 2)) {
 			t.Run(fmt.Sprintf("%s/seed %d", name, seed), func(t *testing.T) {
 				t.Parallel()
 				running <- struct{}{}
 				defer func() { <-running }()
 				s := newScenario(t, seed)
 				defer s.close()
-				s.runCancels(seed, span, inject)
+				s.runCancels(seed, span, kind.inject)
 				s.report(seed)
 			})
 		}
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -480,6 +480,20 @@
 // failure.
 type seeds map[string][]int64
 
+// with returns the seeds together with the given number of seeds from first on.
+func (s seeds) with(first, count int64) map[int64]bool {
+	all := make(map[int64]bool)
+	for _, list := range s {
+		for _, seed := range list {
+			all[seed] = true
+		}
+	}
+	for i := range count {
+		all[first+i] = true
+	}
+	return all
+}
+
 // Guards against jobs that are lost, run twice or are reported in a wrong
 // state, and against tasks that run on after a cancellation. Processes,
 // executors, the store and their connections fail in overlapping series, and the
@@ -501,18 +515,8 @@
 // of the environment. It calls check at regular intervals.
 func playDays(t *testing.T, failed seeds, check func(c *Checker, now time.Time)) {
 	span := time.Duration(envInt("MIMOSA_SOAK_MS", 9000)) * time.Millisecond
-	played := make(map[int64]bool)
-	for _, list := range failed {
-		for _, seed := range list {
-			played[seed] = true
-		}
-	}
-	first := envInt("MIMOSA_FIRST_SEED", 1)
-	for i := range envInt("MIMOSA_SOAK_SEEDS", 2) {
-		played[first+i] = true
-	}
 	t.Parallel()
-	for seed := range played {
+	for seed := range failed.with(envInt("MIMOSA_FIRST_SEED", 1), envInt("MIMOSA_SOAK_SEEDS", 2)) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			running <- struct{}{}
