Recover from outages of the store sooner, and refuse at once while it is silent

Joins and appends without an answer for 450 ms are now hedged: a copy is sent, at most two are in flight. Callers were kept waiting for 0.7 s for another owner that nobody could find while the store was silent; they are now refused after the owner's answer.

--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -124,6 +124,7 @@
 
 	group         *group.Group
 	messages      chan any
+	storeContact  storeContact
 	owned         map[unit.Shard]*ownedShard
 	config        atomic.Pointer[dispatch.Config]
 	layout        atomic.Pointer[dispatch.Layout]
--- a/scheduler/control/directory.go
+++ b/scheduler/control/directory.go
@@ -46,6 +46,8 @@
 	Peers   Peers
 	Self    unit.Member
 	Clock   clock.Clock
+	// StoreSilent reports whether the store gives this process no answers; may be nil.
+	StoreSilent func() bool
 
 	owners         atomic.Pointer[map[unit.Shard]unit.Member]
 	lastLookupAt   atomic.Int64 // completion of the last lookup, in milliseconds of Clock
@@ -136,6 +138,11 @@
 		if mayBeAccepted {
 			wait = outcomeTimeout
 		}
+		if !mayBeAccepted && d.StoreSilent != nil && d.StoreSilent() {
+			// No other owner can be found or take over before the store answers. A
+			// caller that is told so at once may come back sooner.
+			return last
+		}
 		if ctx.Err() != nil || d.Clock.Now().Sub(startedAt) > wait || !sleep(ctx, minLookupInterval.Duration()/2) {
 			if mayBeAccepted {
 				last.Status = StatusUndetermined
--- a/scheduler/control/directory_test.go
+++ b/scheduler/control/directory_test.go
@@ -58,3 +58,51 @@
 		})
 	}
 }
+
+// notOwnerPeers is a [Peers] whose owner can't confirm its membership.
+type notOwnerPeers struct {
+	calls  int
+	cancel context.CancelFunc // called with the second request
+}
+
+// Request implements [Peers].
+func (p *notOwnerPeers) Request(context.Context, string, *Request) (Reply, error) {
+	if p.calls++; p.calls == 2 {
+		p.cancel()
+	}
+	return Reply{Status: StatusNotOwner, Reason: "membership is not confirmed"}, nil
+}
+
+// Guards against callers that are kept waiting for another owner during an outage of
+// the store, in which none can be found.
+func TestRefusesAtOnceWhileTheStoreIsSilent(t *testing.T) {
+	for name, c := range map[string]struct {
+		silentFor clock.Span
+		atOnce    bool
+	}{
+		"store answers":   {0, false},
+		"answers late":    {storeSilenceTimeout - 1, false},
+		"store is silent": {storeSilenceTimeout, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := new(clock.Manual)
+			now.Advance(clock.Second)
+			var contact storeContact
+			is.True(!contact.isSilent(now.Now())) // never answered yet
+			contact.recordAnswer(now.Now())
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			peers := &notOwnerPeers{cancel: cancel}
+			d := &Directory{
+				Control: &Control{Counters: new(Counters)}, Owners: fixedOwners("10.0.0.1:1/a/800"), Peers: peers, Clock: now,
+				StoreSilent: func() bool { return contact.isSilent(now.Now()) },
+			}
+			now.Advance(c.silentFor)
+			r := d.Call(ctx, &Request{Kind: KindSubmit})
+			is.Equal(r.Status, StatusRefused)
+			is.True(r.RetryAfter > 0)
+			is.Equal(peers.calls == 1, c.atOnce)
+		})
+	}
+}
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -47,14 +47,15 @@
 			sleep(ctx, d.untilNextCheck(c.Clock.Now()))
 			continue
 		}
-		sentAt, bootAt := c.Clock.Now(), c.BootClock()
-		generation, shards, err := c.Store.Join(ctx, c.Settings.Member, c.Settings.TTL, last)
+		joined, err := c.join(ctx, last)
 		if err != nil {
 			c.Counters.JoinFailures.Add(1)
 		} else {
-			last = generation
+			c.storeContact.recordAnswer(c.Clock.Now())
+			last = joined.generation
 			done := make(chan joinOutcome, 1)
-			c.post(ctx, joinedMessage{generation, shards, sentAt, bootAt, done})
+			joined.outcome = done
+			c.post(ctx, joined)
 			// A shard that is no longer listed must be released before the next
 			// join, which lets the store assign the shard to another member.
 			select {
@@ -75,6 +76,18 @@
 	return nil
 }
 
+// join sends a join and returns its result, with the times at which the join that
+// was answered was sent. The outcome is not set.
+func (c *Control) join(ctx context.Context, last unit.Generation) (joinedMessage, error) {
+	call := hedgedCall[joinedMessage]{c.group, hedgeDelay, func(ctx context.Context) (joinedMessage, error) {
+		m := joinedMessage{sentAt: c.Clock.Now(), sentBootAt: c.BootClock()}
+		var err error
+		m.generation, m.shards, err = c.Store.Join(ctx, c.Settings.Member, c.Settings.TTL, last)
+		return m, err
+	}}
+	return call.do(ctx)
+}
+
 // joinDecision holds whether the process joins the group of owners and when it
 // decides again.
 type joinDecision struct {
@@ -373,6 +386,9 @@
 			sleep(ctx, retryInterval)
 			continue
 		}
+		if err == nil {
+			c.storeContact.recordAnswer(c.Clock.Now())
+		}
 		if o.Undecodable > 0 {
 			c.EventLog.LogChange("operator's requests can't be decoded", "count", o.Undecodable, "reason", truncate(o.Reason, maxLoggedReasonBytes))
 		}
--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -128,8 +128,11 @@
 // appendWithRetry retries an append under the same sequence number until it
 // succeeds, is refused for good, is fenced or ctx ends.
 func (c *Control) appendWithRetry(ctx context.Context, id unit.Shard, epoch unit.Generation, sequence int64, records []dispatch.Record) error {
+	attempt := hedgedCall[struct{}]{c.group, hedgeDelay, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, c.Store.Append(ctx, id, epoch, sequence, records)
+	}}
 	for {
-		err := c.Store.Append(ctx, id, epoch, sequence, records)
+		_, err := attempt.do(ctx)
 		if err == nil || errors.Is(err, dispatch.ErrFenced) || errors.Is(err, dispatch.ErrRefused) || ctx.Err() != nil {
 			return err
 		}
--- a/scheduler/process/process.go
+++ b/scheduler/process/process.go
@@ -120,6 +120,7 @@
 	p.peers = new(peer.Client)
 	directory := &control.Directory{
 		Control: p.control, Owners: p.store, Peers: p.peers, Self: member, Clock: p.clock,
+		StoreSilent: p.control.StoreSilent,
 	}
 	p.control.Router = directory
 	p.front = &front.Front{
