Serve the operator's request to evacuate a data centre

The operator's feed delivers the full set of evacuated data centres, the control goroutine keeps it for all shards that it owns or gains, and one condition (Registration.TakesStarts) says whether a start may leave for an executor: at the placement, for the first copy, for a repeated one and for an order that waits to be sent. It also holds for draining executors. A start without an answer to an executor that takes none any more is not repeated: its run is stopped, unless a later list of runs shows it.

go test ./schedule/dispatch ./scheduler/... ./platform/...: passed.

--- a/schedule/dispatch/enums_string.go
+++ b/schedule/dispatch/enums_string.go
@@ -90,11 +90,12 @@
 	_ = x[OutcomeOtherIncarnation-7]
 	_ = x[OutcomeInvalid-8]
 	_ = x[OutcomeBusy-9]
+	_ = x[OutcomeNotSent-10]
 }
 
-const _Outcome_name = "unknowndonefencedoldlatenoRoomnoTicketotherLifeinvalidbusy"
+const _Outcome_name = "unknowndonefencedoldlatenoRoomnoTicketotherLifeinvalidbusynotSent"
 
-var _Outcome_index = [...]uint8{0, 7, 11, 17, 20, 24, 30, 38, 47, 54, 58}
+var _Outcome_index = [...]uint8{0, 7, 11, 17, 20, 24, 30, 38, 47, 54, 58, 65}
 
 func (i Outcome) String() string {
 	idx := int(i) - 0
@@ -109,17 +110,18 @@
 	var x [1]struct{}
 	_ = x[NotExcluded-0]
 	_ = x[ExcludedUnusable-1]
-	_ = x[ExcludedLabel-2]
-	_ = x[ExcludedSpread-3]
-	_ = x[ExcludedCPU-4]
-	_ = x[ExcludedMemory-5]
-	_ = x[ExcludedAccelerators-6]
-	_ = x[ExcludedAdmission-7]
+	_ = x[ExcludedEvacuated-2]
+	_ = x[ExcludedLabel-3]
+	_ = x[ExcludedSpread-4]
+	_ = x[ExcludedCPU-5]
+	_ = x[ExcludedMemory-6]
+	_ = x[ExcludedAccelerators-7]
+	_ = x[ExcludedAdmission-8]
 }
 
-const _Exclusion_name = "noneunusablelabelspreadcpumemoryacceleratorsadmission"
+const _Exclusion_name = "noneunusableevacuatedlabelspreadcpumemoryacceleratorsadmission"
 
-var _Exclusion_index = [...]uint8{0, 4, 12, 17, 23, 26, 32, 44, 53}
+var _Exclusion_index = [...]uint8{0, 4, 12, 21, 26, 32, 35, 41, 53, 62}
 
 func (i Exclusion) String() string {
 	idx := int(i) - 0
--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -15,7 +15,10 @@
 	drainingSince         clock.Millis        // when the entry first had the draining flag
 	evacuatingUntil       clock.Millis        // gets no new runs before, because of maintenance
 	vacatingUntil         clock.Millis        // gets no new runs before, because it is to be lent to another shard
+	evacuated             bool                // gets no new runs, because the operator evacuates its data centre
+	returnsAt             clock.Millis        // gets no new runs before, because the evacuation of its data centre has just ended
 	lastListAt            clock.Millis        // when the last run lists came
+	listRequestedAt       clock.Millis        // when they were requested
 	reconciled            bool                // its run lists were reconciled with the tables under the token of this owner
 	reconciledBefore      bool                // it was reconciled under this owner, so that leaseExpiresBy includes the leases of earlier ones
 	restarts              unit.Token          // restarts under this id since the start of the ownership; part of the fencing token
@@ -109,7 +112,7 @@
 
 // usable reports whether new runs may be placed on e.
 func (e *Executor) usable(now clock.Millis) bool {
-	return (e.registered || now < e.unregisteredAt.Add(reregistrationGrace)) && e.entryIncarnation == e.Incarnation && e.reconciled && !e.unresponsive && !e.Draining && now >= e.suspectUntil && now >= e.evacuatingUntil
+	return (e.registered || now < e.unregisteredAt.Add(reregistrationGrace)) && e.entryIncarnation == e.Incarnation && e.reconciled && !e.unresponsive && e.takesStarts() && now >= e.suspectUntil && now >= e.evacuatingUntil && now >= e.returnsAt
 }
 
 // serviceable reports whether e is usable, can be given deadlines on its clock and
--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -61,6 +61,7 @@
 		return
 	}
 	e.acknowledgedEndNumber, e.lastListAt = max(e.acknowledgedEndNumber, h.LastSeen), now
+	e.listRequestedAt = h.Sent
 	for i := range a.Finished {
 		f := &a.Finished[i]
 		if f.Number > e.processedEndNumber {
--- a/schedule/dispatch/order.go
+++ b/schedule/dispatch/order.go
@@ -109,8 +109,9 @@
 // deadline of a start has passed on its clock, [OutcomeNoRoom] that its free
 // capacity is too small, [OutcomeNoTicket] that a start has no valid ticket,
 // [OutcomeOtherIncarnation] that another incarnation answers at the address,
-// [OutcomeInvalid] that the executor rejects the order as malformed, and
-// [OutcomeBusy] that it can't take the order now.
+// [OutcomeInvalid] that the executor rejects the order as malformed,
+// [OutcomeBusy] that it can't take the order now, and [OutcomeNotSent] that the
+// process did not send a start, because the executor takes none any more.
 const (
 	OutcomeUnknown          Outcome = iota // unknown
 	OutcomeDone                            // done
@@ -122,6 +123,7 @@
 	OutcomeOtherIncarnation                // otherLife
 	OutcomeInvalid                         // invalid
 	OutcomeBusy                            // busy
+	OutcomeNotSent                         // notSent
 )
 
 // Answer is an executor's answer to an order.
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -173,7 +173,7 @@
 // place assigns ready tasks to executors, most urgent first. Perpetual tasks
 // that ran before come ahead of all others.
 func (s *Shard) place(now clock.Millis) {
-	if len(s.readySteps) == 0 {
+	if len(s.readySteps) == 0 || s.AwaitsOperator {
 		return
 	}
 	pools := s.pools(now)
--- a/schedule/dispatch/registrations.go
+++ b/schedule/dispatch/registrations.go
@@ -25,6 +25,7 @@
 	}
 	previous := e.Incarnation
 	e.Registration, e.registered, e.entryIncarnation = r, true, r.Incarnation
+	s.updateEvacuated(now, e)
 	s.markAvailable(e)
 	if previous != 0 && e.Incarnation != previous {
 		s.handleRestart(now, e, previous)
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -66,7 +66,7 @@
 
 // handleStartAnswer applies the answer to a start order.
 func (s *Shard) handleStartAnswer(now clock.Millis, e *Executor, o *StartOrder, outcome Outcome) {
-	j, _, t := s.findTask(o.Task)
+	j, st, t := s.findTask(o.Task)
 	if t == nil || t.Run != o.Run || t.State != TaskStarting {
 		return
 	}
@@ -75,7 +75,7 @@
 	case OutcomeDone:
 		s.markRunning(now, o.Task, j, t)
 		e.bestEffortLoadsKnown = false
-	case OutcomeNoRoom, OutcomeNoTicket, OutcomeBusy, OutcomeDeadlinePassed, OutcomeInvalid:
+	case OutcomeNoRoom, OutcomeNoTicket, OutcomeBusy, OutcomeDeadlinePassed, OutcomeInvalid, OutcomeNotSent:
 		s.report(Event{Kind: "startRefused", Task: o.Task, Run: o.Run, Executor: e.Executor, Reason: outcome.String()})
 		// After noRoom and busy, new runs go to other executors for a time.
 		if outcome == OutcomeNoRoom {
@@ -87,6 +87,9 @@
 		if outcome == OutcomeBusy {
 			e.suspectUntil = now.Add(clock.Second)
 		}
+		if outcome == OutcomeNotSent {
+			s.stopGang(o.Task, j, st, o.Run)
+		}
 		if t.startUncertain {
 			// An earlier copy of the order may still be carried out. The stop
 			// order that a later tick sends keeps the run from starting.
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -46,8 +46,14 @@
 	Limits Limits
 	Report func(Event) // called for each event; may be nil
 
+	// AwaitsOperator keeps tasks from being placed until the first call of
+	// [Shard.SetEvacuated]. An owner that has just started does not know yet which
+	// data centres are evacuated.
+	AwaitsOperator bool
+
 	config             *Config
 	queues             map[unit.Queue]*Queue
+	evacuated          DataCentres // by the operator
 	leases             leaseBounds
 	jobs               table.Table[unit.Job, Job]
 	executors          table.Table[unit.Executor, Executor]
--- a/schedule/dispatch/start.go
+++ b/schedule/dispatch/start.go
@@ -10,10 +10,10 @@
 const resendCheckInterval = 20 * clock.Millisecond
 
 // startRun orders the start of a run whose assignment is stored. If the job
-// has ended since, the executor was removed, has restarted or does not answer, or
-// its lease may not be renewed, it requeues the task instead.
+// has ended since, the executor was removed, has restarted, does not answer or takes
+// no starts any more, or its lease may not be renewed, it requeues the task instead.
 func (s *Shard) startRun(now clock.Millis, id TaskID) {
-	j, _, t := s.findTask(id)
+	j, st, t := s.findTask(id)
 	if t == nil || t.State != TaskPlaced {
 		return
 	}
@@ -22,6 +22,11 @@
 		s.requeueTask(now, id, j, t, e)
 		return
 	}
+	if !e.takesStarts() || !s.gangTakesStarts(id, j, st) {
+		s.report(Event{Kind: "startWithheld", Task: id, Run: t.Run, Executor: e.Executor})
+		s.requeueTask(now, id, j, t, e)
+		return
+	}
 	t.State = TaskStarting
 	t.deadline = e.extendLease(now, s.Limits.Lease)
 	s.sendStart(now, id, j, t, e)
@@ -39,15 +44,15 @@
 
 // resendOrders sends the stop orders of runs that are to be stopped, and
 // repeats start and stop orders that had no answer, a start only once the executor
-// answers again. A start keeps its deadline, after which the run can't start any
-// more.
+// answers again and while it takes starts; otherwise its run is stopped. A start keeps
+// its deadline, after which the run can't start any more.
 func (s *Shard) resendOrders(now clock.Millis) {
 	if now < s.resentAt.Add(resendCheckInterval) {
 		return
 	}
 	s.resentAt = now
 	for id := range s.unsettled {
-		j, _, t := s.findTask(id)
+		j, st, t := s.findTask(id)
 		isStart, isStop := t != nil && t.State == TaskStarting && !t.recovered, t != nil && t.State == TaskStopping && t.confirmedAt == 0
 		if !isStart && !isStop || t.inFlight {
 			delete(s.unsettled, id) // settled, or added again if the order has no answer
@@ -60,8 +65,12 @@
 		if isStart {
 			// A silent executor may have restarted. The next incarnation would carry
 			// out the start, whose deadline is no bound on its clock.
-			if !e.unresponsive {
+			switch {
+			case e.unresponsive:
+			case e.takesStarts():
 				s.sendStart(now, id, j, t, e)
+			default:
+				s.withdrawStart(id, j, st, t, e)
 			}
 			continue
 		}
--- a/schedule/dispatch/summary.go
+++ b/schedule/dispatch/summary.go
@@ -23,6 +23,9 @@
 	Unresponsive bool           `json:"silent"` // the last order had no answer
 	Draining     bool           `json:"draining"`
 	Registered   bool           `json:"listed"` // it has an entry in the platform's list
+
+	DataCentre unit.DataCentre `json:"dataCentre"`
+	Evacuated  bool            `json:"evacuated"` // the operator evacuates its data centre
 }
 
 // Summarize counts the rows of s.
@@ -49,6 +52,7 @@
 		out.Executors = append(out.Executors, ExecutorState{
 			Executor: e.Executor, Service: e.Service, Runs: len(e.runs), Used: e.allocated, Reconciled: e.reconciled,
 			Unresponsive: e.unresponsive, Draining: e.Draining, Registered: e.registered,
+			DataCentre: e.DataCentre, Evacuated: e.evacuated,
 		})
 	}
 	return out
--- a/schedule/dispatch/wait.go
+++ b/schedule/dispatch/wait.go
@@ -21,13 +21,15 @@
 type Exclusion int
 
 // The exclusions. [ExcludedUnusable] means that the executor gets no new runs at
-// all, [ExcludedSpread] that it has as many tasks of the step as the step allows,
+// all, [ExcludedEvacuated] that the reason is the evacuation of its data centre,
+// [ExcludedSpread] that it has as many tasks of the step as the step allows,
 // and [ExcludedAdmission] that it has the capacity, but that the task is not
 // admitted because of the tasks beside it, the reserve for batch tasks or a
 // missing ticket.
 const (
 	NotExcluded          Exclusion = iota // none
 	ExcludedUnusable                      // unusable
+	ExcludedEvacuated                     // evacuated
 	ExcludedLabel                         // label
 	ExcludedSpread                        // spread
 	ExcludedCPU                           // cpu
@@ -121,7 +123,11 @@
 	var counts [exclusionCount]int
 	service, withoutBatch := s.queue(j).Service, 0
 	for _, e := range s.executors.All() {
-		if e.registered && e.Service == service && !s.accepts(now, e) {
+		switch {
+		case !e.registered || e.Service != service || s.accepts(now, e):
+		case e.evacuated:
+			counts[ExcludedEvacuated]++
+		default:
 			counts[ExcludedUnusable]++
 		}
 	}
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -52,8 +52,8 @@
 	Advise(ctx context.Context, request dispatch.AdviceRequest) (dispatch.AdviceResponse, error)
 }
 
-// OperatorFeed reads the operator's requests: configurations and maintenance
-// waves.
+// OperatorFeed reads the operator's requests: configurations, maintenance
+// waves and evacuations of data centres.
 type OperatorFeed interface {
 	// Next returns the requests since the previous call. It blocks until there is
 	// one, for at most wait.
@@ -133,6 +133,8 @@
 	maintenance   *maintenanceState                       // nil while another process plans maintenance
 	epochs        map[unit.Shard]unit.Generation          // last epoch used for each shard
 	registrations map[unit.Executor]dispatch.Registration // the platform's list of executors
+	evacuations   evacuations
+	noStarts      atomic.Pointer[map[unit.Executor]struct{}] // executors that take no starts; read by the goroutines of orders
 
 	joinContext          context.Context
 	stopJoins            context.CancelFunc
@@ -249,8 +251,11 @@
 		if owned := c.findOwned(m.shard, m.epoch); owned != nil {
 			owned.shard.HandleLoanReply(c.Clock.Now(), m.request, m.reply)
 		}
+	case evacuatedMessage:
+		c.setEvacuated(m.evacuated)
 	case registrationsMessage:
 		c.recordRegistrations(m.registrations)
+		c.updateNoStarts()
 		c.reportUndecodable(&m.registrations)
 		for _, owned := range c.owned {
 			if owned.restored {
@@ -396,6 +401,7 @@
 	if cfg := c.config.Load(); cfg != nil {
 		d.Config = cfg.Version
 	}
+	d.Evacuated = c.dumpEvacuations()
 	for id, owned := range c.owned {
 		d.Shards = append(d.Shards, ShardDump{Shard: id, Epoch: owned.epoch, Restored: owned.restored, Summary: owned.shard.Summarize()})
 	}
--- a/scheduler/control/counters.go
+++ b/scheduler/control/counters.go
@@ -28,6 +28,12 @@
 	// were found undecodable, once for as long as they stay so.
 	UndecodableRegistrations atomic.Int64
 
+	// EvacuatedDataCentres is the number of data centres that the operator evacuates.
+	EvacuatedDataCentres atomic.Int64
+	// WithheldStarts counts the starts that were ordered but not sent, because the
+	// executor takes none any more.
+	WithheldStarts atomic.Int64
+
 	events expvar.Map
 }
 
@@ -41,6 +47,7 @@
 		"records": &c.Records, "starts": &c.Starts, "stops": &c.Stops, "paces": &c.Paces, "holds": &c.Holds, "adviceCalls": &c.AdviceCalls, "loanRequests": &c.LoanRequests,
 		"shardGains": &c.Gains, "shardReleases": &c.Releases, "joinFailures": &c.JoinFailures, "feedFailures": &c.FeedFailures,
 		"undecodableRegistrations": &c.UndecodableRegistrations,
+		"evacuatedDataCentres":     &c.EvacuatedDataCentres, "withheldStarts": &c.WithheldStarts,
 	} {
 		m.Set(name, expvar.Func(func() any { return v.Load() }))
 	}
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -196,7 +197,7 @@
 		shard: &dispatch.Shard{ID: id, Epoch: epoch, Member: c.Settings.Member, Shards: c.Layout().Shards, Limits: c.Settings.Limits}, epoch: epoch,
 		ctx: ctx, cancel: cancel, gainedAt: now, lastAppendAt: now,
 	}
-	owned.shard.Report = c.logEvent
+	owned.shard.Report, owned.shard.AwaitsOperator = c.logEvent, true
 	c.owned[id], c.epochs[id] = owned, epoch
 	c.Counters.Gains.Add(1)
 	c.EventLog.LogChange("shard gained", "shard", id, "epoch", epoch)
@@ -253,6 +254,7 @@
 	owned.shard.RestoreInterferenceModels(now, m.records.InterferenceModels)
 	owned.shard.RestoreLeaseRecord(now, m.records.Leases)
 	owned.shard.StartOwnership(owned.gainedAt)
+	c.passEvacuated(owned)
 	owned.restored = true
 	c.followPredecessor(owned)
 	c.EventLog.LogChange("shard served", "shard", m.shard, "epoch", m.epoch, "jobs", len(jobs), "tookMs", now.Sub(owned.lastAppendAt))
@@ -365,6 +367,8 @@
 
 // followOperator polls the operator's requests and applies them until ctx ends.
 func (c *Control) followOperator(ctx context.Context) error {
+	var evacuated []unit.DataCentre
+	read := false
 	for ctx.Err() == nil {
 		o, err := c.Operator.Next(ctx, operatorPollTimeout)
 		if err != nil && ctx.Err() == nil {
@@ -376,6 +380,11 @@
 		if o.Undecodable > 0 {
 			c.EventLog.LogChange("operator's requests can't be decoded", "count", o.Undecodable, "reason", truncate(o.Reason, maxLoggedReasonBytes))
 		}
+		// Before the configuration, so that no owner acts on that alone.
+		if !read || !slices.Equal(o.Evacuated, evacuated) {
+			read, evacuated = true, o.Evacuated
+			c.post(ctx, evacuatedMessage{evacuated})
+		}
 		if cfg := o.Config; cfg != nil {
 			if old := c.config.Load(); old == nil || cfg.Version > old.Version {
 				c.config.Store(cfg)
--- a/scheduler/control/message.go
+++ b/scheduler/control/message.go
@@ -130,8 +130,10 @@
 		epoch unit.Generation
 		apply func(state *maintenanceState, now clock.Millis)
 	}
-	wavesMessage  struct{ waves []maintenance.Wave }
-	configMessage struct{ config *dispatch.Config }
+	wavesMessage struct{ waves []maintenance.Wave }
+	// evacuatedMessage has all data centres that the operator evacuates.
+	evacuatedMessage struct{ evacuated []unit.DataCentre }
+	configMessage    struct{ config *dispatch.Config }
 	// predecessorMessage reports that the former owner of a shard was no member any
 	// more at a time.
 	predecessorMessage struct {
@@ -148,8 +150,9 @@
 
 // Dump is a summary of the state of the control goroutine.
 type Dump struct {
-	Config unit.ConfigVersion `json:"configVersion"`
-	Shards []ShardDump        `json:"shards"`
+	Config    unit.ConfigVersion `json:"configVersion"`
+	Shards    []ShardDump        `json:"shards"`
+	Evacuated []EvacuationDump   `json:"evacuated"` // data centres that the operator evacuates
 }
 
 // ShardDump is a summary of a shard that the process owns.
--- a/scheduler/control/orders.go
+++ b/scheduler/control/orders.go
@@ -54,13 +54,18 @@
 var errUnconfirmed = &verdict.Error{Verdict: verdict.DidNotRun, Reason: "membership is not confirmed"}
 
 // deliverOrder sends an order to its executor. It returns [errUnconfirmed] for a
-// start while the membership is not confirmed.
+// start while the membership is not confirmed, and [dispatch.OutcomeNotSent] for one
+// to an executor that takes no starts any more.
 func (c *Control) deliverOrder(ctx context.Context, o dispatch.Order) (dispatch.Answer, error) {
 	switch {
 	case o.Start != nil:
 		if !c.membership.isConfirmed(c.BootClock(), c.Settings.TTL) {
 			return dispatch.Answer{}, errUnconfirmed
 		}
+		if !c.takesStarts(o.To.Executor) {
+			c.Counters.WithheldStarts.Add(1)
+			return dispatch.Answer{Outcome: dispatch.OutcomeNotSent}, nil
+		}
 		c.Counters.Starts.Add(1)
 		return c.Executors.Start(ctx, o.To, *o.Start)
 	case o.Stop != nil:
