Test evacuations without a network, and add them to the model

The model of executors, store and owners begins and ends evacuations and reports a start that a current owner sends to an executor in an evacuated data centre, or to one that it knows to drain.

--- a/schedule/dispatch/delivery_sim_test.go
+++ b/schedule/dispatch/delivery_sim_test.go
@@ -18,6 +18,7 @@
 		}
 		if o.Start != nil {
 			sim.checkStartOrder(from, o.Start)
+			sim.checkDataCentre(from, &o)
 		}
 		m := message{sentAt: sim.now, deliverAt: sim.now.Add(clock.Span(1 + sim.random.Intn(15))), order: o, from: from, answerArrives: true}
 		switch {
--- a/schedule/dispatch/executor_sim_test.go
+++ b/schedule/dispatch/executor_sim_test.go
@@ -34,6 +34,7 @@
 	user              simulatedUse // last use by a current owner
 	usedAt            clock.Millis // when exactly one current owner used it
 	capacity          unit.Resources
+	dataCentre        unit.DataCentre
 	unlistedFrom      clock.Millis            // has no entry from then on
 	unlistedUntil     clock.Millis            // has no entry until then
 	undecodableUntil  clock.Millis            // its entry can't be decoded until then
--- a/schedule/dispatch/loan_sim_test.go
+++ b/schedule/dispatch/loan_sim_test.go
@@ -400,6 +400,7 @@
 // jobs have ended, or until maxSettleTicks.
 func (sim *simulation) settle() {
 	sim.faults = faults{}
+	sim.endEvacuations()
 	sim.runLoans(settleTicks, false)
 	for range (maxSettleTicks - settleTicks) / 1000 {
 		if sim.batchJobsEnded() {
@@ -492,6 +493,7 @@
 	"crashes":         {crash: 0.001, lateLoan: 0.1},
 	"partitions":      {partition: 0.0005, lateLoan: 0.1},
 	"drains":          {drain: 0.0005, join: 0.004, lateLoan: 0.1},
+	"evacuations":     {evacuate: 0.003, drain: 0.0003, join: 0.004, lost: 0.05, late: 0.03, lateLoan: 0.1, replaceOwner: 0.001, lostAppend: 0.5},
 	"all": {
 		lost: 0.03, late: 0.03, crash: 0.0003, partition: 0.0002, replaceOwner: 0.001, lostAppend: 0.5,
 		lostLoan: 0.1, lateLoan: 0.1, duplicateLoan: 0.1, staleRoute: 0.1, drain: 0.0003, join: 0.004,
--- a/schedule/dispatch/simulation_test.go
+++ b/schedule/dispatch/simulation_test.go
@@ -28,6 +28,7 @@
 	shards     []*simulatedShard
 	loans      loanSimulation // state of the simulation of several shards
 	messages   []message
+	evacuated  DataCentres
 	done       map[TaskID]bool // tasks with a successful run on an executor
 	storedEnds map[TaskID]bool // tasks whose end is stored
 	noted      map[TaskID]bool // tasks with a successful run whose end was acknowledged before its lease lapsed
@@ -103,6 +104,9 @@
 	// undecodable is the probability that the entry of an executor can't be decoded
 	// for a time after a takeover.
 	undecodable float64
+
+	// evacuate is the probability that the evacuation of a data centre begins or ends.
+	evacuate float64
 }
 
 // stored is the record of a job in the store.
@@ -154,7 +158,7 @@
 	id := unit.Executor("x" + strconv.Itoa(n))
 	x := &simulatedExecutor{
 		id: id, address: string(id), incarnation: unit.UnixMillis(1 + n), startedAt: sim.now, clockRate: 0.98 + 0.02*sim.random.Float64(),
-		capacity: unit.Resources{CPU: 4000, Memory: 4000},
+		capacity: unit.Resources{CPU: 4000, Memory: 4000}, dataCentre: dataCentreOf(n),
 	}
 	x.reset()
 	sim.executors[id] = x
@@ -181,7 +185,7 @@
 			incarnation = x.formerIncarnation
 		}
 		r.Entries = append(r.Entries, Registration{
-			Executor: x.id, Service: "s", Address: x.address, Capacity: x.capacity, Incarnation: incarnation,
+			Executor: x.id, Service: "s", Address: x.address, DataCentre: x.dataCentre, Capacity: x.capacity, Incarnation: incarnation,
 			Draining: x.leavesAt > 0, TimeLeft: max(0, x.leavesAt.Sub(sim.now)),
 		})
 	}
@@ -224,6 +228,7 @@
 	sh.owner.RestoreLeaseRecord(sim.now, sh.storedLeases)
 	sh.owner.ApplyRegistrations(sim.now, sim.registrations(), sim.homeOf(sh))
 	sh.owner.StartOwnership(sim.now)
+	sh.owner.AwaitsOperator = sim.faults.evacuate > 0
 	for _, id := range slices.Sorted(maps.Keys(sim.executors)) {
 		if x := sim.executors[id]; sim.chance(sim.faults.cutOff) {
 			x.cutOffFrom, x.cutOffUntil = sim.epoch, sim.now.Add(clock.Span(1000+sim.random.Intn(12_000)))
@@ -268,6 +273,7 @@
 	}
 	sim.deliver()
 	sim.deliverLoans()
+	sim.changeEvacuations()
 	for _, sh := range sim.shards {
 		if sim.now%400 == 0 {
 			sh.owner.ApplyRegistrations(sim.now, sim.registrations(), sim.homeOf(sh))
@@ -487,6 +493,7 @@
 		"restarts":        {lost: 0.02, crash: 0.002, misdelivered: 0.8},
 		"silent restarts": {silentRestart: 0.0015, misdelivered: 0.5},
 		"all":             {lost: 0.03, late: 0.03, crash: 0.0005, partition: 0.0005, replaceOwner: 0.002},
+		"evacuations":     {evacuate: 0.005, lost: 0.05, late: 0.03, crash: 0.0005, partition: 0.0005, replaceOwner: 0.003},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
