--- a/soak/checker.go
+++ b/soak/checker.go
@@ -14,6 +14,10 @@
 // the arrival of the last order to start a task of the job.
 const maxStartAfterCancel = 3 * time.Second
 
+// maxStartAfterEvacuation bounds the time from the request to evacuate a data centre to
+// the arrival of the last order to start a task there.
+const maxStartAfterEvacuation = 5 * time.Second
+
 // Bounds for the tasks of perpetual and cancelled jobs. They hold in calm times,
 // in which no fault is active.
 const (
@@ -48,6 +52,9 @@
 //	         after maxRunAfterCancel of calm since the cancellation,
 //	         maxLateRunAfterCancel if it started after the cancellation.
 //	REFUSED  A task ran of a job whose submissions were all refused.
+//	EVAC     A task was ordered to start on an executor later than
+//	         maxStartAfterEvacuation after the request to evacuate its data centre,
+//	         which had not ended.
 //
 // The scenarios also report LOST for accepted batch jobs that are not completed
 // in time.
@@ -59,13 +66,15 @@
 	jobs       map[string]*job
 	tasks      map[string]*task
 	executors  map[string]*occupancy
-	faults     int       // number of active faults
-	calmSince  time.Time // end of the last fault
+	evacuated  map[string]time.Time // data centres under evacuation, with the time of the request
+	faults     int                  // number of active faults
+	calmSince  time.Time            // end of the last fault
 	violations []string
 }
 
 // occupancy holds the number of runs on an executor.
 type occupancy struct {
+	dataCentre    string
 	runs, maxRuns int
 	roomSince     time.Time // since when there is room for two more runs, zero if there is none
 }
@@ -159,18 +168,48 @@
 	return j != nil && j.perpetual
 }
 
-// RecordExecutor adds an executor that starts now and executes at most maxRuns
-// runs at a time.
-func (c *Checker) RecordExecutor(id string, maxRuns int, now time.Time) {
+// RecordExecutor adds an executor in a data centre that starts now and executes at
+// most maxRuns runs at a time.
+func (c *Checker) RecordExecutor(id, dataCentre string, maxRuns int, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.executors == nil {
 		c.executors = make(map[string]*occupancy)
 	}
-	c.executors[id] = &occupancy{maxRuns: maxRuns}
+	c.executors[id] = &occupancy{dataCentre: dataCentre, maxRuns: maxRuns}
 	c.executors[id].add(0, now)
 }
 
+// RecordEvacuation records that the store has taken the request to evacuate a data
+// centre.
+func (c *Checker) RecordEvacuation(dataCentre string, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evacuated == nil {
+		c.evacuated = make(map[string]time.Time)
+	}
+	c.evacuated[dataCentre] = at
+}
+
+// RecordEvacuationEnd records that the request to evacuate a data centre is about to
+// be removed.
+func (c *Checker) RecordEvacuationEnd(dataCentre string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.evacuated, dataCentre)
+}
+
+// checkDataCentre checks that a run may be started where it is. The lock must be held.
+func (c *Checker) checkDataCentre(r fleet.Run) {
+	o := c.executors[r.Executor]
+	if o == nil {
+		return
+	}
+	if at, ok := c.evacuated[o.dataCentre]; ok && r.OrderedAt.Sub(at) > maxStartAfterEvacuation {
+		c.addViolation("EVAC: %s was ordered to start on %s %v after the request to evacuate its data centre", r.Task, r.Executor, r.OrderedAt.Sub(at))
+	}
+}
+
 // RecordFault records the start of a fault. [Checker.RecordFaultEnd] must be
 // called at its end.
 func (c *Checker) RecordFault() {
@@ -348,6 +387,7 @@
 	id, rest, _ := strings.Cut(r.Task, ".")
 	j, t := c.jobs[id], c.task(r.Task)
 	c.addRun(r, 1)
+	c.checkDataCentre(r)
 	switch {
 	case j == nil:
 		c.addViolation("UNASKED: %s runs although nobody submitted it", r.Task)
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -24,8 +24,8 @@
 	perpetual := func(c *Checker, endedAt, roomSince time.Time) {
 		c.RecordPerpetualSubmission(id, 1)
 		c.RecordAccepted(id)
-		c.RecordExecutor("x", 1, now.Add(-time.Minute))
-		c.RecordExecutor("y", 2, roomSince)
+		c.RecordExecutor("x", "a", 1, now.Add(-time.Minute))
+		c.RecordExecutor("y", "a", 2, roomSince)
 		c.RunStarted(runAt(first, 1, "x", endedAt.Add(-time.Second)))
 		c.RunEnded(runAt(first, 1, "x", endedAt), "stopped")
 	}
@@ -48,6 +48,23 @@
 			c.RunEnded(run(second, 1, "y"), "done")
 			c.RecordState(id, "completed")
 		}, ""},
+		"start in an evacuated data centre": {func(c *Checker) {
+			c.RecordExecutor("x", "b", 1, now.Add(-time.Minute))
+			c.RecordEvacuation("b", now.Add(-maxStartAfterEvacuation-time.Second))
+			c.RunStarted(run(first, 1, "x"))
+		}, "EVAC"},
+		"start soon after the request to evacuate": {func(c *Checker) {
+			c.RecordExecutor("x", "b", 1, now.Add(-time.Minute))
+			c.RecordEvacuation("b", now.Add(-maxStartAfterEvacuation+time.Second))
+			c.RunStarted(run(first, 1, "x"))
+		}, ""},
+		"start beside an evacuation, and after its end": {func(c *Checker) {
+			c.RecordExecutor("x", "b", 1, now.Add(-time.Minute))
+			c.RecordEvacuation("a", now.Add(-time.Minute))
+			c.RecordEvacuation("b", now.Add(-time.Minute))
+			c.RecordEvacuationEnd("b")
+			c.RunStarted(run(first, 1, "x"))
+		}, ""},
 		"restart after a crash": {func(c *Checker) {
 			c.RunStarted(run(first, 1, "x"))
 			c.RunEnded(run(first, 1, "x"), "done")
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -39,6 +39,9 @@
 	concurrentScenarios = 5
 )
 
+// dataCentres are those of the executors.
+var dataCentres = [...]string{"a", "b"}
+
 // running bounds the scenarios of all tests that play at a time.
 var running = make(chan struct{}, concurrentScenarios)
 
@@ -64,6 +67,7 @@
 // under the same id and address, or leave and be replaced by one with another id.
 type executor struct {
 	scenario      *scenario
+	dataCentre    string
 	mu            sync.Mutex
 	id            string
 	proxy         *Proxy
@@ -79,10 +83,11 @@
 	if e.instance != nil {
 		return
 	}
-	e.scenario.checker.RecordExecutor(e.id, maxRuns, time.Now())
+	e.scenario.checker.RecordExecutor(e.id, e.dataCentre, maxRuns, time.Now())
 	id := e.id
 	e.instance = fleet.NewExecutorWithOptions(e.scenario.store, e.id, "s", fleet.Options{
 		Observer:   &e.scenario.checker,
+		DataCentre: e.dataCentre,
 		OrderDelay: e.orderDelay,
 		Perpetual:  e.scenario.checker.IsPerpetual,
 		MaxRuns:    maxRuns,
@@ -198,7 +203,7 @@
 	s := &scenario{t: t, store: fleet.NewStoreAt(host.IP()), group: group.New(context.Background()), startedAt: time.Now()}
 	s.store.Put("keyed.op", "config", fleet.Config(1, "s", "q.example", "/q/"))
 	for i := range executorCount {
-		e := &executor{scenario: s, id: "i-" + strconv.Itoa(i), rng: rand.New(rand.NewSource(seed + int64(i)))}
+		e := &executor{scenario: s, dataCentre: dataCentres[i%len(dataCentres)], id: "i-" + strconv.Itoa(i), rng: rand.New(rand.NewSource(seed + int64(i)))}
 		e.open()
 		s.executors = append(s.executors, e)
 	}
--- a/standin/fleet/executor.go
+++ b/standin/fleet/executor.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math"
@@ -73,6 +74,8 @@
 	// Labels are the registered labels, the kind and the rack. Nil stands for "a"
 	// and "r1".
 	Labels []string
+	// DataCentre is the registered data centre, "a" if it is empty.
+	DataCentre string
 	// MaxRuns is the number of runs above which starts are refused for want of
 	// capacity. 0 is unlimited. It stands for the capacity in tests whose tasks
 	// have one size, which orders do not carry.
@@ -176,7 +179,7 @@
 	}
 	write := func() {
 		b, _ := json.Marshal(map[string]any{ // cannot fail for these types
-			"service": service, "address": address, "zone": "a", "state": "ready",
+			"service": service, "address": address, "zone": cmp.Or(x.options.DataCentre, "a"), "state": "ready",
 			"capacity": map[string]int{"cpu": 8000, "mem_mb": 16000}, "labels": x.options.Labels,
 			"born": x.startedAt.UnixMilli(), "clock_ms": x.clockMillis(),
 		})
