--- a/schedule/dispatch/datacentre_test.go
+++ b/schedule/dispatch/datacentre_test.go
@@ -234,6 +234,27 @@
 	}
 }
 
+// TestRunsAreListedBeforeTheyAreStopped guards against a stop of a run at work, whose
+// start had no answer, before a list of runs has shown whether it is there. Another
+// order is answered meanwhile.
+func TestRunsAreListedBeforeTheyAreStopped(t *testing.T) {
+	is := is.New(t)
+	f := newDataCentreFixture()
+	f.submit("j", Step{Count: 4, Size: resources(1000), Estimate: clock.Minute})
+	f.assignAll()
+	for _, o := range f.startOrders() {
+		f.runs[o.To.Executor][o.Start.Task] = o.Start.Run
+		f.shard.HandleAnswer(f.now, unit.UnixMillis(f.now), &o, &Answer{}, errors.New("no answer"))
+	}
+	f.evacuate("d0")
+	f.holdsUnanswered = true
+	for _, e := range f.shard.executors.All() {
+		e.unresponsive = false
+	}
+	f.runFor(clock.Second)
+	is.Equal(f.runsIn("d0", "j"), 2)
+}
+
 // TestStartsThatWereNotSent guards against a task that is lost, or a run that is taken
 // for a possible one, after its start was held back on its way.
 func TestStartsThatWereNotSent(t *testing.T) {
