dispatch, platform: bound the connections to an executor by its max_connections

An owner opened up to 8 connections to an executor, whatever max_connections says.

One connection is for holds, the others for starts, stops and paces, so that these never wait behind a hold. An order that got no connection in its time counts as one that did not run.

--- a/schedule/dispatch/order.go
+++ b/schedule/dispatch/order.go
@@ -33,6 +33,7 @@
 	Address     string
 	Incarnation unit.UnixMillis
 	Clock       unit.ExecutorMillis // reading of the clock of the incarnation before the order was sent, 0 if none
+	Connections int                 // number of connections to the executor that the owner may open, at least [MinConnections]; 0 is MinConnections
 }
 
 // Order is an order to an executor: a [StartOrder], [StopOrder], [PaceOrder]
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -265,6 +265,7 @@
 	}
 	s.sendHolds(now)
 	orders, s.pendingOrders = s.pendingOrders, nil
+	s.limitConnections(orders)
 	return changes, orders
 }
 
--- a/schedule/dispatch/spec.go
+++ b/schedule/dispatch/spec.go
@@ -66,11 +66,18 @@
 	Advice        *AdvicePolicy `cbor:"7,keyasint,omitempty"` // nil if every executor may run the tasks
 }
 
+// ServiceConfig configures the executors of a service.
+type ServiceConfig struct {
+	Name           unit.Service
+	MaxConnections int // number of connections that each executor accepts
+}
+
 // Config is one version of the configuration of the platform.
 type Config struct {
-	Version unit.ConfigVersion
-	Queues  []Queue
-	MaxBody unit.Bytes
+	Version  unit.ConfigVersion
+	Queues   []Queue
+	Services []ServiceConfig
+	MaxBody  unit.Bytes
 }
 
 // Find returns the queue with the given host and the longest matching prefix
