dispatch: ask for advice about the executors that can take the task

Executors with a valid ticket counted as room for a waiting task by their free capacity alone, although they run other tasks of its step and anti_affinity keeps the task off them.

The candidates and the room on executors with tickets now follow the exclusions of placement: capacity with what is reserved, label, anti-affinity and admission, for tasks that ran before and for first runs apart.

--- a/schedule/dispatch/advice.go
+++ b/schedule/dispatch/advice.go
@@ -126,29 +126,50 @@
 }
 
 // adviceCandidates returns the executors for the next call for a step, at most
-// adviceBatchSize. It returns none if the executors with tickets have capacity
-// for all waiting tasks. Executors whose ticket has expired come first. Executors
-// that were in no call yet follow: those near the data first, then those with
-// the most processor time that no task has requested.
+// adviceBatchSize. It returns none if the executors with tickets can take all
+// waiting tasks. Tasks that ran before are considered first: they may use capacity
+// that others may not.
 func (s *Shard) adviceCandidates(now clock.Millis, k stepKey, j *Job, pool *executorPool) []unit.Executor {
 	if pool == nil {
 		return nil
 	}
-	st := &j.Spec.Steps[k.step]
-	waiting := 0
-	for i := range j.Occurrences[k.occurrence].Steps[k.step].Tasks {
-		if j.Occurrences[k.occurrence].Steps[k.step].Tasks[i].State == TaskReady {
-			waiting++
+	request := s.newPlacementRequest(now, k, j, pool)
+	tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+	for _, ranBefore := range []bool{true, false} {
+		var first *Task
+		waiting := 0
+		for i := range tasks {
+			if t := &tasks[i]; t.State == TaskReady && (t.Run > 0) == ranBefore {
+				first = cmp.Or(first, t)
+				waiting++
+			}
+		}
+		if first == nil {
+			continue
+		}
+		if names := request.forTask(first).adviceCandidates(waiting); len(names) > 0 {
+			return names
 		}
 	}
-	known := s.advice.eligible[k]
+	return nil
+}
+
+// adviceCandidates returns the executors for the next call for a number of waiting
+// tasks that are like the requested one. Executors that can't take the task count
+// neither as room for it nor as candidates. Executors whose ticket has expired come
+// first. Executors that were in no call yet follow: those near the data first, then
+// those with the most processor time that no task has requested.
+func (request *placementRequest) adviceCandidates(waiting int) []unit.Executor {
+	s, step, known := request.shard, request.step, request.shard.advice.eligible[request.key]
 	var expired, unknown []*Executor
-	for _, e := range pool.executors {
-		if !st.demand().Fits(e.Capacity.Sub(e.allocated)) || st.Needs != "" && !e.hasLabel(st.Needs) {
+	for _, e := range request.pool.executors {
+		if request.exclusionDespiteTicket(e) != NotExcluded {
 			continue
 		}
-		if s.ticketOf(now.Add(ticketMargin), k, e) != "" {
-			waiting -= st.countFitting(e)
+		if request.hasTicket(e) {
+			if waiting -= request.countFitting(e); waiting <= 0 {
+				return nil
+			}
 			continue
 		}
 		allowed, isKnown := false, false
@@ -162,11 +183,8 @@
 			expired = append(expired, e)
 		}
 	}
-	if waiting <= 0 {
-		return nil
-	}
 	slices.SortStableFunc(unknown, func(a, b *Executor) int {
-		return cmp.Or(cmp.Compare(s.dataDistance(st, a), s.dataDistance(st, b)), cmp.Compare(b.unrequestedCPU(), a.unrequestedCPU()), cmp.Compare(a.Executor, b.Executor))
+		return cmp.Or(cmp.Compare(s.dataDistance(step, a), s.dataDistance(step, b)), cmp.Compare(b.unrequestedCPU(), a.unrequestedCPU()), cmp.Compare(a.Executor, b.Executor))
 	})
 	var names []unit.Executor
 	for _, e := range append(expired, unknown...) {
@@ -190,11 +208,11 @@
 	return 0
 }
 
-// countFitting returns how many tasks of s fit into the free capacity of e, at
-// most the number of tasks of s.
-func (s *Step) countFitting(e *Executor) int {
-	free, d := e.Capacity.Sub(e.allocated), s.demand()
-	n := s.Count
+// countFitting returns how many tasks like the requested one e can take beside its
+// runs, at most the number of tasks of the step.
+func (request *placementRequest) countFitting(e *Executor) int {
+	free, d := request.freeCapacity(e), request.step.demand()
+	n := request.step.Count
 	for _, dimension := range [][2]int64{
 		{int64(free.CPU), int64(d.CPU)}, {int64(free.Memory), int64(d.Memory)}, {int64(free.Accelerators), int64(d.Accelerators)},
 	} {
@@ -202,8 +220,8 @@
 			n = min(n, int(dimension[0]/dimension[1]))
 		}
 	}
-	if s.MaxPerExecutor > 0 {
-		n = min(n, s.MaxPerExecutor)
+	if most := request.step.MaxPerExecutor; most > 0 {
+		n = min(n, most-e.countRuns(request.key))
 	}
 	return max(n, 0)
 }
--- a/schedule/dispatch/advice_test.go
+++ b/schedule/dispatch/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -108,6 +109,50 @@
 	is.Equal(f.shard.ticketOf(f.now, k, e), unit.Ticket("")) // expired
 }
 
+// Guards against a task that never runs again while executors are idle: those that
+// run the other tasks of its step have tickets and room, but anti-affinity or their
+// allocation keeps the task off them.
+func TestAdviceIsAboutExecutorsThatCanTakeTheTask(t *testing.T) {
+	one := Step{Count: 30, Size: resources(1000), MaxPerExecutor: 1, Perpetual: true}
+	two := one
+	two.Count, two.MaxPerExecutor = 60, 2
+	full := Step{Count: 30, Size: resources(5000), Perpetual: true}
+	for name, c := range map[string]struct {
+		step           Step
+		ticketValidity clock.Span
+	}{
+		"one an executor, long tickets":  {one, clock.Minute},
+		"one an executor, short tickets": {one, 3 * clock.Second},
+		"two an executor":                {two, clock.Minute},
+		"no room for two":                {full, clock.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(48)
+			f.allowed, f.ticketValidity = make(map[unit.Executor]bool), c.ticketValidity
+			for i := range 30 {
+				f.allowed[unit.Executor("x"+strconv.Itoa(i))] = true
+			}
+			f.submitAdvised("j", c.step)
+			f.runFor(2 * clock.Second)
+			is.Equal(f.countRuns("j"), c.step.Count)
+			for i := 42; i < 48; i++ {
+				f.allowed[unit.Executor("x"+strconv.Itoa(i))] = true
+			}
+			for k := range f.shard.advice.eligible {
+				for i := 30; i < 48; i++ { // what the advisor says of the others is not known yet
+					delete(f.shard.advice.eligible[k].allowed, unit.Executor("x"+strconv.Itoa(i)))
+				}
+			}
+			f.replacedExecutor = "x7"
+			clear(f.runs["x7"])
+			f.runFor(10 * clock.Second)
+			is.Equal(f.countRuns("j"), c.step.Count)
+			is.Equal(f.runsByExecutor("j")["x7"], 0)
+		})
+	}
+}
+
 // Guards against a ticket for an incarnation that has ended while the call to the
 // advisor was in flight: a start with it is refused.
 func TestTicketsNameTheIncarnationThatWasAsked(t *testing.T) {
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -81,10 +81,12 @@
 // advice policy, only executors whose ticket stays valid for ticketMargin are
 // admitted.
 func (request *placementRequest) admissible(e *Executor) bool {
-	if request.advised && request.shard.ticketOf(request.now.Add(ticketMargin), request.key, e) == "" {
-		return false
-	}
-	return request.shard.admits(e, request)
+	return (!request.advised || request.hasTicket(e)) && request.shard.admits(e, request)
+}
+
+// hasTicket reports whether a ticket for the step on e stays valid for ticketMargin.
+func (request *placementRequest) hasTicket(e *Executor) bool {
+	return request.shard.ticketOf(request.now.Add(ticketMargin), request.key, e) != ""
 }
 
 // SeparationPolicy keeps best-effort tasks away from serving tasks, packs
--- a/schedule/dispatch/wait.go
+++ b/schedule/dispatch/wait.go
@@ -49,29 +49,60 @@
 // constraintExclusion returns the first reason, apart from the capacity, why the
 // requested task can't be placed on e.
 func (request *placementRequest) constraintExclusion(e *Executor) Exclusion {
+	if x := request.spreadExclusion(e); x != NotExcluded {
+		return x
+	}
+	if !request.admissible(e) {
+		return ExcludedAdmission
+	}
+	return NotExcluded
+}
+
+// exclusionDespiteTicket returns the first reason why the requested task can't be
+// placed on e, also with a ticket for e.
+func (request *placementRequest) exclusionDespiteTicket(e *Executor) Exclusion {
+	if x := request.capacityExclusion(e); x != NotExcluded {
+		return x
+	}
+	if x := request.spreadExclusion(e); x != NotExcluded {
+		return x
+	}
+	if !request.shard.admits(e, request) {
+		return ExcludedAdmission
+	}
+	return NotExcluded
+}
+
+// spreadExclusion returns the reason why e does not satisfy what the step says about
+// its executors.
+func (request *placementRequest) spreadExclusion(e *Executor) Exclusion {
 	step := request.step
 	switch {
 	case step.Needs != "" && !e.hasLabel(step.Needs):
 		return ExcludedLabel
 	case step.MaxPerExecutor > 0 && e.countRuns(request.key) >= step.MaxPerExecutor:
 		return ExcludedSpread
-	case !request.admissible(e):
-		return ExcludedAdmission
 	}
 	return NotExcluded
 }
 
-// capacityExclusion returns the resource that e lacks for the requested task.
-func (request *placementRequest) capacityExclusion(e *Executor) Exclusion {
-	step := request.step
-	free, demand := e.Capacity.Sub(e.allocated), step.demand()
+// freeCapacity returns the capacity of e that the requested task may use.
+func (request *placementRequest) freeCapacity(e *Executor) unit.Resources {
+	free := e.Capacity.Sub(e.allocated)
 	switch {
 	case request.isRestart():
-	case step.Perpetual:
+	case request.step.Perpetual:
 		free.CPU -= e.reservedCPU
 	default:
 		free.CPU -= e.overdueCPU
 	}
+	return free
+}
+
+// capacityExclusion returns the resource that e lacks for the requested task.
+func (request *placementRequest) capacityExclusion(e *Executor) Exclusion {
+	step := request.step
+	free, demand := request.freeCapacity(e), step.demand()
 	switch {
 	case demand.CPU > free.CPU, step.Fills && e.availableBestEffortCPU() < step.Size.CPU:
 		return ExcludedCPU
