platform, control: close connections to executors that are no longer used

An executor that was lent or returned, or whose shard was released, kept the idle connections of its former user for 30 s; they count against those of the next owner if the former one loses power in that time.

--- a/schedule/dispatch/connections.go
+++ b/schedule/dispatch/connections.go
@@ -39,6 +39,15 @@
 	}
 }
 
+// AddAddresses adds the addresses of the executors in use to a set.
+func (s *Shard) AddAddresses(addresses map[string]bool) {
+	for _, e := range s.executors.All() {
+		if e.Address != "" {
+			addresses[e.Address] = true
+		}
+	}
+}
+
 // connectionsTo returns the number of connections that an owner may open to an
 // executor of a service.
 func (c *Config) connectionsTo(service unit.Service) int {
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -257,6 +257,7 @@
 				owned.shard.ApplyRegistrations(c.Clock.Now(), m.registrations, c.executorFilter(owned.shard.ID))
 			}
 		}
+		c.closeUnusedConnections()
 	case configMessage:
 		c.configure(m.config)
 	case joinedMessage:
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -311,6 +311,7 @@
 	for _, w := range append(owned.inFlightWaiters, owned.queuedWaiters...) {
 		w.replyTo <- Reply{Status: StatusUndetermined, Reason: "shard was released"}
 	}
+	c.closeUnusedConnections()
 	c.Counters.Releases.Add(1)
 	c.EventLog.LogChange("shard released", "shard", owned.shard.ID, "epoch", owned.epoch, "reason", reason)
 	if len(c.owned) == 0 && c.stopRegistrationFeed != nil {
--- a/scheduler/control/orders.go
+++ b/scheduler/control/orders.go
@@ -46,6 +46,28 @@
 	})
 }
 
+// connectionRetainer is implemented by [Executors] that keep connections.
+type connectionRetainer interface {
+	// RetainConnections closes the connections to all executors but those with the
+	// given addresses.
+	RetainConnections(addresses map[string]bool)
+}
+
+// closeUnusedConnections closes the connections to executors that no shard of this
+// process uses any more, because they were lent or returned, left, or are those of a
+// released shard.
+func (c *Control) closeUnusedConnections() {
+	r, ok := c.Executors.(connectionRetainer)
+	if !ok {
+		return
+	}
+	addresses := make(map[string]bool)
+	for _, owned := range c.owned {
+		owned.shard.AddAddresses(addresses)
+	}
+	r.RetainConnections(addresses)
+}
+
 // loanTimeout bounds a request for executors of another shard.
 const loanTimeout = 2 * time.Second
 
--- a/scheduler/control/orders_test.go
+++ b/scheduler/control/orders_test.go
@@ -145,3 +145,40 @@
 		})
 	}
 }
+
+// retainedConnections is an [Executors] that records the addresses to which it keeps
+// connections.
+type retainedConnections struct {
+	Executors
+	addresses map[string]bool
+}
+
+// RetainConnections implements connectionRetainer.
+func (x *retainedConnections) RetainConnections(addresses map[string]bool) { x.addresses = addresses }
+
+// Guards against connections to executors that the process does not use any more. An
+// executor accepts a bounded number, which the next owner needs.
+func TestConnectionsFollowTheExecutorsInUse(t *testing.T) {
+	for name, c := range map[string]struct {
+		released bool
+		want     int
+	}{
+		"owned":    {false, 1},
+		"released": {true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newStoringFixture()
+			executors := new(retainedConnections)
+			f.control.Executors, f.control.EventLog, f.owned.cancel = executors, discardedLog{}, func() {}
+			f.control.layout.Store(&dispatch.Layout{Shards: 1})
+			f.control.handleMessage(registrationsMessage{dispatch.Registrations{Entries: []dispatch.Registration{{Executor: "x", Address: "a:1"}}}})
+			if c.released {
+				f.control.release(f.owned, "test")
+			}
+			is.Equal(len(executors.addresses), c.want)
+			f.group.Stop()
+			is.NoErr(f.group.Wait())
+		})
+	}
+}
