control: one rule for what an owner that may have been replaced answers

The rule is now a table over what the reply states and what is known of the ownership: states that are final are always given; other states without a proof only while joins succeed in time and the generation of the group has not changed; in doubt after an append that proves the ownership; and not at all without a confirmed membership. Denials need the proof as before. Refused answers are logged and counted.

TestRepliesOfAReplacedOwner expected the state of a queued job from an unconfirmed owner, which is the fault; it now expects a refusal.

--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -149,6 +149,7 @@
 	writer          *record.Writer
 	appending       bool         // an append is in flight
 	unproven        bool         // another member may have owned the shard since the last append
+	proving         bool         // the append in flight began when the shard was unproven
 	unprovenAt      clock.Millis // when it is unproven again, 0 if it is not; see [Control.handleJoined]
 	gainedAt        clock.Millis // when the store had assigned the shard
 	lastAppendAt    clock.Millis // start of the last append, or gainedAt before the first append
--- a/scheduler/control/counters.go
+++ b/scheduler/control/counters.go
@@ -13,6 +13,9 @@
 	AppendMillis  atomic.Int64
 	// RefusedChanges counts the changes that the store refused for good.
 	RefusedChanges atomic.Int64
+	// RefusedAnswers counts the requests that were refused because a successor may
+	// own the shard.
+	RefusedAnswers atomic.Int64
 	Records        atomic.Int64
 	Starts         atomic.Int64
 	Stops          atomic.Int64
@@ -37,7 +40,7 @@
 // Publish adds the counters to a map of variables.
 func (c *Counters) Publish(m *expvar.Map) {
 	for name, v := range map[string]*atomic.Int64{
-		"appends": &c.Appends, "appendRetries": &c.AppendRetries, "appendMillis": &c.AppendMillis, "refusedChanges": &c.RefusedChanges,
+		"appends": &c.Appends, "appendRetries": &c.AppendRetries, "appendMillis": &c.AppendMillis, "refusedChanges": &c.RefusedChanges, "refusedAnswers": &c.RefusedAnswers,
 		"records": &c.Records, "starts": &c.Starts, "stops": &c.Stops, "paces": &c.Paces, "holds": &c.Holds, "adviceCalls": &c.AdviceCalls, "loanRequests": &c.LoanRequests,
 		"shardGains": &c.Gains, "shardReleases": &c.Releases, "joinFailures": &c.JoinFailures, "feedFailures": &c.FeedFailures,
 		"undecodableRegistrations": &c.UndecodableRegistrations,
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -22,8 +22,8 @@
 // isConfirmed reports whether the last successful join was less than ttl ago, so
 // that the store has not removed this member. It can still have assigned a shard to
 // another one, see [ownedShard.replyIfOwner]. now is on the boot clock.
-// Without a confirmation, the process starts no runs, begins no maintenance and answers no
-// requests but those for the state of a stored job. It keeps its shards until
+// Without a confirmation, the process starts no runs, begins no maintenance and answers
+// only what answerActions allows. It keeps its shards until
 // [Control.releaseUnconfirmed] or a join under a new generation releases them.
 // Fencing tokens alone do not suffice: an executor that has just restarted has
 // no token and would accept a start from a replaced owner.
--- a/scheduler/control/message.go
+++ b/scheduler/control/message.go
@@ -8,7 +8,7 @@
 	"mimosadock/scheduler/record"
 )
 
-//go:generate go tool stringer -type=Kind,Status -linecomment -output=enums_string.go
+//go:generate go tool stringer -type=Kind,Status,claim,ownership,answerAction -linecomment -output=enums_string.go
 
 // Kind is the kind of a request to the owner of a shard.
 type Kind int
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -5,8 +5,6 @@
 	"errors"
 
 	"mimosadock/schedule/clock"
-	"mimosadock/schedule/dispatch"
-	"mimosadock/schedule/unit"
 	"mimosadock/schedule/verdict"
 )
 
@@ -29,23 +27,22 @@
 }
 
 // handleRequest applies a request and replies to it. The reply to an accepted
-// submission or cancellation is sent after the append of its changes. The reply that
-// a job is unknown, or that no run keeps an executor from being shut down, is sent
-// after an append that proves the ownership.
+// submission or cancellation is sent after the append of its changes. The rule for
+// other replies is that of answerActions.
 func (c *Control) handleRequest(m requestMessage) {
 	owned := c.owned[m.request.Shard]
 	if owned == nil || !owned.restored {
 		m.replyTo <- Reply{Status: StatusNotOwner, Reason: "shard is not served here"}
 		return
 	}
-	if !c.isCurrent(owned, m.request) {
-		m.replyTo <- Reply{Status: StatusNotOwner, Reason: "membership is not confirmed"}
+	if kind := m.request.Kind; kind != KindState && claimOf(kind).action(c.ownershipOf(owned)) == answerRefused {
+		c.conclude(owned, m, claimOf(kind), Reply{})
 		return
 	}
 	now, wall := c.Clock.Now(), wallNow()
 	switch m.request.Kind {
 	case KindProbe:
-		m.replyTo <- Reply{Status: StatusAccepted}
+		c.conclude(owned, m, claimEstimate, Reply{Status: StatusAccepted})
 	case KindSubmit:
 		if owned.isStalled(now) && !owned.shard.HasJob(m.request.Job) {
 			m.replyTo <- storeStalled
@@ -58,46 +55,66 @@
 		owned.queuedWaiters = append(owned.queuedWaiters, waiter{job: m.request.Job, changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted}})
 	case KindCancel:
 		if !owned.shard.Cancel(now, wall, m.request.Job) {
-			owned.replyIfOwner(now, m.replyTo, Reply{Status: StatusNotFound})
+			c.conclude(owned, m, claimAbsence, Reply{Status: StatusNotFound})
 			return
 		}
 		owned.queuedWaiters = append(owned.queuedWaiters, waiter{job: m.request.Job, changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted}})
 	case KindState:
-		r := stateReply(owned.shard, m.request.Job)
-		if r.Status == StatusNotFound {
-			owned.replyIfOwner(now, m.replyTo, r)
-			return
-		}
-		m.replyTo <- r
+		c.handleState(owned, m)
 	case KindLend:
-		if m.request.Loan == nil {
-			m.replyTo <- Reply{Status: StatusRefused, Reason: "request has no loan"}
-			return
-		}
-		loans, ok := owned.shard.HandleLoanRequest(now, m.request.Loan)
-		if !ok {
-			m.replyTo <- Reply{Status: StatusRefused, Reason: "a later request was handled before"}
-			return
-		}
-		owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted, Loans: &loans}})
+		c.handleLend(owned, m)
 	case KindEvacuate:
-		if borrower, lent := owned.shard.Borrower(m.request.Executor); lent {
-			m.replyTo <- Reply{Status: StatusLent, Borrower: borrower}
-			return
-		}
-		remaining, blocking, ok := owned.shard.Evacuate(now, m.request.Executor)
-		if !ok {
-			owned.replyIfOwner(now, m.replyTo, Reply{Status: StatusNotFound})
-			return
-		}
-		r := Reply{Status: StatusAccepted, Count: remaining, Held: blocking}
-		if blocking == 0 {
-			owned.replyIfOwner(now, m.replyTo, r)
-			return
-		}
-		m.replyTo <- r
+		c.handleEvacuate(owned, m)
 	case KindPending:
-		m.replyTo <- Reply{Status: StatusAccepted, Count: owned.shard.Pending(m.request.Queue)}
+		c.conclude(owned, m, claimEstimate, Reply{Status: StatusAccepted, Count: owned.shard.Pending(m.request.Queue)})
+	}
+}
+
+// handleState replies with the state of a job. A job whose append has not completed
+// is refused with a retry, since its state is not durable.
+func (c *Control) handleState(owned *ownedShard, m requestMessage) {
+	state, stored := owned.shard.State(m.request.Job)
+	switch {
+	case stored && state.Ended():
+		c.conclude(owned, m, claimFinal, Reply{Status: StatusAccepted, State: state})
+	case stored:
+		c.conclude(owned, m, claimCurrent, Reply{Status: StatusAccepted, State: state})
+	case owned.shard.HasJob(m.request.Job):
+		c.conclude(owned, m, claimEstimate, Reply{Status: StatusRefused, Reason: "job is being stored", RetryAfter: clock.Second})
+	default:
+		c.conclude(owned, m, claimAbsence, Reply{Status: StatusNotFound})
+	}
+}
+
+// handleLend applies a request for executors of the shard. The reply is sent after
+// the append of its changes.
+func (c *Control) handleLend(owned *ownedShard, m requestMessage) {
+	if m.request.Loan == nil {
+		m.replyTo <- Reply{Status: StatusRefused, Reason: "request has no loan"}
+		return
+	}
+	loans, ok := owned.shard.HandleLoanRequest(c.Clock.Now(), m.request.Loan)
+	if !ok {
+		m.replyTo <- Reply{Status: StatusRefused, Reason: "a later request was handled before"}
+		return
+	}
+	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted, Loans: &loans}})
+}
+
+// handleEvacuate applies a request to move the runs of an executor elsewhere.
+func (c *Control) handleEvacuate(owned *ownedShard, m requestMessage) {
+	if borrower, lent := owned.shard.Borrower(m.request.Executor); lent {
+		m.replyTo <- Reply{Status: StatusLent, Borrower: borrower}
+		return
+	}
+	remaining, blocking, ok := owned.shard.Evacuate(c.Clock.Now(), m.request.Executor)
+	switch {
+	case !ok:
+		c.conclude(owned, m, claimAbsence, Reply{Status: StatusNotFound})
+	case blocking == 0:
+		c.conclude(owned, m, claimAbsence, Reply{Status: StatusAccepted, Count: remaining})
+	default:
+		c.conclude(owned, m, claimEstimate, Reply{Status: StatusAccepted, Count: remaining, Held: blocking})
 	}
 }
 
@@ -122,33 +139,6 @@
 	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: replyTo, reply: r, provesOwnership: true})
 }
 
-// isCurrent reports whether a request may be handled here. If the membership is not
-// confirmed, a successor is likely to own the shard and to have jobs that this
-// process does not have. The state of a job that this process has stored is
-// reported also during an outage of the store.
-func (c *Control) isCurrent(owned *ownedShard, request *Request) bool {
-	if c.membership.isConfirmed(c.BootClock(), c.Settings.TTL) {
-		return true
-	}
-	if request.Kind != KindState {
-		return false
-	}
-	_, stored := owned.shard.State(request.Job)
-	return stored
-}
-
-// stateReply returns the reply to a [KindState] request. A job whose append has
-// not completed is refused with a retry, since its state is not durable.
-func stateReply(s *dispatch.Shard, id unit.Job) Reply {
-	if state, ok := s.State(id); ok {
-		return Reply{Status: StatusAccepted, State: state}
-	}
-	if s.HasJob(id) {
-		return Reply{Status: StatusRefused, Reason: "job is being stored", RetryAfter: clock.Second}
-	}
-	return Reply{Status: StatusNotFound}
-}
-
 // refusal returns the reply for a submission that the shard refused with err.
 func refusal(err error) Reply {
 	r := Reply{Status: StatusRefused, Reason: err.Error(), RetryAfter: clock.Second}
--- a/scheduler/control/reply_test.go
+++ b/scheduler/control/reply_test.go
@@ -25,7 +25,7 @@
 		want    Status
 	}{
 		"confirmed, known":        {100, Request{Kind: KindState, Job: known}, StatusAccepted},
-		"unconfirmed, known":      {1300, Request{Kind: KindState, Job: known}, StatusAccepted},
+		"unconfirmed, known":      {1300, Request{Kind: KindState, Job: known}, StatusNotOwner},
 		"unconfirmed, unknown":    {1300, Request{Kind: KindState, Job: unknown}, StatusNotOwner},
 		"unconfirmed, cancel":     {1300, Request{Kind: KindCancel, Job: unknown}, StatusNotOwner},
 		"unconfirmed, count":      {1300, Request{Kind: KindPending}, StatusNotOwner},
@@ -38,7 +38,7 @@
 			boot := clock.Millis(50_000)
 			control := &Control{
 				Settings: Settings{TTL: 1200}, Clock: new(clock.Manual), BootClock: func() clock.Millis { return boot }, Counters: new(Counters),
-				owned: make(map[unit.Shard]*ownedShard),
+				EventLog: discardedLog{}, owned: make(map[unit.Shard]*ownedShard),
 			}
 			control.membership.confirmedBootAt.Store(int64(boot.Add(-c.age)))
 			shard := &dispatch.Shard{Limits: dispatch.DefaultLimits}
--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -46,7 +46,7 @@
 			groups = append(groups, g)
 		}
 	}
-	owned.appending, owned.unproven, owned.lastAppendAt = true, false, now
+	owned.appending, owned.proving, owned.unproven, owned.lastAppendAt = true, owned.unproven, false, now
 	// The changes that later waiters depend on are left for another append.
 	n, _ := slices.BinarySearchFunc(owned.queuedWaiters, owned.shard.CollectedChanges()+1, func(w waiter, changes int64) int {
 		return cmp.Compare(w.changes, changes)
@@ -163,7 +163,7 @@
 		c.release(owned, m.err.Error())
 		return
 	}
-	owned.appending, owned.sequence = false, m.sequence
+	owned.appending, owned.proving, owned.sequence = false, false, m.sequence
 	now := c.Clock.Now()
 	for _, id := range m.refused {
 		owned.shard.HandleRefused(id)
