control: states wait for an append while a change of theirs is not stored

An owner that had ended a job in memory, but whose append of the end was never answered, went on to report the job as running while its successor reported it as completed (TestCancels, shards reassigned without the knowledge of the owner). The reply about a job whose state differs from the stored one now waits for the append and takes the state after it, and an append that is late counts as a sign of another owner.

--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -241,6 +241,13 @@
 	return j.storedState, true
 }
 
+// StateChanges reports whether the state of a job differs from the stored one, so that
+// an append has to store it.
+func (s *Shard) StateChanges(id unit.Job) bool {
+	j := s.jobs.Get(id)
+	return j != nil && j.State != j.storedState
+}
+
 // Tick runs the systems. With canStore, it also places tasks and returns the
 // changes to store in one append. The caller must report the append by
 // [Shard.HandleStored] before it passes canStore again, unless there are no
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -167,7 +167,8 @@
 	replyTo chan<- Reply
 	reply   Reply
 
-	provesOwnership bool // waits for an append also if the shard has no changes
+	state           unit.Job // the reply is the state of this job after the append, if not empty
+	provesOwnership bool     // waits for an append also if the shard has no changes
 }
 
 // Config returns the current configuration, or nil if none has been received.
--- a/scheduler/control/enums_string.go
+++ b/scheduler/control/enums_string.go
@@ -58,13 +58,14 @@
 	_ = x[claimStored-0]
 	_ = x[claimFinal-1]
 	_ = x[claimCurrent-2]
-	_ = x[claimAbsence-3]
-	_ = x[claimEstimate-4]
+	_ = x[claimChanging-3]
+	_ = x[claimAbsence-4]
+	_ = x[claimEstimate-5]
 }
 
-const _claim_name = "storedfinalcurrentabsenceestimate"
+const _claim_name = "storedfinalcurrentchangingabsenceestimate"
 
-var _claim_index = [...]uint8{0, 6, 11, 18, 25, 33}
+var _claim_index = [...]uint8{0, 6, 11, 18, 26, 33, 41}
 
 func (i claim) String() string {
 	idx := int(i) - 0
--- a/scheduler/control/ownership.go
+++ b/scheduler/control/ownership.go
@@ -9,7 +9,8 @@
 
 // The claims. [claimStored] holds once an append has stored the changes of the
 // request, for which the reply waits. [claimFinal] is a stored state that never
-// changes. [claimCurrent] is a stored state that a successor may have changed.
+// changes. [claimCurrent] is a stored state that a successor may have changed, and
+// [claimChanging] one whose change this process has yet to store.
 // [claimAbsence] is that there is no such job or executor, or no run that keeps an
 // executor from being shut down: a successor may have accepted or placed one.
 // [claimEstimate] may be out of date when it is used, such as a count.
@@ -17,6 +18,7 @@
 	claimStored   claim = iota // stored
 	claimFinal                 // final
 	claimCurrent               // current
+	claimChanging              // changing
 	claimAbsence               // absence
 	claimEstimate              // estimate
 
@@ -31,8 +33,8 @@
 // The degrees of knowledge. [ownershipUnconfirmed] means that no join has succeeded
 // for a TTL, so that a successor is likely. [ownershipDoubtful] means that the
 // membership is confirmed, but that there is a sign of another owner: the joins are
-// late, or the generation of the group has changed and no append since has proved
-// the ownership. [ownershipConfirmed] means that there is no such sign.
+// late, the append in flight is, or the generation of the group has changed and no
+// append since has proved the ownership. [ownershipConfirmed] means that there is no such sign.
 const (
 	ownershipUnconfirmed ownership = iota // unconfirmed
 	ownershipDoubtful                     // doubtful
@@ -60,6 +62,7 @@
 	claimStored:   {ownershipDoubtful: answerGiven, ownershipConfirmed: answerGiven},
 	claimFinal:    {ownershipUnconfirmed: answerGiven, ownershipDoubtful: answerGiven, ownershipConfirmed: answerGiven},
 	claimCurrent:  {ownershipDoubtful: answerProved, ownershipConfirmed: answerGiven},
+	claimChanging: {ownershipDoubtful: answerProved, ownershipConfirmed: answerProved},
 	claimAbsence:  {ownershipDoubtful: answerProved, ownershipConfirmed: answerProved},
 	claimEstimate: {ownershipDoubtful: answerGiven, ownershipConfirmed: answerGiven},
 }
@@ -77,9 +80,9 @@
 	return claimStored
 }
 
-// maxJoinAge is the part of the TTL after which a membership that no further join
-// has confirmed is in doubt: two joins are late.
-const maxJoinAge = 2.0 / joinsPerTTL
+// maxJoinsLate is the number of intervals between joins after which a membership that
+// no further join has confirmed is in doubt.
+const maxJoinsLate = 2
 
 // ownershipOf returns what is known about the ownership of a shard.
 func (c *Control) ownershipOf(owned *ownedShard) ownership {
@@ -87,12 +90,19 @@
 	switch {
 	case !c.membership.isConfirmed(now, ttl):
 		return ownershipUnconfirmed
-	case !c.membership.isConfirmed(now, clock.Span(maxJoinAge*float64(ttl))), owned.unproven, owned.proving, owned.unprovenAt > 0:
+	case !c.membership.isConfirmed(now, maxJoinsLate*ttl/joinsPerTTL), owned.appendIsLate(c.Clock.Now(), ttl/joinsPerTTL),
+		owned.unproven, owned.proving, owned.unprovenAt > 0:
 		return ownershipDoubtful
 	}
 	return ownershipConfirmed
 }
 
+// appendIsLate reports whether the append in flight has had no answer for longer than
+// limit. The store may have fenced it.
+func (owned *ownedShard) appendIsLate(now clock.Millis, limit clock.Span) bool {
+	return owned.appending && now.Sub(owned.lastAppendAt) > limit
+}
+
 // conclude sends, defers or refuses the reply to a request by the rule for its claim.
 func (c *Control) conclude(owned *ownedShard, m requestMessage, statement claim, r Reply) {
 	known := c.ownershipOf(owned)
@@ -100,7 +110,7 @@
 	case answerGiven:
 		m.replyTo <- r
 	case answerProved:
-		owned.replyIfOwner(c.Clock.Now(), m.replyTo, r)
+		owned.replyIfOwner(c.Clock.Now(), m, r)
 	default:
 		c.Counters.RefusedAnswers.Add(1)
 		c.EventLog.LogDecision("answer refused", "request", m.request.Kind, "shard", owned.shard.ID, "epoch", owned.epoch,
--- a/scheduler/control/ownership_test.go
+++ b/scheduler/control/ownership_test.go
@@ -31,6 +31,11 @@
 			f.owned.appending, f.owned.proving, f.owned.lastAppendAt = true, true, f.now.Now()
 		}
 		proved  = func(f *storingFixture) { f.owned.unprovenAt = f.now.Now().Add(clock.Second) }
+		storing = func(f *storingFixture) {
+			f.owned.appending, f.owned.lastAppendAt = true, f.now.Now()
+			f.now.Advance(200)
+		}
+		ending  = func(f *storingFixture) { f.owned.shard.Cancel(f.now.Now(), 0, running) }
 		stalled = func(f *storingFixture) {
 			f.owned.appending, f.owned.lastAppendAt = true, f.now.Now()
 			f.now.Advance(storeStallTimeout + 1)
@@ -48,6 +53,8 @@
 		"membership changed":                 {changed, running, later},
 		"membership changed, proof begun":    {proving, running, later},
 		"membership changed, first proof":    {proved, running, later},
+		"append is late":                     {storing, running, later},
+		"end is not stored":                  {ending, running, later},
 		"store stalls":                       {stalled, running, StatusRefused},
 		"unconfirmed":                        {lapsed, running, StatusNotOwner},
 		"completed, calm":                    {calm, completed, StatusAccepted},
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -5,6 +5,8 @@
 	"errors"
 
 	"mimosadock/schedule/clock"
+	"mimosadock/schedule/dispatch"
+	"mimosadock/schedule/unit"
 	"mimosadock/schedule/verdict"
 )
 
@@ -70,20 +72,29 @@
 	}
 }
 
-// handleState replies with the state of a job. A job whose append has not completed
-// is refused with a retry, since its state is not durable.
+// handleState replies with the state of a job. The reply about a job whose state
+// changes waits for the append of the change: a successor may have stored it.
 func (c *Control) handleState(owned *ownedShard, m requestMessage) {
-	state, stored := owned.shard.State(m.request.Job)
+	r, statement := stateReply(owned.shard, m.request.Job)
+	if statement == claimCurrent && owned.shard.StateChanges(m.request.Job) {
+		statement = claimChanging
+	}
+	c.conclude(owned, m, statement, r)
+}
+
+// stateReply returns the reply to a [KindState] request and its claim. A job whose
+// append has not completed is refused with a retry, since its state is not durable.
+func stateReply(s *dispatch.Shard, id unit.Job) (Reply, claim) {
+	state, stored := s.State(id)
 	switch {
 	case stored && state.Ended():
-		c.conclude(owned, m, claimFinal, Reply{Status: StatusAccepted, State: state})
+		return Reply{Status: StatusAccepted, State: state}, claimFinal
 	case stored:
-		c.conclude(owned, m, claimCurrent, Reply{Status: StatusAccepted, State: state})
-	case owned.shard.HasJob(m.request.Job):
-		c.conclude(owned, m, claimEstimate, Reply{Status: StatusRefused, Reason: "job is being stored", RetryAfter: clock.Second})
-	default:
-		c.conclude(owned, m, claimAbsence, Reply{Status: StatusNotFound})
+		return Reply{Status: StatusAccepted, State: state}, claimCurrent
+	case s.HasJob(id):
+		return Reply{Status: StatusRefused, Reason: "job is being stored", RetryAfter: clock.Second}, claimEstimate
 	}
+	return Reply{Status: StatusNotFound}, claimAbsence
 }
 
 // handleLend applies a request for executors of the shard. The reply is sent after
@@ -131,12 +142,16 @@
 // shard to another member at once, so that a confirmed membership proves less: the
 // next owner may have accepted the job or placed runs on the executor. While the
 // store does not answer, the request is refused.
-func (owned *ownedShard) replyIfOwner(now clock.Millis, replyTo chan<- Reply, r Reply) {
+func (owned *ownedShard) replyIfOwner(now clock.Millis, m requestMessage, r Reply) {
 	if owned.isStalled(now) {
-		replyTo <- storeStalled
+		m.replyTo <- storeStalled
 		return
 	}
-	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: replyTo, reply: r, provesOwnership: true})
+	var state unit.Job
+	if m.request.Kind == KindState {
+		state = m.request.Job
+	}
+	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: r, state: state, provesOwnership: true})
 }
 
 // refusal returns the reply for a submission that the shard refused with err.
--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -171,8 +171,11 @@
 	c.Counters.AppendMillis.Add(int64(now.Sub(owned.lastAppendAt)))
 	owned.shard.HandleStored(now)
 	for i := range owned.inFlightWaiters {
-		if w := &owned.inFlightWaiters[i]; slices.Contains(m.refused, w.job) {
+		switch w := &owned.inFlightWaiters[i]; {
+		case slices.Contains(m.refused, w.job):
 			w.reply = refusedReply(owned.shard, w.job)
+		case w.state != "":
+			w.reply, _ = stateReply(owned.shard, w.state)
 		}
 	}
 	sendReplies(owned.inFlightWaiters)
