control: refuse submissions that no append has before their callers give up

While the store did not answer, submissions that came after the append in flight had begun waited until their attempt timed out.

A submission in no append is now withdrawn 100 ms before its attempt ends, and answered as refused; likewise those in no append when the shard is released, and requests that the control goroutine has not taken in time. Requests that wait for a proof of the ownership are refused at the same time.

--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -289,6 +289,9 @@
 	batch := s.dirty[:min(len(s.dirty), maxChangesPerAppend)]
 	rest := slices.Clone(s.dirty[len(batch):])
 	for _, id := range batch {
+		if id == "" {
+			continue // withdrawn
+		}
 		j := s.jobs.Get(id)
 		if j == nil {
 			changes = append(changes, Change{ID: id, Drop: true})
@@ -377,6 +380,31 @@
 		s.storingStarts = slices.DeleteFunc(s.storingStarts, refused)
 		return
 	}
+	s.dropUnstored(id, j)
+	s.report(Event{Kind: "refused", Task: TaskID{Job: id}})
+}
+
+// Withdraw drops a job that no append has, so that it never runs. It returns false if
+// an append may have stored the job, and true if there is no such job.
+func (s *Shard) Withdraw(id unit.Job) bool {
+	j := s.jobs.Get(id)
+	switch {
+	case j == nil:
+		return true
+	case j.stored || j.appendingState != JobUnknown:
+		return false
+	}
+	if i := slices.Index(s.dirty, id); i >= 0 {
+		s.dirty[i] = "" // it still counts as a change, see QueuedChanges
+	}
+	s.dropUnstored(id, j)
+	s.report(Event{Kind: "withdrawn", Task: TaskID{Job: id}})
+	return true
+}
+
+// dropUnstored drops a job that was never stored. It has not run, as a start is
+// ordered after its run is stored.
+func (s *Shard) dropUnstored(id unit.Job, j *Job) {
 	if !j.State.Ended() {
 		s.openJobs--
 	}
@@ -388,7 +416,6 @@
 	// The same id may be submitted again.
 	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(ended unit.Job) bool { return ended == id })
 	maps.DeleteFunc(s.readySteps, func(k stepKey, _ *readyStep) bool { return k.job == id })
-	s.report(Event{Kind: "refused", Task: TaskID{Job: id}})
 	s.jobs.Delete(id)
 }
 
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -167,8 +167,10 @@
 	replyTo chan<- Reply
 	reply   Reply
 
-	state           unit.Job // the reply is the state of this job after the append, if not empty
-	provesOwnership bool     // waits for an append also if the shard has no changes
+	state           unit.Job     // the reply is the state of this job after the append, if not empty
+	submission      bool         // of job
+	expiresAt       clock.Millis // after that, a reply comes too late; 0 if there is no such time
+	provesOwnership bool         // waits for an append also if the shard has no changes
 }
 
 // Config returns the current configuration, or nil if none has been received.
@@ -230,7 +232,9 @@
 func (c *Control) handleMessage(m any) {
 	switch m := m.(type) {
 	case requestMessage:
-		c.handleRequest(m)
+		if m.settled == nil || m.settled.CompareAndSwap(false, true) {
+			c.handleRequest(m)
+		}
 	case orderResultMessage:
 		if owned := c.findOwned(m.shard, m.epoch); owned != nil {
 			owned.shard.HandleAnswer(c.Clock.Now(), wallNow(), &m.order, &m.answer, m.err)
@@ -362,6 +366,7 @@
 	}
 	canStore := !owned.appending && now >= owned.lastAppendAt.Add(minAppendInterval)
 	changes, orders := owned.shard.Tick(now, wallNow(), canStore)
+	owned.refuseExpired(now)
 	switch {
 	case len(changes) > 0 || canStore && owned.needsProof():
 		c.startAppend(owned, now, changes)
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -303,14 +303,22 @@
 }
 
 // release ends the ownership of a shard. Requests whose append has not completed
-// get the status [StatusUndetermined]. The registration feed stops with the last
+// get the status [StatusUndetermined], but submissions that no append has get
+// [StatusNotOwner]. The registration feed stops with the last
 // shard.
 func (c *Control) release(owned *ownedShard, reason string) {
 	delete(c.owned, owned.shard.ID)
 	owned.cancel()
-	for _, w := range append(owned.inFlightWaiters, owned.queuedWaiters...) {
+	for _, w := range owned.inFlightWaiters {
 		w.replyTo <- Reply{Status: StatusUndetermined, Reason: "shard was released"}
 	}
+	for _, w := range owned.queuedWaiters {
+		r := Reply{Status: StatusUndetermined, Reason: "shard was released"}
+		if w.submission && owned.shard.Withdraw(w.job) {
+			r.Status = StatusNotOwner // the next owner may accept it
+		}
+		w.replyTo <- r
+	}
 	c.closeUnusedConnections()
 	c.Counters.Releases.Add(1)
 	c.EventLog.LogChange("shard released", "shard", owned.shard.ID, "epoch", owned.epoch, "reason", reason)
--- a/scheduler/control/message.go
+++ b/scheduler/control/message.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"sync/atomic"
+
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
 	"mimosadock/schedule/maintenance"
@@ -80,8 +82,10 @@
 // while the process owns the shard under this epoch.
 type (
 	requestMessage struct {
-		request *Request
-		replyTo chan<- Reply
+		request   *Request
+		replyTo   chan<- Reply
+		expiresAt clock.Millis // after that, a reply comes too late; 0 if there is no such time
+		settled   *atomic.Bool // set by the control goroutine that takes the request, or by the sender that revokes it; nil if it is not revoked
 	}
 	joinedMessage struct {
 		generation unit.Generation
--- a/scheduler/control/ownership_test.go
+++ b/scheduler/control/ownership_test.go
@@ -10,6 +10,9 @@
 	"mimosadock/schedule/unit"
 )
 
+// later stands for a reply that is not sent before the next append.
+const later Status = -1
+
 // restoreJob restores a job with one task.
 func (f *storingFixture) restoreJob(id unit.Job, state dispatch.JobState, task dispatch.TaskState) {
 	spec := &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: 1}}}
@@ -42,7 +45,6 @@
 		}
 		lapsed = func(f *storingFixture) { f.now.Advance(1200) }
 	)
-	const later Status = -1 // no reply before the next append
 	for name, c := range map[string]struct {
 		prepare func(*storingFixture)
 		job     unit.Job
@@ -76,7 +78,7 @@
 			f.control.membership.confirmedBootAt.Store(int64(f.now.Now()))
 			c.prepare(f)
 			reply := make(chan Reply, 1)
-			f.control.handleRequest(requestMessage{&Request{Kind: KindState, Job: c.job}, reply})
+			f.control.handleRequest(requestMessage{request: &Request{Kind: KindState, Job: c.job}, replyTo: reply})
 			got := later
 			if len(reply) > 0 {
 				got = (<-reply).Status
@@ -107,7 +109,7 @@
 			f.restoreJob("000000000000000a", dispatch.JobRunning, dispatch.TaskRunning)
 			f.now.Advance(400) // since the last join
 			reply := make(chan Reply, 1)
-			f.control.handleRequest(requestMessage{&Request{Kind: KindState, Job: "000000000000000a"}, reply})
+			f.control.handleRequest(requestMessage{request: &Request{Kind: KindState, Job: "000000000000000a"}, replyTo: reply})
 			is.Equal(len(reply), 0)
 			f.tick()
 			is.Equal(len(reply), 1)
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
 
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
@@ -10,13 +13,29 @@
 	"mimosadock/schedule/verdict"
 )
 
+// Parts of the time for a request that are kept for sending the reply to the process
+// that the caller is connected to.
+const (
+	replyMargin  = 100 * clock.Millisecond // with the time to the next tick
+	revokeMargin = 50 * time.Millisecond   // if the control goroutine has not taken the request
+)
+
 // Request sends a request to the control goroutine of this process and waits
 // for the reply. If the message queue is full, the reply has the status
-// [StatusRefused]. If ctx ends first, the error has the verdict MayHaveRun.
+// [StatusRefused]. If ctx is about to end before the control goroutine has taken the
+// request, it never takes it, and the reply has the status [StatusNotOwner]. If ctx ends
+// later, the error has the verdict MayHaveRun.
 func (c *Control) Request(ctx context.Context, request *Request) (Reply, error) {
 	reply := make(chan Reply, 1)
+	m := requestMessage{request: request, replyTo: reply, settled: new(atomic.Bool)}
+	if deadline, ok := ctx.Deadline(); ok {
+		m.expiresAt = c.Clock.Now().Add(clock.SpanOf(time.Until(deadline)) - replyMargin)
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-revokeMargin))
+		defer cancel()
+	}
 	select {
-	case c.messages <- requestMessage{request, reply}:
+	case c.messages <- m:
 	default:
 		return Reply{Status: StatusRefused, Reason: "control queue is full", RetryAfter: clock.Second}, nil
 	}
@@ -24,6 +43,9 @@
 	case r := <-reply:
 		return r, nil
 	case <-ctx.Done():
+		if m.settled.CompareAndSwap(false, true) {
+			return Reply{Status: StatusNotOwner, Reason: "owner is overloaded"}, nil
+		}
 		return Reply{}, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "no outcome in time", Err: ctx.Err()}
 	}
 }
@@ -54,7 +76,7 @@
 			m.replyTo <- refusal(err)
 			return
 		}
-		owned.queuedWaiters = append(owned.queuedWaiters, waiter{job: m.request.Job, changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted}})
+		owned.queuedWaiters = append(owned.queuedWaiters, waiter{job: m.request.Job, changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: Reply{Status: StatusAccepted}, submission: true, expiresAt: m.expiresAt})
 	case KindCancel:
 		if !owned.shard.Cancel(now, wall, m.request.Job) {
 			c.conclude(owned, m, claimAbsence, Reply{Status: StatusNotFound})
@@ -137,6 +159,33 @@
 	return owned.appending && now.Sub(owned.lastAppendAt) > storeStallTimeout
 }
 
+// isExpired reports whether the reply comes too late.
+func (w *waiter) isExpired(now clock.Millis) bool { return w.expiresAt > 0 && now >= w.expiresAt }
+
+// refuseExpired refuses the requests that wait for the append in flight to end, and
+// whose replies would come too late. A submission is withdrawn, as no append has it: it
+// never runs, and its caller may try again. Otherwise the caller would not know whether
+// it was accepted. The other requests that are refused change nothing.
+func (owned *ownedShard) refuseExpired(now clock.Millis) {
+	if !owned.appending {
+		return
+	}
+	withdrawn := make(map[unit.Job]bool)
+	for i := range owned.queuedWaiters {
+		if w := &owned.queuedWaiters[i]; w.submission && w.isExpired(now) && !withdrawn[w.job] {
+			withdrawn[w.job] = owned.shard.Withdraw(w.job)
+		}
+	}
+	owned.queuedWaiters = slices.DeleteFunc(owned.queuedWaiters, func(w waiter) bool {
+		// Other requests for a withdrawn job were made before its withdrawal.
+		if !withdrawn[w.job] && !(w.provesOwnership && w.isExpired(now)) {
+			return false
+		}
+		w.replyTo <- storeStalled
+		return true
+	})
+}
+
 // replyIfOwner sends a reply once an append that starts later has shown that no
 // other owner has served the shard before the request came. The store can assign the
 // shard to another member at once, so that a confirmed membership proves less: the
@@ -151,7 +200,7 @@
 	if m.request.Kind == KindState {
 		state = m.request.Job
 	}
-	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: r, state: state, provesOwnership: true})
+	owned.queuedWaiters = append(owned.queuedWaiters, waiter{changes: owned.shard.QueuedChanges(), replyTo: m.replyTo, reply: r, state: state, provesOwnership: true, expiresAt: m.expiresAt})
 }
 
 // refusal returns the reply for a submission that the shard refused with err.
--- a/scheduler/control/reply_test.go
+++ b/scheduler/control/reply_test.go
@@ -47,7 +47,7 @@
 			shard.HandleStored(0)
 			control.owned[0] = &ownedShard{shard: shard, restored: true, ctx: context.Background()}
 			reply := make(chan Reply, 1)
-			control.handleRequest(requestMessage{&c.request, reply})
+			control.handleRequest(requestMessage{request: &c.request, replyTo: reply})
 			is.Equal(len(reply), 1) // the reply is sent without an append
 			is.Equal((<-reply).Status, c.want)
 		})
@@ -107,7 +107,7 @@
 				f.submit(1)
 			}
 			reply := make(chan Reply, 1)
-			f.control.handleRequest(requestMessage{&c.request, reply})
+			f.control.handleRequest(requestMessage{request: &c.request, replyTo: reply})
 			is.Equal(len(reply), 0) // the store has not confirmed the ownership yet
 			f.tick()
 			is.Equal(len(reply), 1)
@@ -145,7 +145,7 @@
 			f.owned.writer = record.NewWriter(record.Limits{Record: 60, Request: 60}, new(record.Set))
 			f.submit(1) // too large for the store
 			reply := make(chan Reply, 1)
-			f.control.handleRequest(requestMessage{&Request{Kind: KindCancel, Job: submittedJob(2)}, reply})
+			f.control.handleRequest(requestMessage{request: &Request{Kind: KindCancel, Job: submittedJob(2)}, replyTo: reply})
 			f.tick()
 			is.Equal(len(reply), 1)
 			is.Equal((<-reply).Status, c.want)
@@ -173,7 +173,7 @@
 			f.owned.appending, f.owned.lastAppendAt = true, f.now.Now().Add(-c.age)
 			f.control.membership.confirmedBootAt.Store(int64(f.now.Now()))
 			reply := make(chan Reply, 1)
-			f.control.handleRequest(requestMessage{&Request{Kind: KindCancel, Job: submittedJob(1)}, reply})
+			f.control.handleRequest(requestMessage{request: &Request{Kind: KindCancel, Job: submittedJob(1)}, replyTo: reply})
 			is.Equal(len(reply), c.want)
 			if c.want > 0 {
 				is.Equal((<-reply).Status, StatusRefused)
@@ -192,7 +192,7 @@
 	f.tick()
 	f.control.membership.confirmedBootAt.Store(int64(f.now.Now()))
 	replies := make(chan Reply, 2)
-	request := requestMessage{&Request{Kind: KindState, Job: submittedJob(1)}, replies}
+	request := requestMessage{request: &Request{Kind: KindState, Job: submittedJob(1)}, replyTo: replies}
 	f.control.handleRequest(request)
 	f.control.tick()
 	is.True(f.owned.appending)
--- a/scheduler/control/storing_test.go
+++ b/scheduler/control/storing_test.go
@@ -53,7 +53,7 @@
 		id := submittedJob(len(f.replies))
 		replyTo := make(chan Reply, 1)
 		f.replies = append(f.replies, replyTo)
-		f.control.handleRequest(requestMessage{&Request{Kind: KindSubmit, Job: id, Spec: &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: 1}}}}, replyTo})
+		f.control.handleRequest(requestMessage{request: &Request{Kind: KindSubmit, Job: id, Spec: &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: 1}}}}, replyTo: replyTo})
 	}
 }
 
@@ -215,3 +215,97 @@
 
 // LogDecision implements [EventLog].
 func (discardedLog) LogDecision(string, ...any) {}
+
+// Guards against submissions whose callers do not learn whether they were accepted,
+// although no append had them while the store did not answer. A refused submission
+// never runs, also if the store answers later, and one that an append has is not
+// refused.
+func TestSubmissionsThatNoAppendHasAreRefusedInTime(t *testing.T) {
+	const inTime, tooLate = clock.Millis(10_000), clock.Millis(500)
+	for name, c := range map[string]struct {
+		inFlight  bool           // the job is in the append that has no answer
+		expiries  []clock.Millis // of the requests for the job
+		released  bool           // the shard is released at 600 ms
+		replies   []Status       // at 600 ms; none is later
+		submitted bool           // the shard still has the job
+	}{
+		"in no append":              {false, []clock.Millis{tooLate}, false, []Status{StatusRefused}, false},
+		"in no append, twice":       {false, []clock.Millis{inTime, tooLate}, false, []Status{StatusRefused, StatusRefused}, false},
+		"in no append, time left":   {false, []clock.Millis{inTime}, false, []Status{later}, true},
+		"in the append":             {true, []clock.Millis{tooLate}, false, []Status{later}, true},
+		"in the append, twice":      {true, []clock.Millis{tooLate, tooLate}, false, []Status{later, later}, true},
+		"in no append, released":    {false, []clock.Millis{inTime, inTime}, true, []Status{StatusNotOwner, StatusNotOwner}, false},
+		"in the append, released":   {true, []clock.Millis{inTime, inTime}, true, []Status{StatusUndetermined, StatusUndetermined}, true},
+		"no time known, not waited": {false, []clock.Millis{0}, false, []Status{later}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newStoringFixture()
+			f.control.EventLog, f.owned.cancel = discardedLog{}, func() {}
+			f.submit(1)
+			if !c.inFlight {
+				f.now.Advance(100)
+				f.control.tickShard(f.owned) // an append without the job, which has no answer
+			}
+			id := unit.Job("00000000000000cc")
+			var replies []chan Reply
+			for i, expiry := range c.expiries {
+				replyTo := make(chan Reply, 1)
+				replies = append(replies, replyTo)
+				f.control.handleRequest(requestMessage{
+					request: &Request{Kind: KindSubmit, Job: id, Spec: &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: 1}}}},
+					replyTo: replyTo, expiresAt: expiry,
+				})
+				if c.inFlight && i == 0 {
+					f.now.Advance(100)
+					f.control.tickShard(f.owned)
+				}
+			}
+			is.True(f.owned.appending)
+			f.now.Advance(clock.Span(600 - f.now.Now()))
+			f.control.tickShard(f.owned)
+			if c.released {
+				f.control.release(f.owned, "test")
+			}
+			for i, replyTo := range replies {
+				got := later
+				if len(replyTo) > 0 {
+					got = (<-replyTo).Status
+				}
+				is.Equal(got, c.replies[i])
+			}
+			is.Equal(f.owned.shard.HasJob(id), c.submitted)
+			if !c.released {
+				f.control.handleMessage(<-f.control.messages) // the store answers
+				f.tick()
+				_, stored := f.owned.shard.State(id)
+				is.Equal(stored, c.submitted)
+				again := make(chan Reply, 1)
+				f.control.handleRequest(requestMessage{request: &Request{Kind: KindSubmit, Job: id, Spec: &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: 1}}}}, replyTo: again})
+				f.tick()
+				is.Equal((<-again).Status, StatusAccepted)
+				_, stored = f.owned.shard.State(id)
+				is.True(stored)
+			}
+			f.group.Stop()
+			is.NoErr(f.group.Wait())
+		})
+	}
+}
+
+// Guards against a request that the owner applies after its sender has been told that
+// it has not run.
+func TestRevokedRequestsAreNotApplied(t *testing.T) {
+	is := is.New(t)
+	f := newStoringFixture()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*revokeMargin)
+	defer cancel()
+	id := submittedJob(1)
+	r, err := f.control.Request(ctx, &Request{Kind: KindSubmit, Job: id, Spec: &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: 1}}}})
+	is.NoErr(err)
+	is.Equal(r.Status, StatusNotOwner)
+	f.control.handleMessage(<-f.control.messages)
+	is.True(!f.owned.shard.HasJob(id))
+	f.group.Stop()
+	is.NoErr(f.group.Wait())
+}
