ctl: check a configuration before it is sent

mimosactl check FILE [--against FILE] reports errors, entries that can never match, limits that contradict each other and what differs from the version in force, for a services text and for the operator's configuration. Both are decoded by the packages that the processes use; the decisions are in the new package schedule/inspection.

--- a/ctl/exit.go
+++ b/ctl/exit.go
@@ -17,7 +17,7 @@
 	exitUsage    exitCode = 2
 	exitUnknown  exitCode = 3 // the outcome is unknown
 	exitConflict exitCode = 4 // the base revision is not the newest one
-	exitFaults   exitCode = 5 // the services text has faults
+	exitFaults   exitCode = 5 // the services text or the configuration has faults
 )
 
 // exitCodeOf returns the exit code for an error. An error that is not a *problem
@@ -36,6 +36,9 @@
 		}
 		return exitFailed
 	}
+	if errors.Is(err, errFindings) {
+		return exitFaults
+	}
 	var ve *verdict.Error
 	if !errors.As(err, &ve) {
 		return exitUsage
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -3,8 +3,8 @@
 //
 // Exit codes: 0 success, 1 refused or failed without a change, 2 usage error, 3
 // unknown outcome, 4 the configuration has changed since the base revision, 5
-// the services text has faults. Unreadable input files, failed writes and an
-// interrupt between two polls have code 2, too.
+// the services text or a checked configuration has faults. Unreadable input
+// files, failed writes and an interrupt between two polls have code 2, too.
 package main
 
 import (
@@ -26,7 +26,7 @@
 
 // execute runs one command line and returns its exit code.
 func execute(ctx context.Context, args []string, in io.Reader, out, stderr io.Writer) exitCode {
-	app := kingpin.New("mimosactl", "Command-line client of mimosadock. Exit codes: 0 success, 1 refused or failed without a change, 2 usage error, 3 unknown outcome, 4 configuration changed since the base revision, 5 faults in the services text.")
+	app := kingpin.New("mimosactl", "Command-line client of mimosadock. Exit codes: 0 success, 1 refused or failed without a change, 2 usage error, 3 unknown outcome, 4 configuration changed since the base revision, 5 faults in the services text or the checked configuration.")
 	app.UsageWriter(out)
 	app.ErrorWriter(stderr)
 	terminated := false
@@ -54,6 +54,7 @@
 
 // register adds all commands to app.
 func (c *cli) register(app *kingpin.Application) {
+	c.registerCheck(app)
 	c.registerConfig(app.Command("config", "Show and change the services text."))
 	c.registerJob(app.Command("job", "Submit, show, watch and cancel jobs."))
 	c.registerHost(app.Command("host", "Show and drain hosts."))
--- a/schedule/dispatch/advice.go
+++ b/schedule/dispatch/advice.go
@@ -32,6 +32,13 @@
 	adviceRetryDelay = 300 * clock.Millisecond
 )
 
+// CallTime returns the duration of the largest call that the scheduler makes.
+func (p *AdvicePolicy) CallTime() clock.Span { return p.Decision + p.PerWorker*adviceBatchSize }
+
+// UsableTime returns how long a ticket can be used for starts. No start uses one that
+// has none.
+func (p *AdvicePolicy) UsableTime() clock.Span { return p.Valid - ticketMargin }
+
 // StepID identifies a step of one occurrence of a job in requests to the advisor.
 type StepID struct {
 	Job        unit.Job
--- a/schedule/dispatch/connections.go
+++ b/schedule/dispatch/connections.go
@@ -29,6 +29,13 @@
 	return min(max(accepted/(lostOwners+presentOwners), MinConnections), maxConnections)
 }
 
+// CoveredLostOwners returns how many owners in succession may lose power before an
+// executor that accepts accepted connections in all refuses those of the present
+// owners.
+func CoveredLostOwners(accepted int) int {
+	return accepted/connectionsPerOwner(accepted) - presentOwners
+}
+
 // limitConnections sets the number of connections that the owner may open to the
 // executors of orders.
 func (s *Shard) limitConnections(orders []Order) {
