control: send no submissions to owners that do not answer

A process that has replied to no call for 150 ms while one waited is now probed first; a submission that is not sent is refused as one that has not run.

--- a/scheduler/control/directory.go
+++ b/scheduler/control/directory.go
@@ -52,6 +52,7 @@
 	lookupInFlight atomic.Bool
 	failingSince   atomic.Int64 // first failed call since the last success, in milliseconds of Clock; 0 if none
 	hasResponded   atomic.Bool  // an owner has responded at least once
+	liveness       liveness     // of other processes
 }
 
 // Reachable reports whether an owner has responded and calls have not been
@@ -91,6 +92,7 @@
 		return
 	}
 	d.owners.Store(&owners)
+	d.liveness.retain(owners)
 }
 
 // ownerOf returns the cached owner of a shard, or "" if none is known.
@@ -160,7 +162,35 @@
 	if owner == d.Self {
 		return d.Control.Request(ctx, request)
 	}
-	return d.Peers.Request(ctx, addressOf(owner), request)
+	if request.Kind == KindSubmit && d.liveness.isSuspect(owner, d.Clock.Now()) {
+		if r, err := d.probe(ctx, owner, request.Shard); err != nil || r.Status != StatusAccepted {
+			return r, err
+		}
+	}
+	return d.callPeer(ctx, owner, request)
+}
+
+// probe asks an owner that may be cut off whether it serves a shard. The error has the
+// verdict DidNotRun: nothing that matters was sent.
+func (d *Directory) probe(ctx context.Context, owner unit.Member, s unit.Shard) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, submissionProbeTimeout)
+	defer cancel()
+	r, err := d.callPeer(ctx, owner, &Request{Kind: KindProbe, Shard: s})
+	if err != nil {
+		return Reply{}, &verdict.Error{Verdict: verdict.DidNotRun, Reason: "owner does not answer", Err: err}
+	}
+	if r.Status == StatusUndetermined {
+		r.Status = StatusNotOwner // of the probe, not of the request
+	}
+	return r, nil
+}
+
+// callPeer sends a request to another process and records whether it replies.
+func (d *Directory) callPeer(ctx context.Context, owner unit.Member, request *Request) (Reply, error) {
+	d.liveness.begin(owner, d.Clock.Now())
+	r, err := d.Peers.Request(ctx, addressOf(owner), request)
+	d.liveness.end(owner, d.Clock.Now(), err == nil)
+	return r, err
 }
 
 // RunProbes probes the owners of all shards while they are unreachable, so that
