control: repeat reads of states less often

While the membership of an owner is not confirmed, the states of queued and running jobs are refused, and each process repeats the reads until another owner is known.

--- a/scheduler/control/directory.go
+++ b/scheduler/control/directory.go
@@ -138,7 +138,7 @@
 		if mayBeAccepted {
 			wait = outcomeTimeout
 		}
-		if ctx.Err() != nil || d.Clock.Now().Sub(startedAt) > wait || !sleep(ctx, minLookupInterval.Duration()/2) {
+		if ctx.Err() != nil || d.Clock.Now().Sub(startedAt) > wait || !sleep(ctx, retryDelay(request.Kind)) {
 			if mayBeAccepted {
 				last.Status = StatusUndetermined
 			}
@@ -147,6 +147,15 @@
 	}
 }
 
+// retryDelay returns the delay before a request is sent again. Reads are frequent, and
+// all of them are repeated while an owner has no confirmed membership.
+func retryDelay(kind Kind) time.Duration {
+	if kind == KindState {
+		return 2 * minLookupInterval.Duration()
+	}
+	return minLookupInterval.Duration() / 2
+}
+
 // attempt sends a request once to the cached owner. The error wraps a
 // [verdict.Error].
 func (d *Directory) attempt(ctx context.Context, request *Request) (Reply, error) {
