dispatch: an order that got no connection is no sign of a silent executor

Orders to one executor now queue on few connections. One that was not sent for want of a connection counted as an executor that does not answer, which kept starts from it until the next hold.

--- a/schedule/dispatch/connections.go
+++ b/schedule/dispatch/connections.go
@@ -1,6 +1,15 @@
 package dispatch
 
-import "mimosadock/schedule/unit"
+import (
+	"errors"
+
+	"mimosadock/schedule/unit"
+)
+
+// ErrNoConnection reports that an order was not sent, since all connections of the
+// owner to the executor were in use for as long as it could wait. It says nothing
+// about the executor.
+var ErrNoConnection = errors.New("all connections to the executor are in use")
 
 const (
 	// DefaultMaxConnections is the number of connections that an executor accepts
--- a/schedule/dispatch/incarnation.go
+++ b/schedule/dispatch/incarnation.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"slices"
 
 	"mimosadock/schedule/clock"
@@ -102,7 +103,11 @@
 		s.orderUndetermined(o)
 		return
 	}
-	s.markSilent(now, e)
+	// A hold has a connection of its own, so that it waits for an unreachable executor
+	// only.
+	if o.Hold != nil || !errors.Is(err, ErrNoConnection) {
+		s.markSilent(now, e)
+	}
 	if o.Start != nil && verdict.Of(err) != verdict.DidNotRun {
 		e.leaseExpiresBy = max(e.leaseExpiresBy, now.Add(s.longestLeaseAfterRestart())) // another incarnation may have carried it out
 	}
