--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 
 	"mimosadock/schedule/clock"
@@ -247,6 +246,13 @@
 	return j.storedState, true
 }
 
+// StateChanges reports whether the state of a job differs from the stored one, so that
+// an append has to store it.
+func (s *Shard) StateChanges(id unit.Job) bool {
+	j := s.jobs.Get(id)
+	return j != nil && j.State != j.storedState
+}
+
 // Tick runs the systems. With canStore, it also places tasks and returns the
 // changes to store in one append. The caller must report the append by
 // [Shard.HandleStored] before it passes canStore again, unless there are no
@@ -271,6 +277,7 @@
 	}
 	s.sendHolds(now)
 	orders, s.pendingOrders = s.pendingOrders, nil
+	s.limitConnections(orders)
 	return changes, orders
 }
 
@@ -287,6 +294,9 @@
 	batch := s.dirty[:min(len(s.dirty), maxChangesPerAppend)]
 	rest := slices.Clone(s.dirty[len(batch):])
 	for _, id := range batch {
+		if id == "" {
+			continue // withdrawn
+		}
 		j := s.jobs.Get(id)
 		if j == nil {
 			changes = append(changes, Change{ID: id, Drop: true})
@@ -353,43 +363,6 @@
 	s.storingStarts = s.storingStarts[:0]
 }
 
-// HandleRefused records that the changes of a job in the append in flight were left
-// out, since the store refuses them for good. It must be called before
-// [Shard.HandleStored]. A job that was never stored is dropped: it has not run, as a
-// start is ordered after its run is stored. Any other keeps its stored state, and its
-// changes are part of the next append.
-func (s *Shard) HandleRefused(id unit.Job) {
-	j := s.jobs.Get(id)
-	if j == nil {
-		return
-	}
-	if j.stored {
-		j.appendingState = j.storedState
-		s.markDirty(id, j)
-		refused := func(t TaskID) bool { return t.Job == id }
-		for _, t := range s.storingStarts {
-			if refused(t) {
-				s.pendingStarts = append(s.pendingStarts, t)
-			}
-		}
-		s.storingStarts = slices.DeleteFunc(s.storingStarts, refused)
-		return
-	}
-	if !j.State.Ended() {
-		s.openJobs--
-	}
-	s.forEachTask(id, j, func(tid TaskID, _ *Step, t *Task) {
-		if e := s.executors.Get(t.Executor); e != nil && t.State.assigned() {
-			s.removeRun(e, tid)
-		}
-	})
-	// The same id may be submitted again.
-	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(ended unit.Job) bool { return ended == id })
-	maps.DeleteFunc(s.readySteps, func(k stepKey, _ *readyStep) bool { return k.job == id })
-	s.report(Event{Kind: "refused", Task: TaskID{Job: id}})
-	s.jobs.Delete(id)
-}
-
 // Idle reports whether the shard needs no regular ticks: it has no open jobs,
 // nothing to store and no runs to stop.
 func (s *Shard) Idle() bool {
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -152,6 +152,7 @@
 	writer          *record.Writer
 	appending       bool         // an append is in flight
 	unproven        bool         // another member may have owned the shard since the last append
+	proving         bool         // the append in flight began when the shard was unproven
 	unprovenAt      clock.Millis // when it is unproven again, 0 if it is not; see [Control.handleJoined]
 	gainedAt        clock.Millis // when the store had assigned the shard
 	lastAppendAt    clock.Millis // start of the last append, or gainedAt before the first append
@@ -169,7 +170,10 @@
 	replyTo chan<- Reply
 	reply   Reply
 
-	provesOwnership bool // waits for an append also if the shard has no changes
+	state           unit.Job     // the reply is the state of this job after the append, if not empty
+	submission      bool         // of job
+	expiresAt       clock.Millis // after that, a reply comes too late; 0 if there is no such time
+	provesOwnership bool         // waits for an append also if the shard has no changes
 }
 
 // Config returns the current configuration, or nil if none has been received.
@@ -231,7 +235,9 @@
 func (c *Control) handleMessage(m any) {
 	switch m := m.(type) {
 	case requestMessage:
-		c.handleRequest(m)
+		if m.settled == nil || m.settled.CompareAndSwap(false, true) {
+			c.handleRequest(m)
+		}
 	case orderResultMessage:
 		if owned := c.findOwned(m.shard, m.epoch); owned != nil {
 			owned.shard.HandleAnswer(c.Clock.Now(), wallNow(), &m.order, &m.answer, m.err)
@@ -263,6 +269,7 @@
 				owned.shard.ApplyRegistrations(c.Clock.Now(), m.registrations, c.executorFilter(owned.shard.ID))
 			}
 		}
+		c.closeUnusedConnections()
 	case configMessage:
 		c.configure(m.config)
 	case joinedMessage:
@@ -365,6 +372,7 @@
 	}
 	canStore := !owned.appending && now >= owned.lastAppendAt.Add(minAppendInterval)
 	changes, orders := owned.shard.Tick(now, wallNow(), canStore)
+	owned.refuseExpired(now)
 	switch {
 	case len(changes) > 0 || canStore && owned.needsProof():
 		c.startAppend(owned, now, changes)
--- a/scheduler/control/directory.go
+++ b/scheduler/control/directory.go
@@ -54,6 +54,7 @@
 	lookupInFlight atomic.Bool
 	failingSince   atomic.Int64 // first failed call since the last success, in milliseconds of Clock; 0 if none
 	hasResponded   atomic.Bool  // an owner has responded at least once
+	liveness       liveness     // of other processes
 }
 
 // Reachable reports whether an owner has responded and calls have not been
@@ -93,6 +94,7 @@
 		return
 	}
 	d.owners.Store(&owners)
+	d.liveness.retain(owners)
 }
 
 // ownerOf returns the cached owner of a shard, or "" if none is known.
@@ -133,17 +135,17 @@
 			last.Reason = err.Error()
 			d.recordResult(request.Kind, false)
 		}
-		d.refreshOwners(ctx)
-		wait := ownerTimeout
-		if mayBeAccepted {
-			wait = outcomeTimeout
-		}
 		if !mayBeAccepted && d.StoreSilent != nil && d.StoreSilent() {
 			// No other owner can be found or take over before the store answers. A
 			// caller that is told so at once may come back sooner.
 			return last
 		}
-		if ctx.Err() != nil || d.Clock.Now().Sub(startedAt) > wait || !sleep(ctx, minLookupInterval.Duration()/2) {
+		d.refreshOwners(ctx)
+		wait := ownerTimeout
+		if mayBeAccepted {
+			wait = outcomeTimeout
+		}
+		if ctx.Err() != nil || d.Clock.Now().Sub(startedAt) > wait || !sleep(ctx, retryDelay(request.Kind)) {
 			if mayBeAccepted {
 				last.Status = StatusUndetermined
 			}
@@ -152,6 +154,15 @@
 	}
 }
 
+// retryDelay returns the delay before a request is sent again. Reads are frequent, and
+// all of them are repeated while an owner has no confirmed membership.
+func retryDelay(kind Kind) time.Duration {
+	if kind == KindState {
+		return 2 * minLookupInterval.Duration()
+	}
+	return minLookupInterval.Duration() / 2
+}
+
 // attempt sends a request once to the cached owner. The error wraps a
 // [verdict.Error].
 func (d *Directory) attempt(ctx context.Context, request *Request) (Reply, error) {
@@ -167,7 +178,35 @@
 	if owner == d.Self {
 		return d.Control.Request(ctx, request)
 	}
-	return d.Peers.Request(ctx, addressOf(owner), request)
+	if request.Kind == KindSubmit && d.liveness.isSuspect(owner, d.Clock.Now()) {
+		if r, err := d.probe(ctx, owner, request.Shard); err != nil || r.Status != StatusAccepted {
+			return r, err
+		}
+	}
+	return d.callPeer(ctx, owner, request)
+}
+
+// probe asks an owner that may be cut off whether it serves a shard. The error has the
+// verdict DidNotRun: nothing that matters was sent.
+func (d *Directory) probe(ctx context.Context, owner unit.Member, s unit.Shard) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, submissionProbeTimeout)
+	defer cancel()
+	r, err := d.callPeer(ctx, owner, &Request{Kind: KindProbe, Shard: s})
+	if err != nil {
+		return Reply{}, &verdict.Error{Verdict: verdict.DidNotRun, Reason: "owner does not answer", Err: err}
+	}
+	if r.Status == StatusUndetermined {
+		r.Status = StatusNotOwner // of the probe, not of the request
+	}
+	return r, nil
+}
+
+// callPeer sends a request to another process and records whether it replies.
+func (d *Directory) callPeer(ctx context.Context, owner unit.Member, request *Request) (Reply, error) {
+	d.liveness.begin(owner, d.Clock.Now())
+	r, err := d.Peers.Request(ctx, addressOf(owner), request)
+	d.liveness.end(owner, d.Clock.Now(), err == nil)
+	return r, err
 }
 
 // RunProbes probes the owners of all shards while they are unreachable, so that
--- a/scheduler/control/evacuation_test.go
+++ b/scheduler/control/evacuation_test.go
@@ -176,7 +176,7 @@
 			is := is.New(t)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			control := &Control{Operator: &operatorReads{c.reads, cancel}, EventLog: silentLog{}, Counters: new(Counters)}
+			control := &Control{Clock: clock.System{}, Operator: &operatorReads{c.reads, cancel}, EventLog: silentLog{}, Counters: new(Counters)}
 			g := group.New(context.Background())
 			control.Init(g)
 			is.NoErr(control.followOperator(ctx))
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -23,8 +23,8 @@
 // isConfirmed reports whether the last successful join was less than ttl ago, so
 // that the store has not removed this member. It can still have assigned a shard to
 // another one, see [ownedShard.replyIfOwner]. now is on the boot clock.
-// Without a confirmation, the process starts no runs, begins no maintenance and answers no
-// requests but those for the state of a stored job. It keeps its shards until
+// Without a confirmation, the process starts no runs, begins no maintenance and answers
+// only what answerActions allows. It keeps its shards until
 // [Control.releaseUnconfirmed] or a join under a new generation releases them.
 // Fencing tokens alone do not suffice: an executor that has just restarted has
 // no token and would accept a start from a replaced owner.
@@ -318,14 +318,23 @@
 }
 
 // release ends the ownership of a shard. Requests whose append has not completed
-// get the status [StatusUndetermined]. The registration feed stops with the last
+// get the status [StatusUndetermined], but submissions that no append has get
+// [StatusNotOwner]. The registration feed stops with the last
 // shard.
 func (c *Control) release(owned *ownedShard, reason string) {
 	delete(c.owned, owned.shard.ID)
 	owned.cancel()
-	for _, w := range append(owned.inFlightWaiters, owned.queuedWaiters...) {
+	for _, w := range owned.inFlightWaiters {
 		w.replyTo <- Reply{Status: StatusUndetermined, Reason: "shard was released"}
 	}
+	for _, w := range owned.queuedWaiters {
+		r := Reply{Status: StatusUndetermined, Reason: "shard was released"}
+		if w.submission && owned.shard.Withdraw(w.job) {
+			r.Status = StatusNotOwner // the next owner may accept it
+		}
+		w.replyTo <- r
+	}
+	c.closeUnusedConnections()
 	c.Counters.Releases.Add(1)
 	c.EventLog.LogChange("shard released", "shard", owned.shard.ID, "epoch", owned.epoch, "reason", reason)
 	if len(c.owned) == 0 && c.stopRegistrationFeed != nil {
