Break the time of each finished occurrence down into its parts

The end of an occurrence gets a line with the parts of its time, which add up, and each queue has their sums in /metrics and every 3 s in the log, for all occurrences and for those later than their objective. The log also has the load of the control goroutine.

--- a/schedule/dispatch/accept.go
+++ b/schedule/dispatch/accept.go
@@ -115,10 +115,10 @@
 		if !done {
 			continue
 		}
-		state.unblocked = true
+		state.unblocked, state.times.unblockedAt = true, now
 		for t := range state.Tasks {
 			if state.Tasks[t].State == TaskBlocked {
-				state.Tasks[t].State = TaskReady
+				state.Tasks[t].State, state.Tasks[t].times.readyAt = TaskReady, now
 			}
 		}
 		s.markReady(now, id, k, i)
--- a/schedule/dispatch/job.go
+++ b/schedule/dispatch/job.go
@@ -32,6 +32,7 @@
 	EndedAt     unit.UnixMillis
 	Occurrences []Occurrence
 
+	restoredAfter  clock.Span   // from its acceptance until this owner restored it, 0 if this owner accepted it
 	dueAt          clock.Millis // when the current occurrence should be completed; orders the ready steps
 	stored         bool         // the store has a record of the job
 	appendingState JobState     // state in the append in flight
@@ -54,6 +55,7 @@
 
 	unblocked bool // all steps that it depends on are done
 	remaining int  // tasks that are not done
+	times     stepTimes
 }
 
 // GangFailures counts the failed runs of a gang. The members share the number of a
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -437,6 +437,7 @@
 // assignment is stored.
 func (s *Shard) assign(now clock.Millis, id TaskID, j *Job, st *Step, t *Task, e *Executor) {
 	t.State = TaskPlaced
+	j.Occurrences[id.Occurrence].Steps[id.Step].times.assign(now, &t.times)
 	t.Run++
 	t.Executor, t.Incarnation = e.Executor, e.Incarnation
 	t.confirmedAt, t.progress, t.lastActionAt = 0, 0, now
--- a/schedule/dispatch/restore.go
+++ b/schedule/dispatch/restore.go
@@ -23,6 +23,7 @@
 		s.recoverRuns(id, row)
 		return
 	}
+	row.restoredAfter = max(0, clock.Span(wall-row.AcceptedAt))
 	row.dueAt = now.Add(latencyObjective(spec) - clock.Span(wall-row.AcceptedAt))
 	s.openJobs++
 	s.enableAdvice(&spec.Queue)
@@ -32,6 +33,7 @@
 			for n := range o.Steps[i].Tasks {
 				if o.Steps[i].Tasks[n].State != TaskDone {
 					o.Steps[i].remaining++
+					o.Steps[i].times.restore(now, &o.Steps[i].Tasks[n])
 				}
 			}
 			if spec.Steps[i].Gang {
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -158,6 +158,7 @@
 		return
 	}
 	t.State = TaskReady
+	t.times.requeue(now)
 	s.markReady(now, id.Job, id.Occurrence, id.Step)
 }
 
@@ -196,6 +197,9 @@
 func (s *Shard) completeTask(now clock.Millis, wall unit.UnixMillis, id TaskID, j *Job, st *Step, t *Task, e *Executor) {
 	e.consecutiveFailures = 0
 	o := &j.Occurrences[id.Occurrence]
+	if o.Steps[id.Step].remaining == 1 || st.Gang {
+		s.finishStep(now, j, id, t)
+	}
 	if st.Gang {
 		s.completeGang(id, o)
 	} else {
@@ -210,6 +214,9 @@
 	if o.Steps[id.Step].remaining == 0 {
 		s.unblockSteps(now, id.Job, j, id.Occurrence)
 	}
+	if o.done() {
+		s.finishOccurrence(now, j, id)
+	}
 	if len(j.Occurrences) < j.Spec.occurrenceCount() {
 		return
 	}
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -86,6 +86,7 @@
 	loadsAt            clock.Millis               // 0 if the loads have to be computed
 	expiredLoans       []unit.Executor            // records of loans to delete
 	removedExecutors   map[unit.Executor]removedExecutor
+	finished           []finishedOccurrence
 	collected          int64 // jobs in all appends so far
 	ratings            int64 // executors rated for a task so far
 }
@@ -111,13 +112,14 @@
 // Event describes a decision about a job or a task, or, if Task is zero, a change
 // of the state of an executor. Fields that do not apply are zero.
 type Event struct {
-	Kind     string
-	Task     TaskID
-	Run      unit.Run
-	Executor unit.Executor
-	Reason   string
-	Age      clock.Span // age of the clock reading that a start used, time since the lease expired for runLapsed, or since the end of the job was stored for stopDelayed and runsStopped
-	Anomaly  bool       // should not occur without a fault; at most maxAnomalies in a second
+	Kind      string
+	Task      TaskID
+	Run       unit.Run
+	Executor  unit.Executor
+	Reason    string
+	Age       clock.Span // age of the clock reading that a start used, time since the lease expired for runLapsed, or since the end of the job was stored for stopDelayed and runsStopped
+	Breakdown *Breakdown // for finished
+	Anomaly   bool       // should not occur without a fault; at most maxAnomalies in a second
 }
 
 // report passes an event to the Report function, if there is one.
@@ -336,6 +338,7 @@
 		}
 	}
 	s.storingJobs = s.storingJobs[:0]
+	s.reportFinished(now)
 	s.handleLoansStored()
 	s.leases.handleLeasesStored()
 	for _, e := range s.executors.All() {
--- a/schedule/dispatch/task.go
+++ b/schedule/dispatch/task.go
@@ -9,7 +9,7 @@
 	"mimosadock/schedule/unit"
 )
 
-//go:generate go tool stringer -type=TaskState,JobState,EndKind,Outcome,Exclusion -linecomment -output=enums_string.go
+//go:generate go tool stringer -type=TaskState,JobState,EndKind,Outcome,Exclusion,TimePart -linecomment -output=enums_string.go
 
 // TaskID identifies a task within a shard.
 type TaskID struct {
@@ -94,6 +94,7 @@
 	orderedPace       unit.Percent        // pace last ordered
 	targetPace        unit.Percent        // pace that the run should have
 	avoidedExecutor   unit.Executor       // executor of the last run that failed or was moved
+	times             taskTimes
 }
 
 // EndKind is the reason why a run ended.
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -125,6 +125,7 @@
 	group         *group.Group
 	messages      chan any
 	owned         map[unit.Shard]*ownedShard
+	busy          busyMeter
 	config        atomic.Pointer[dispatch.Config]
 	layout        atomic.Pointer[dispatch.Layout]
 	membership    membership
@@ -190,15 +191,20 @@
 	timer := time.NewTimer(idleTickInterval)
 	defer timer.Stop()
 	for {
+		var start time.Time
 		select {
 		case <-ctx.Done():
 			return nil
 		case m := <-c.messages:
+			start = time.Now()
 			c.handleMessage(m)
 			c.drainMessages()
 		case <-timer.C:
+			start = time.Now()
 		}
-		timer.Reset(c.tick())
+		next := c.tick()
+		c.finishRound(start)
+		timer.Reset(next)
 	}
 }
 
--- a/scheduler/control/counters.go
+++ b/scheduler/control/counters.go
@@ -24,11 +24,14 @@
 	Releases       atomic.Int64
 	JoinFailures   atomic.Int64
 	FeedFailures   atomic.Int64
+	// BusyMicros is the time in which the control goroutine worked, in microseconds.
+	BusyMicros atomic.Int64
 	// UndecodableRegistrations counts the entries of the list of executors that
 	// were found undecodable, once for as long as they stay so.
 	UndecodableRegistrations atomic.Int64
 
-	events expvar.Map
+	events     expvar.Map
+	breakdowns breakdowns
 }
 
 // Event counts one event of a shard by its kind.
@@ -39,10 +42,11 @@
 	for name, v := range map[string]*atomic.Int64{
 		"appends": &c.Appends, "appendRetries": &c.AppendRetries, "appendMillis": &c.AppendMillis, "refusedChanges": &c.RefusedChanges,
 		"records": &c.Records, "starts": &c.Starts, "stops": &c.Stops, "paces": &c.Paces, "holds": &c.Holds, "adviceCalls": &c.AdviceCalls, "loanRequests": &c.LoanRequests,
-		"shardGains": &c.Gains, "shardReleases": &c.Releases, "joinFailures": &c.JoinFailures, "feedFailures": &c.FeedFailures,
+		"busyMicros": &c.BusyMicros, "shardGains": &c.Gains, "shardReleases": &c.Releases, "joinFailures": &c.JoinFailures, "feedFailures": &c.FeedFailures,
 		"undecodableRegistrations": &c.UndecodableRegistrations,
 	} {
 		m.Set(name, expvar.Func(func() any { return v.Load() }))
 	}
 	m.Set("decisions", &c.events)
+	m.Set("timeParts", &c.breakdowns)
 }
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -416,6 +416,15 @@
 	if e.Age != 0 {
 		fields = append(fields, "ageMs", int64(e.Age))
 	}
+	if e.Breakdown != nil {
+		for i, p := range e.Breakdown.Parts {
+			if p > 0 {
+				fields = append(fields, dispatch.TimePart(i).String()+"Ms", int64(p))
+			}
+		}
+		fields = append(fields, "estimateMs", int64(e.Breakdown.Estimate), "objectiveMs", int64(e.Breakdown.Objective))
+		c.logBreakdown(e.Breakdown)
+	}
 	c.Counters.Event(e.Kind)
 	if e.Task.Job == "" || e.Anomaly {
 		c.EventLog.LogChange(e.Kind, fields...)
