--- a/schedule/dispatch/breakdown.go
+++ b/schedule/dispatch/breakdown.go
@@ -17,8 +17,9 @@
 // end of a step for the next one, and [PartSpread] lasts from there to the first
 // assignment of the task that ended last. [PartOrder] lasts from the assignment of
 // the run that succeeded until its executor confirmed it, [PartRun] until its end was
-// listed, and [PartStore] until the end of the job was stored. [PartLost] are runs
-// that ended without a result, and [PartRestart] the waits after them.
+// listed, and [PartStore] until the end of the job was stored. [PartPaced] is taken
+// from [PartRun]: the share of it in which the run was ordered not to work. [PartLost]
+// are runs that ended without a result, and [PartRestart] the waits after them.
 const (
 	PartTakeover TimePart = iota // takeover
 	PartFirst                    // firstWait
@@ -26,6 +27,7 @@
 	PartSpread                   // spread
 	PartOrder                    // order
 	PartRun                      // run
+	PartPaced                    // paced
 	PartLost                     // lost
 	PartRestart                  // restartWait
 	PartStore                    // store
@@ -61,6 +63,17 @@
 	assignedAt    clock.Millis // last assignment
 	lost          clock.Span   // runs that ended without a result
 	restartWait   clock.Span
+	paceSince     clock.Millis // last change of the ordered pace, or start of the run
+	paced         clock.Span   // until paceSince, time lost to a pace below the full one
+}
+
+// startRunning records that the current run works at full pace.
+func (t *taskTimes) startRunning(now clock.Millis) { t.paceSince, t.paced = now, 0 }
+
+// changePace records that the ordered pace was pace until now.
+func (t *taskTimes) changePace(now clock.Millis, pace unit.Percent) {
+	t.paced += now.Sub(t.paceSince) * clock.Span(fullPace-pace) / clock.Span(fullPace)
+	t.paceSince = now
 }
 
 // assign records the assignment of a run.
@@ -71,6 +84,7 @@
 		t.restartWait += now.Sub(t.readyAt)
 	}
 	t.assignedAt = now
+	t.startRunning(now)
 }
 
 // requeue records the end of a run without a result.
@@ -141,7 +155,9 @@
 	}
 	confirmedAt := max(times.assignedAt, t.runningSince)
 	b.Parts[PartOrder] += confirmedAt.Sub(times.assignedAt)
-	b.Parts[PartRun] += now.Sub(confirmedAt)
+	times.changePace(now, t.orderedPace)
+	b.Parts[PartPaced] += times.paced
+	b.Parts[PartRun] += now.Sub(confirmedAt) - times.paced
 }
 
 // finishedOccurrence is an occurrence whose end is not reported yet.
--- a/schedule/dispatch/enums_string.go
+++ b/schedule/dispatch/enums_string.go
@@ -138,14 +138,15 @@
 	_ = x[PartSpread-3]
 	_ = x[PartOrder-4]
 	_ = x[PartRun-5]
-	_ = x[PartLost-6]
-	_ = x[PartRestart-7]
-	_ = x[PartStore-8]
+	_ = x[PartPaced-6]
+	_ = x[PartLost-7]
+	_ = x[PartRestart-8]
+	_ = x[PartStore-9]
 }
 
-const _TimePart_name = "takeoverfirstWaitnextWaitspreadorderrunlostrestartWaitstore"
+const _TimePart_name = "takeoverfirstWaitnextWaitspreadorderrunpacedlostrestartWaitstore"
 
-var _TimePart_index = [...]uint8{0, 8, 17, 25, 31, 36, 39, 43, 54, 59}
+var _TimePart_index = [...]uint8{0, 8, 17, 25, 31, 36, 39, 44, 48, 59, 64}
 
 func (i TimePart) String() string {
 	idx := int(i) - 0
--- a/schedule/dispatch/pace.go
+++ b/schedule/dispatch/pace.go
@@ -211,7 +211,7 @@
 
 // sendPaces orders the target paces of best-effort tasks that differ enough
 // from the ordered ones.
-func (s *Shard) sendPaces() {
+func (s *Shard) sendPaces(now clock.Millis) {
 	for _, e := range s.executors.All() {
 		if !e.pacesChanged || e.unresponsive {
 			continue
@@ -226,6 +226,7 @@
 			if diff := target - t.orderedPace; diff == 0 || diff < minPaceChange && diff > -minPaceChange && target != 0 && target != fullPace {
 				continue
 			}
+			t.times.changePace(now, t.orderedPace)
 			t.orderedPace = target
 			s.pendingOrders = append(s.pendingOrders, Order{To: e.target(), Pace: &PaceOrder{id, t.Run, target, s.token(e)}})
 			s.report(Event{Kind: "paced", Task: id, Run: t.Run, Executor: e.Executor})
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -123,6 +123,7 @@
 func (s *Shard) markRunning(now clock.Millis, id TaskID, j *Job, t *Task) {
 	t.State, t.confirmedAt, t.startUncertain, t.recovered = TaskRunning, now, false, false
 	t.progressChangedAt, t.runningSince = now, now
+	t.times.startRunning(now)
 	if j.State == JobQueued {
 		j.State = JobRunning
 		s.markDirty(id.Job, j)
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -253,7 +253,7 @@
 	s.reportDelayedStops(now)
 	s.resendOrders(now)
 	s.moveRuns(now)
-	s.sendPaces()
+	s.sendPaces(now)
 	if canStore {
 		s.startScheduledOccurrences(now, wall)
 		s.place(now)
