Relocate best-effort runs that serving tasks slow down

A run that has lost as much time as a move costs is stopped and starts again from its checkpoint where it works at full pace. Not measured yet.

--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -121,8 +121,8 @@
 	if t.State == TaskStarting || t.recovered {
 		s.markRunning(now, r.Task, j, t)
 	}
-	if r.Checkpoint != "" {
-		t.Checkpoint = r.Checkpoint
+	if r.Checkpoint != "" && r.Checkpoint != t.Checkpoint {
+		t.Checkpoint, t.savedProgress = r.Checkpoint, r.Progress
 	}
 	if r.Progress != t.progress {
 		t.progress, t.progressChangedAt = r.Progress, now
--- a/schedule/dispatch/place_test.go
+++ b/schedule/dispatch/place_test.go
@@ -23,6 +23,7 @@
 	measure          func(TaskID) int64     // measurement that a run reports; nil stands for tailLatency
 	refuses          func() bool            // whether an executor refuses a start for want of capacity; nil refuses none
 	reportedProgress unit.Percent           // reported by runs; 0 means full
+	list             func(*RunningRun)      // sets what a run reports besides; may be nil
 	holdsUnanswered  bool                   // holds get no answer
 	silent           map[unit.Executor]bool // executors whose holds fail
 
@@ -104,7 +105,11 @@
 			if f.measure != nil {
 				measurement = f.measure(id)
 			}
-			a.Running = append(a.Running, RunningRun{Task: id, Run: run, Progress: progress, Measurement: measurement})
+			r := RunningRun{Task: id, Run: run, Progress: progress, Measurement: measurement}
+			if f.list != nil {
+				f.list(&r)
+			}
+			a.Running = append(a.Running, r)
 		}
 	}
 	f.shard.HandleAnswer(f.now, unit.UnixMillis(f.now), &o, &a, nil)
--- /dev/null
+++ b/schedule/dispatch/relocate.go
@@ -0,0 +1,120 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+)
+
+const (
+	// relocationInterval is the interval between two searches for runs to relocate.
+	relocationInterval = 200 * clock.Millisecond
+	// maxRelocations bounds the runs that are relocated at a time, and with them the
+	// executors that are rated for them.
+	maxRelocations = 8
+	// relocationDelay is the time from the decision to stop a run until its next run
+	// works: the stop, its place in the list of ends, two appends and the start.
+	relocationDelay = 300 * clock.Millisecond
+	// maxRelocatedPace is the ordered pace up to which a run may be relocated.
+	maxRelocatedPace unit.Percent = 50
+)
+
+// pacedRun is a best-effort run that works below full pace. Spans are in
+// milliseconds at full pace.
+type pacedRun struct {
+	lost    clock.Span // time lost to the pace so far
+	left    clock.Span // work left
+	unsaved clock.Span // work done since the last checkpoint
+}
+
+// relocationPays reports whether to stop a run and start it on another executor. How
+// long its pace will stay low is unknown. If it moves once it has lost as much time as
+// the move costs, it never loses more than twice of what a choice with that knowledge
+// would lose (A. Karlin et al., "Competitive snoopy caching", Algorithmica 3, 1988).
+// A run that has less work left than the move costs stays.
+func relocationPays(r pacedRun, restore clock.Span) bool {
+	cost := r.unsaved + restore + relocationDelay
+	return r.lost >= cost && r.left > cost
+}
+
+// relocation is a run that may be relocated.
+type relocation struct {
+	id    TaskID
+	job   *Job
+	task  *Task
+	from  *Executor
+	late  bool // can't be done by dueAt, wherever it runs
+	dueAt clock.Millis
+}
+
+// relocatePacedRuns stops best-effort runs that the load of serving tasks beside them
+// slows down, if there is an executor that takes them at full pace. It answers a load
+// of serving tasks that rises in parts of the service for longer than a batch task
+// runs: to wait for it to fall takes several times the time of a restart from a
+// checkpoint. Jobs that can still be done in time come first.
+func (s *Shard) relocatePacedRuns(now clock.Millis) {
+	if now < s.relocatedAt.Add(relocationInterval) {
+		return
+	}
+	s.relocatedAt = now
+	candidates := s.relocationCandidates(now)
+	if len(candidates) == 0 {
+		return
+	}
+	slices.SortFunc(candidates, func(a, b relocation) int {
+		if a.late != b.late {
+			if a.late {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.dueAt, b.dueAt), cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index))
+	})
+	pools := s.pools(now)
+	for _, c := range candidates[:min(len(candidates), maxRelocations)] {
+		pool := pools[c.from.Service]
+		if pool == nil {
+			continue
+		}
+		request := s.newPlacementRequest(now, stepKey{c.id.Job, c.id.Occurrence, c.id.Step}, c.job, pool).forTask(c.task)
+		request.avoidedExecutor = c.from.Executor
+		if to, ok := s.choose(pool.executors, request); ok && to != c.from {
+			s.moveRun(c.id, c.task, c.from, "low pace")
+		}
+	}
+}
+
+// relocationCandidates returns the runs for which relocation pays.
+func (s *Shard) relocationCandidates(now clock.Millis) []relocation {
+	var candidates []relocation
+	for _, e := range s.executors.All() {
+		if e.bestEffortCPU == 0 || len(e.servingTasks) == 0 || e.unresponsive || !e.reconciled {
+			continue
+		}
+		for i := range e.runs {
+			a := &e.runs[i]
+			if !a.step.Fills || a.step.Gang || a.step.Perpetual || !a.isCurrent() || a.task.State != TaskRunning || a.task.confirmedAt == 0 || a.task.orderedPace > maxRelocatedPace {
+				continue
+			}
+			r := newPacedRun(now, a.step, a.task)
+			if relocationPays(r, s.Limits.CheckpointRestore) {
+				candidates = append(candidates, relocation{a.id, a.job, a.task, e, now.Add(r.left) > a.job.dueAt, a.job.dueAt})
+			}
+		}
+	}
+	return candidates
+}
+
+// newPacedRun returns the state of a run at now. Its work is that of the estimate.
+func newPacedRun(now clock.Millis, step *Step, t *Task) pacedRun {
+	times := t.times
+	times.changePace(now, t.orderedPace)
+	saved := unit.Percent(0)
+	if step.SavesProgress {
+		saved = t.savedProgress
+	}
+	share := func(p unit.Percent) clock.Span { return step.Estimate * clock.Span(p) / clock.Span(fullPace) }
+	return pacedRun{lost: times.paced, left: share(fullPace - t.progress), unsaved: share(max(0, t.progress-saved))}
+}
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -87,8 +87,9 @@
 	expiredLoans       []unit.Executor            // records of loans to delete
 	removedExecutors   map[unit.Executor]removedExecutor
 	finished           []finishedOccurrence
-	collected          int64 // jobs in all appends so far
-	ratings            int64 // executors rated for a task so far
+	relocatedAt        clock.Millis // last search for runs to relocate
+	collected          int64        // jobs in all appends so far
+	ratings            int64        // executors rated for a task so far
 }
 
 // stepKey identifies a step of one occurrence of a job in the tables. It has the
@@ -257,6 +258,7 @@
 	if canStore {
 		s.startScheduledOccurrences(now, wall)
 		s.place(now)
+		s.relocatePacedRuns(now)
 		s.requestAdvice(now)
 		s.expireEndedJobs(now, wall)
 		s.requestLoans(now)
