--- a/schedule/dispatch/pace.go
+++ b/schedule/dispatch/pace.go
@@ -90,7 +90,12 @@
 		for id, tail := range sample.tailLatencies {
 			if before, ok := e.lastSample.tailLatencies[id]; ok {
 				model := s.interferenceModels[tail.image]
-				model.addSample(usageChange, model.loadAt(tail.latency)-model.loadAt(before.latency))
+				loadChange := model.loadAt(tail.latency) - model.loadAt(before.latency)
+				model.addSample(usageChange, loadChange)
+				for image, usage := range usageChange {
+					loadChange -= model.weight(image) * usage
+				}
+				model.trend.add(now, loadChange, gap)
 				if model.fit(now) {
 					s.markBeside(tail.image)
 				}
@@ -267,7 +272,11 @@
 	for i := range e.servingTasks {
 		serving := &e.servingTasks[i]
 		if weight := request.weight(serving.model); weight >= minHarmfulWeight {
-			share = max(share, (weight*fraction+serving.pending)/math.Max(serving.headroom, 1e-3))
+			headroom := serving.headroom
+			if serving.model != nil {
+				headroom -= serving.model.trend.rise(request.now, request.step.Estimate)
+			}
+			share = max(share, (weight*fraction+serving.pending)/math.Max(headroom, 1e-3))
 		}
 	}
 	return share
