Place jobs that can be done in time ahead of others of their priority

Ready steps of one priority were ordered by the time when their job is due. Above the room, that order makes each job wait until it is late. Not measured yet.

--- a/schedule/dispatch/advice.go
+++ b/schedule/dispatch/advice.go
@@ -95,7 +95,7 @@
 		return
 	}
 	var pools map[unit.Service]*executorPool
-	for _, k := range s.sortedReady() {
+	for _, k := range s.sortedReady(now) {
 		j := s.jobs.Get(k.job)
 		if j == nil || j.Spec == nil || j.State.Ended() || s.queue(j).Advice == nil {
 			continue
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -178,7 +178,7 @@
 	}
 	pools := s.pools(now)
 	s.placedAt = s.availability
-	keys := s.sortedReady()
+	keys := s.sortedReady(now)
 	s.placeRestarts(now, keys, pools)
 	s.reserveForRestarts(now, keys, pools)
 	for _, pool := range pools {
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -87,6 +87,7 @@
 	expiredLoans       []unit.Executor            // records of loans to delete
 	removedExecutors   map[unit.Executor]removedExecutor
 	finished           []finishedOccurrence
+	plainOrder         bool         // ready steps have no urgency; only for tests, which compare with it
 	relocatedAt        clock.Millis // last search for runs to relocate
 	collected          int64        // jobs in all appends so far
 	ratings            int64        // executors rated for a task so far
@@ -394,41 +395,3 @@
 func (s *Shard) Idle() bool {
 	return s.openJobs == 0 && len(s.dirty) == 0 && len(s.stoppingJobs) == 0 && !s.hasLoansToStore()
 }
-
-// sortedReady returns the ready steps, most urgent first: by priority of the
-// queue, then by the time when the current occurrence of the job should be
-// completed.
-func (s *Shard) sortedReady() []stepKey {
-	keys := make([]stepKey, 0, len(s.readySteps))
-	for k := range s.readySteps {
-		keys = append(keys, k)
-	}
-	type rank struct {
-		priority int
-		dueAt    clock.Millis
-	}
-	ranks := make(map[unit.Job]rank, len(keys))
-	for _, k := range keys {
-		if j := s.jobs.Get(k.job); j != nil && j.Spec != nil {
-			ranks[k.job] = rank{s.queue(j).Priority, j.dueAt}
-		}
-	}
-	slices.SortFunc(keys, func(a, b stepKey) int {
-		x, y := ranks[a.job], ranks[b.job]
-		switch {
-		case x.priority != y.priority:
-			return x.priority - y.priority
-		case x.dueAt != y.dueAt:
-			return int(x.dueAt.Sub(y.dueAt))
-		case a.job != b.job:
-			if a.job < b.job {
-				return -1
-			}
-			return 1
-		case a.occurrence != b.occurrence:
-			return a.occurrence - b.occurrence
-		}
-		return a.step - b.step
-	})
-	return keys
-}
