--- a/schedule/dispatch/accept.go
+++ b/schedule/dispatch/accept.go
@@ -69,6 +69,7 @@
 			return
 		}
 		j.Occurrences = append(j.Occurrences, newOccurrence(j.Spec))
+		s.offerOccurrence(j)
 		s.markDirty(id, j)
 		s.unblockSteps(now, id, j, k)
 		if k > 0 {
--- a/schedule/dispatch/lend.go
+++ b/schedule/dispatch/lend.go
@@ -113,9 +113,7 @@
 // both shards, and for the wants of the borrower.
 func (s *Shard) lendOfService(now clock.Millis, request *LoanRequest, own, theirs ServiceLoad, wants []LoanWant) {
 	withBatch := own // batch tasks are not levelled, so their share stays here
-	if r := s.reserves[own.Service]; r != nil {
-		withBatch.Demand += r.peak
-	}
+	withBatch.Demand += s.batchDemandOf(own.Service).need()
 	balancing := theirs.share(0) > withBatch.share(0)+minImbalance
 	granted := 0
 	for _, id := range s.lendable(now, theirs.Service) {
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -5,47 +5,6 @@
 	"mimosadock/schedule/unit"
 )
 
-const (
-	// initialReserveShare is the share of the processors of a service that
-	// perpetual tasks leave free for batch tasks until the demand of batch
-	// tasks is known.
-	initialReserveShare = 0.06
-	// maxReserveShare is the largest share of the processors that is kept free
-	// for batch tasks, even if they use more.
-	maxReserveShare = 0.08
-	// peakHalfLife is the interval at which the recorded peak is halved.
-	peakHalfLife = 20 * clock.Second
-)
-
-// batchReserve decides how many processors of a service to keep free of
-// perpetual tasks, in whole executors, so that batch tasks find unfragmented
-// capacity. The zero value is ready to use.
-type batchReserve struct {
-	peak          unit.MilliCPU // largest usage by batch tasks at one time, halved at each half-life
-	nextHalvingAt clock.Millis  // next time at which the peak is halved
-	initialUntil  clock.Millis  // until when initialReserveShare is the minimum
-}
-
-// recordUsage records the processor time that is now allocated to batch tasks.
-func (r *batchReserve) recordUsage(now clock.Millis, usage unit.MilliCPU) {
-	if r.initialUntil == 0 {
-		r.initialUntil, r.nextHalvingAt = now.Add(peakHalfLife), now.Add(peakHalfLife)
-	}
-	if now >= r.nextHalvingAt {
-		r.peak, r.nextHalvingAt = r.peak/2, now.Add(peakHalfLife)
-	}
-	r.peak = max(r.peak, usage)
-}
-
-// size returns the processor time to keep free, out of total.
-func (r *batchReserve) size(now clock.Millis, total unit.MilliCPU) unit.MilliCPU {
-	cpu := r.peak
-	if now < r.initialUntil {
-		cpu = max(cpu, unit.MilliCPU(initialReserveShare*float64(total)))
-	}
-	return min(cpu, unit.MilliCPU(maxReserveShare*float64(total)))
-}
-
 // executorPool holds the usable executors of a service.
 type executorPool struct {
 	executors       []*Executor
@@ -59,8 +18,7 @@
 // reserve of each. Executors with unknown runs are left out.
 func (s *Shard) pools(now clock.Millis) map[unit.Service]*executorPool {
 	pools := make(map[unit.Service]*executorPool)
-	type totals struct{ total, batch unit.MilliCPU }
-	sums := make(map[unit.Service]totals)
+	totals := make(map[unit.Service]unit.MilliCPU)
 	for _, e := range s.executors.All() {
 		accepting := s.accepts(now, e)
 		if accepting && !e.accepting {
@@ -79,22 +37,12 @@
 		if e.perpetual.CPU == 0 {
 			pool.nonPerpetualCPU += e.Capacity.CPU
 		}
-		t := sums[e.Service]
-		t.total += e.Capacity.CPU
-		t.batch += e.allocated.CPU - e.perpetual.CPU
-		sums[e.Service] = t
+		totals[e.Service] += e.Capacity.CPU
 	}
 	for name, pool := range pools {
-		if s.reserves == nil {
-			s.reserves = make(map[unit.Service]*batchReserve)
-		}
-		reserve := s.reserves[name]
-		if reserve == nil {
-			reserve = new(batchReserve)
-			s.reserves[name] = reserve
-		}
-		reserve.recordUsage(now, sums[name].batch)
-		pool.reserveCPU = reserve.size(now, sums[name].total)
+		demand := s.batchDemandOf(name)
+		demand.update(now)
+		pool.reserveCPU = demand.size(now, totals[name], totals[name]/unit.MilliCPU(len(pool.executors)))
 		pool.updateRecent()
 	}
 	return pools
--- a/schedule/dispatch/reserve_test.go
+++ b/schedule/dispatch/reserve_test.go
@@ -77,7 +77,7 @@
 			is := is.New(t)
 			f := newFixture(2)
 			f.submit("service", step)
-			f.runFor(peakHalfLife + 3000) // until the reserve for batch tasks is released
+			f.runFor(demandPeriod + 3000) // until the reserve for batch tasks is released
 			is.Equal(f.countRuns("service"), step.Count)
 			f.replacedExecutor = "x0"
 			clear(f.runs["x0"])
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -197,6 +197,7 @@
 // the job after its last task.
 func (s *Shard) completeTask(now clock.Millis, wall unit.UnixMillis, id TaskID, j *Job, st *Step, t *Task, e *Executor) {
 	e.consecutiveFailures = 0
+	s.recordHeld(now, j, st, t)
 	o := &j.Occurrences[id.Occurrence]
 	if o.Steps[id.Step].remaining == 1 || st.Gang {
 		s.finishStep(now, j, id, t)
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -64,7 +64,7 @@
 	storingStarts      []TaskID                          // starts whose runs are in the append in flight
 	pendingOrders      []Order                           // returned by the next tick
 	interferenceModels map[unit.Image]*InterferenceModel // by image of serving tasks
-	reserves           map[unit.Service]*batchReserve
+	batchDemands       map[unit.Service]*batchDemand
 	openJobs           int  // jobs that have not ended
 	fenced             bool // an executor has refused an order because it has received a higher fencing token
 	advice             adviceTracker
