--- a/schedule/dispatch/pace.go
+++ b/schedule/dispatch/pace.go
@@ -90,12 +90,7 @@
 		for id, tail := range sample.tailLatencies {
 			if before, ok := e.lastSample.tailLatencies[id]; ok {
 				model := s.interferenceModels[tail.image]
-				loadChange := model.loadAt(tail.latency) - model.loadAt(before.latency)
-				model.addSample(usageChange, loadChange)
-				for image, usage := range usageChange {
-					loadChange -= model.weight(image) * usage
-				}
-				model.trend.add(now, loadChange, gap)
+				model.addSample(usageChange, model.loadAt(tail.latency)-model.loadAt(before.latency))
 				if model.fit(now) {
 					s.markBeside(tail.image)
 				}
@@ -272,11 +267,7 @@
 	for i := range e.servingTasks {
 		serving := &e.servingTasks[i]
 		if weight := request.weight(serving.model); weight >= minHarmfulWeight {
-			headroom := serving.headroom
-			if serving.model != nil {
-				headroom -= serving.model.trend.rise(request.now, request.step.Estimate)
-			}
-			share = max(share, (weight*fraction+serving.pending)/math.Max(headroom, 1e-3))
+			share = max(share, (weight*fraction+serving.pending)/math.Max(serving.headroom, 1e-3))
 		}
 	}
 	return share
--- a/schedule/dispatch/pressure.go
+++ b/schedule/dispatch/pressure.go
@@ -66,7 +66,6 @@
 	weights   []float64
 	fittedAt  clock.Millis
 	sampledAt clock.Millis // when the last sample was added
-	trend     loadTrend    // of the serving tasks of the image
 }
 
 // valid reports whether the dimensions of the fields match and are within bounds,
