Admit only the first task of a starved job to any executor

All tasks of the step were placed as if the job still had none assigned, so that each starved perpetual job filled the reserve for batch tasks, and each starved best-effort job went beside loaded serving tasks.

--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -390,6 +390,7 @@
 		}
 		pool.recordPlacement(request.step, e)
 		s.assign(request.now, TaskID{k.job, k.occurrence, k.step, i}, j, request.step, t, e)
+		request.starved = false // its job has an assigned task now
 	}
 	return true
 }
