Keep executors reserved for batch tasks when a perpetual task starts there

A task of a starved job or a restart on an executor without perpetual tasks opened all of it to first runs, and the reserve was gone after some seconds of contention. Services whose reserve is less than an executor keep the former rule.

--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -38,6 +38,7 @@
 	consecutiveFailures   int                 // failed runs in a row; suspectThreshold-1 once it becomes suspect, 0 after a success or a restart
 	suspectUntil          clock.Millis        // gets no new runs before, because runs failed, stalled or were refused
 	reservedCPU           unit.MilliCPU       // processor time kept from first runs of perpetual tasks, see Shard.reserveForRestarts
+	reservedForBatch      bool                // gets no first runs of perpetual tasks, see Shard.reserveForBatch
 	overdueCPU            unit.MilliCPU       // part of reservedCPU that is kept from all but restarts
 	servingCPU            unit.MilliCPU       // processor time allocated to serving tasks
 	perpetual             unit.Resources      // part of allocated that perpetual tasks have
--- a/schedule/dispatch/pace.go
+++ b/schedule/dispatch/pace.go
@@ -244,7 +244,7 @@
 	case request.starved && (e.overTargetSince == 0 || !st.Fills):
 		return true
 	case st.Perpetual:
-		return request.ranBefore || request.pool.allowsPerpetual(e)
+		return request.ranBefore || !e.reservedForBatch
 	case !st.Fills || e.servingCount == 0:
 		return true
 	case e.overTargetSince > 0 && !s.knownHarmless(e, st.Image):
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -154,7 +154,7 @@
 		// Serving tasks of one image peak at the same time and leave processor
 		// time idle at the same time.
 		rating += penaltyImage * float64(e.otherServingImages(step.Image))
-		if !request.pool.allowsPerpetual(e) {
+		if e.reservedForBatch {
 			rating += penaltyReserve
 		}
 		rating += 10 * float64(e.Capacity.CPU-e.allocated.CPU) / milliCPUPerCore // prefers the fullest executor that fits
@@ -263,7 +263,7 @@
 				ready.restartFailedAt = s.availability
 				break
 			}
-			pool.recordPlacement(request.step, e)
+			s.recordPlacement(pool, request.step, e)
 			s.assign(now, TaskID{k.job, k.occurrence, k.step, i}, j, request.step, &tasks[i], e)
 		}
 	}
@@ -369,8 +369,7 @@
 // the first one that fits nowhere.
 func (s *Shard) placeEach(request *placementRequest, j *Job, tasks []Task) bool {
 	k, pool, ready := request.key, request.pool, s.readySteps[request.key]
-	slack := pool.slack()
-	if request.starved && !ready.starved || request.step.Perpetual && slack > ready.slack {
+	if request.starved && !ready.starved {
 		ready.failedAt = 0 // executors may take a task now although they have not changed
 	}
 	for i := range tasks {
@@ -384,11 +383,11 @@
 		e, ok := s.choose(pool.since(s.retryFrom(request, ready.failedAt)), request.forTask(t))
 		if !ok {
 			if !request.isRestart() {
-				ready.failedAt, ready.slack, ready.starved = s.availability, slack, request.starved
+				ready.failedAt, ready.starved = s.availability, request.starved
 			}
 			return false
 		}
-		pool.recordPlacement(request.step, e)
+		s.recordPlacement(pool, request.step, e)
 		s.assign(request.now, TaskID{k.job, k.occurrence, k.step, i}, j, request.step, t, e)
 		request.starved = false // its job has an assigned task now
 	}
@@ -428,7 +427,7 @@
 			continue
 		}
 		tasks[i].Run, tasks[i].Checkpoint = lastRun, checkpoint
-		pool.recordPlacement(st, e)
+		s.recordPlacement(pool, st, e)
 		s.assign(request.now, id, j, st, &tasks[i], e)
 	}
 	return len(chosen) == len(tasks)
@@ -443,9 +442,6 @@
 	t.Executor, t.Incarnation = e.Executor, e.Incarnation
 	t.confirmedAt, t.progress, t.lastActionAt = 0, 0, now
 	t.startUncertain, t.inFlight, t.recovered, t.orderedPace, t.targetPace = false, false, false, fullPace, fullPace
-	if st.Perpetual && e.perpetual.CPU == 0 {
-		s.markAvailable(e) // see executorPool.allowsPerpetual
-	}
 	e.addRun(assignment{id, t.Run, j, st, t})
 	s.pendingStarts = append(s.pendingStarts, id)
 	s.markDirty(id.Job, j)
--- a/schedule/dispatch/relocate_test.go
+++ b/schedule/dispatch/relocate_test.go
@@ -63,7 +63,7 @@
 		for _, runs := range f.runs {
 			for id := range runs {
 				_, step, task := f.shard.findTask(id)
-				if step == nil || !step.Fills || task.State != TaskRunning {
+				if step == nil || step.Perpetual || task.State != TaskRunning {
 					continue
 				}
 				if f.work[id] += 20 * clock.Span(task.orderedPace) / 100; f.work[id] >= step.Estimate {
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -1,17 +1,19 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
 )
 
 // executorPool holds the usable executors of a service.
 type executorPool struct {
-	executors       []*Executor
-	recent          []*Executor   // became available after recentFrom
-	recentFrom      availability  // at the last placement
-	nonPerpetualCPU unit.MilliCPU // capacity of executors without perpetual tasks
-	reserveCPU      unit.MilliCPU // part of nonPerpetualCPU to keep free for batch tasks
+	executors  []*Executor
+	recent     []*Executor   // became available after recentFrom
+	recentFrom availability  // at the last placement
+	reserveCPU unit.MilliCPU // to keep free of first runs of perpetual tasks
 }
 
 // pools returns the pools of usable executors by service, and updates the
@@ -34,24 +36,97 @@
 			pools[e.Service] = pool
 		}
 		pool.executors = append(pool.executors, e)
-		if e.perpetual.CPU == 0 {
-			pool.nonPerpetualCPU += e.Capacity.CPU
-		}
 		totals[e.Service] += e.Capacity.CPU
 	}
 	for name, pool := range pools {
 		demand := s.batchDemandOf(name)
 		demand.update(now)
-		pool.reserveCPU = demand.size(now, totals[name], totals[name]/unit.MilliCPU(len(pool.executors)))
+		size := demand.size(now, totals[name], totals[name]/unit.MilliCPU(len(pool.executors)))
+		if s.fixedBatchShare > 0 {
+			size = unit.MilliCPU(s.fixedBatchShare * float64(totals[name]))
+		}
+		s.reserveForBatch(pool, size)
 		pool.updateRecent()
 	}
 	return pools
 }
 
-// allowsPerpetual reports whether a perpetual task may be placed on e without
-// using the reserve for batch tasks.
-func (p *executorPool) allowsPerpetual(e *Executor) bool {
-	return e.perpetual.CPU > 0 || p.nonPerpetualCPU-e.Capacity.CPU >= p.reserveCPU
+// maxReservedPerpetual is the largest share of the processors of an executor that
+// perpetual tasks may have when it is first reserved for batch tasks.
+const maxReservedPerpetual = 0.5
+
+// mayReserve reports whether e may be reserved for batch tasks that need size in all.
+// If size is less than an executor, only one without perpetual tasks is, and the first
+// one there ends the reservation, so that a small service is not kept from most of its
+// processors.
+func mayReserve(e *Executor, size unit.MilliCPU) bool {
+	switch {
+	case e.perpetual.CPU == 0:
+		return size > 0
+	case e.Capacity.CPU > size:
+		return false
+	}
+	return e.reservedForBatch || float64(e.perpetual.CPU) <= maxReservedPerpetual*float64(e.Capacity.CPU)
+}
+
+// reserveForBatch chooses the executors that are kept free of first runs of perpetual
+// tasks, so that at least size is left on them. Those that are reserved stay so while
+// they are needed, also when a task of a starved job or a restart was placed there,
+// which would otherwise open all of them to others. Further ones are those with the
+// fewest perpetual tasks, and the largest among these, where large tasks leave the
+// least unused.
+func (s *Shard) reserveForBatch(pool *executorPool, size unit.MilliCPU) {
+	pool.reserveCPU = size
+	var reserved, others []*Executor
+	var left unit.MilliCPU // on reserved
+	for _, e := range pool.executors {
+		switch {
+		case !mayReserve(e, size):
+			s.openToPerpetual(e)
+		case e.reservedForBatch:
+			reserved = append(reserved, e)
+			left += e.Capacity.CPU - e.perpetual.CPU
+		default:
+			others = append(others, e)
+		}
+	}
+	byPreference := func(a, b *Executor) int {
+		return cmp.Or(cmp.Compare(a.perpetual.CPU, b.perpetual.CPU), cmp.Compare(b.Capacity.CPU, a.Capacity.CPU), cmp.Compare(b.Executor, a.Executor))
+	}
+	if left < size {
+		slices.SortFunc(others, byPreference)
+	}
+	for _, e := range others {
+		if left >= size {
+			break
+		}
+		left += e.Capacity.CPU - e.perpetual.CPU
+		e.reservedForBatch = true
+		reserved = append(reserved, e)
+	}
+	slices.SortFunc(reserved, byPreference)
+	for _, e := range slices.Backward(reserved) {
+		if free := e.Capacity.CPU - e.perpetual.CPU; left-free >= size {
+			left -= free
+			s.openToPerpetual(e)
+		}
+	}
+}
+
+// recordPlacement updates the pool before a task of a step is assigned to e.
+func (s *Shard) recordPlacement(pool *executorPool, st *Step, e *Executor) {
+	if st.Perpetual && e.reservedForBatch && e.Capacity.CPU > pool.reserveCPU {
+		s.openToPerpetual(e)
+		pool.recent = append(pool.recent, e) // other perpetual tasks may now be placed beside it
+	}
+}
+
+// openToPerpetual ends the reservation of e for batch tasks, if there is one.
+func (s *Shard) openToPerpetual(e *Executor) {
+	if e.reservedForBatch {
+		e.reservedForBatch = false
+		s.markAvailable(e)
+	}
 }
 
 // updateRecent updates the list of executors that became available recently.
@@ -64,10 +139,6 @@
 	}
 }
 
-// slack returns the processor time by which the executors without perpetual tasks
-// exceed the reserve for batch tasks.
-func (p *executorPool) slack() unit.MilliCPU { return p.nonPerpetualCPU - p.reserveCPU }
-
 // since returns the executors that became available after a point, or more. All
 // executors became available after 0.
 func (p *executorPool) since(from availability) []*Executor {
@@ -96,12 +167,3 @@
 	}
 	return chosen
 }
-
-// recordPlacement updates the pool after a task of a step was chosen for e and
-// before e counts it.
-func (p *executorPool) recordPlacement(st *Step, e *Executor) {
-	if st.Perpetual && e.perpetual.CPU == 0 {
-		p.nonPerpetualCPU -= e.Capacity.CPU
-		p.recent = append(p.recent, e) // other perpetual tasks may now be placed beside it
-	}
-}
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -88,6 +88,7 @@
 	removedExecutors   map[unit.Executor]removedExecutor
 	finished           []finishedOccurrence
 	plainOrder         bool         // ready steps have no urgency; only for tests, which compare with it
+	fixedBatchShare    float64      // share of the processors kept for batch tasks instead of their forecast demand; only for tests, as above
 	relocatedAt        clock.Millis // last search for runs to relocate
 	collected          int64        // jobs in all appends so far
 	ratings            int64        // executors rated for a task so far
@@ -106,9 +107,8 @@
 	since    clock.Millis
 	failedAt availability // up to which no executor can take a task of the step, 0 if they have to be rated again
 
-	restartFailedAt availability  // failedAt of the tasks of a perpetual step that ran before
-	slack           unit.MilliCPU // of the pool at failedAt, see executorPool.slack
-	starved         bool          // at failedAt
+	restartFailedAt availability // failedAt of the tasks of a perpetual step that ran before
+	starved         bool         // at failedAt
 }
 
 // Event describes a decision about a job or a task, or, if Task is zero, a change
