--- a/schedule/dispatch/relocate_test.go
+++ b/schedule/dispatch/relocate_test.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// pacedFixture is a fixture whose best-effort runs work at the ordered pace, save a
-// checkpoint at each tenth and end once their work is done.
+// pacedFixture is a fixture whose batch runs work at the ordered pace and end once their
+// work is done. Best-effort ones save a checkpoint at each tenth.
 type pacedFixture struct {
 	*fixture
 	work map[TaskID]clock.Span // done, for each task
