--- a/schedule/dispatch/summary.go
+++ b/schedule/dispatch/summary.go
@@ -22,7 +22,8 @@
 	Reconciled   bool           `json:"known"`  // its run lists have been reconciled with the tables
 	Unresponsive bool           `json:"silent"` // the last order had no answer
 	Draining     bool           `json:"draining"`
-	Registered   bool           `json:"listed"` // it has an entry in the platform's list
+	Reserved     bool           `json:"reserved"` // kept free of first runs of perpetual tasks
+	Registered   bool           `json:"listed"`   // it has an entry in the platform's list
 }
 
 // Summarize counts the rows of s.
@@ -48,7 +49,7 @@
 	for _, e := range s.executors.All() {
 		out.Executors = append(out.Executors, ExecutorState{
 			Executor: e.Executor, Service: e.Service, Runs: len(e.runs), Used: e.allocated, Reconciled: e.reconciled,
-			Unresponsive: e.unresponsive, Draining: e.Draining, Registered: e.registered,
+			Unresponsive: e.unresponsive, Draining: e.Draining, Reserved: e.reservedForBatch, Registered: e.registered,
 		})
 	}
 	return out
--- a/schedule/dispatch/wait.go
+++ b/schedule/dispatch/wait.go
@@ -165,13 +165,17 @@
 	}
 	for service, pool := range pools {
 		var total, perpetual, batch, largest unit.MilliCPU
+		reserved := 0
 		for _, e := range pool.executors {
 			total += e.Capacity.CPU
 			perpetual += e.perpetual.CPU
 			batch += e.allocated.CPU - e.perpetual.CPU
+			if e.reservedForBatch {
+				reserved++
+			}
 			largest = max(largest, e.Capacity.CPU-e.allocated.CPU)
 		}
-		s.report(Event{Kind: "capacity", Reason: fmt.Sprintf("service=%s executors=%d cpu=%d perpetualCPU=%d batchCPU=%d largestFreeCPU=%d waitingPerpetual=%d",
-			service, len(pool.executors), total, perpetual, batch, largest, waiting)})
+		s.report(Event{Kind: "capacity", Reason: fmt.Sprintf("service=%s executors=%d cpu=%d perpetualCPU=%d batchCPU=%d largestFreeCPU=%d waitingPerpetual=%d batchNeedCPU=%d reservedExecutors=%d",
+			service, len(pool.executors), total, perpetual, batch, largest, waiting, s.batchDemandOf(service).need(), reserved)})
 	}
 }
