--- a/schedule/dispatch/job.go
+++ b/schedule/dispatch/job.go
@@ -32,6 +32,7 @@
 	EndedAt     unit.UnixMillis
 	Occurrences []Occurrence
 
+	chains         []clock.Span // see Job.chainFrom; nil until it is needed
 	restoredAfter  clock.Span   // from its acceptance until this owner restored it, 0 if this owner accepted it
 	dueAt          clock.Millis // when the current occurrence should be completed; orders the ready steps
 	stored         bool         // the store has a record of the job
--- a/schedule/dispatch/relocate.go
+++ b/schedule/dispatch/relocate.go
@@ -95,7 +95,7 @@
 		}
 		for i := range e.runs {
 			a := &e.runs[i]
-			if !a.step.Fills || a.step.Gang || a.step.Perpetual || !a.isCurrent() || a.task.State != TaskRunning || a.task.confirmedAt == 0 || a.task.orderedPace > maxRelocatedPace {
+			if !a.step.Fills || a.step.Gang || a.step.Perpetual || !a.isCurrent() || a.job.State.Ended() || a.task.State != TaskRunning || a.task.confirmedAt == 0 || a.task.orderedPace > maxRelocatedPace {
 				continue
 			}
 			r := newPacedRun(now, a.step, a.task)
--- a/schedule/dispatch/urgency.go
+++ b/schedule/dispatch/urgency.go
@@ -74,7 +74,7 @@
 	if j.Spec.Steps[k.step].Perpetual {
 		return urgencyLasting
 	}
-	doneBy := now.Add(j.Spec.chainFrom(k.step))
+	doneBy := now.Add(j.chainFrom(k.step))
 	allowance := clock.Span(lateAllowance * float64(objective))
 	switch {
 	case doneBy <= j.dueAt.Add(allowance):
@@ -87,20 +87,21 @@
 
 // chainFrom returns the length of the longest path that begins with a step, by the
 // estimates.
-func (s *Spec) chainFrom(step int) clock.Span {
-	var longest clock.Span
-	lengths := make([]clock.Span, len(s.Steps)) // of the paths from step, 0 if there is none
-	lengths[step] = s.Steps[step].Estimate
-	reached := make([]bool, len(s.Steps))
-	reached[step] = true
-	for i := step; i < len(s.Steps); i++ {
+func (j *Job) chainFrom(step int) clock.Span {
+	if j.chains == nil {
+		j.chains = j.Spec.chains()
+	}
+	return j.chains[step]
+}
+
+// chains returns for each step the length of the longest path that begins with it.
+func (s *Spec) chains() []clock.Span {
+	chains := make([]clock.Span, len(s.Steps)) // of the steps after each until it is reached itself
+	for i := len(s.Steps) - 1; i >= 0; i-- {
+		chains[i] += s.Steps[i].Estimate
 		for _, predecessor := range s.Steps[i].After {
-			if predecessor >= step && reached[predecessor] {
-				reached[i] = true
-				lengths[i] = max(lengths[i], lengths[predecessor]+s.Steps[i].Estimate)
-			}
+			chains[predecessor] = max(chains[predecessor], chains[i])
 		}
-		longest = max(longest, lengths[i])
 	}
-	return longest
+	return chains
 }
--- a/schedule/dispatch/urgency_test.go
+++ b/schedule/dispatch/urgency_test.go
@@ -98,3 +98,15 @@
 	f.runFor(100)
 	is.Equal(f.countRuns("batch"), 3)
 }
+
+// TestChains guards against a job that is taken to be late, or in time, by the work of
+// steps that do not follow the one that is ready.
+func TestChains(t *testing.T) {
+	steps := []Step{
+		{Estimate: 100}, {Estimate: 700}, {Estimate: 200, After: []int{0}}, {Estimate: 50, After: []int{0, 1}}, {Estimate: 10, After: []int{2, 3}},
+	}
+	j := Job{Spec: &Spec{Steps: steps}}
+	for step, want := range []clock.Span{310, 760, 210, 60, 10} {
+		is.New(t).Equal(j.chainFrom(step), want)
+	}
+}
