--- a/schedule/dispatch/advice.go
+++ b/schedule/dispatch/advice.go
@@ -102,7 +102,7 @@
 		return
 	}
 	var pools map[unit.Service]*executorPool
-	for _, k := range s.sortedReady() {
+	for _, k := range s.sortedReady(now) {
 		j := s.jobs.Get(k.job)
 		if j == nil || j.Spec == nil || j.State.Ended() || s.queue(j).Advice == nil {
 			continue
@@ -171,9 +171,11 @@
 	var expired, unknown []*Executor
 	for _, e := range request.pool.executors {
 		if request.exclusionDespiteTicket(e) != NotExcluded {
-			continue
-		}
-		if request.hasTicket(e) {
+			// With a ticket, another executor may be reserved in its place.
+			if !e.reservedForBatch || request.hasTicket(e) || !request.takesIfOpen(e) {
+				continue
+			}
+		} else if request.hasTicket(e) {
 			if waiting -= request.countFitting(e); waiting <= 0 {
 				return nil
 			}
--- a/schedule/dispatch/pace.go
+++ b/schedule/dispatch/pace.go
@@ -211,7 +211,7 @@
 
 // sendPaces orders the target paces of best-effort tasks that differ enough
 // from the ordered ones.
-func (s *Shard) sendPaces() {
+func (s *Shard) sendPaces(now clock.Millis) {
 	for _, e := range s.executors.All() {
 		if !e.pacesChanged || e.unresponsive {
 			continue
@@ -226,6 +226,7 @@
 			if diff := target - t.orderedPace; diff == 0 || diff < minPaceChange && diff > -minPaceChange && target != 0 && target != fullPace {
 				continue
 			}
+			t.times.changePace(now, t.orderedPace)
 			t.orderedPace = target
 			s.pendingOrders = append(s.pendingOrders, Order{To: e.target(), Pace: &PaceOrder{id, t.Run, target, s.token(e)}})
 			s.report(Event{Kind: "paced", Task: id, Run: t.Run, Executor: e.Executor})
@@ -243,7 +244,7 @@
 	case request.starved && (e.overTargetSince == 0 || !st.Fills):
 		return true
 	case st.Perpetual:
-		return request.ranBefore || request.pool.allowsPerpetual(e)
+		return request.ranBefore || request.ignoresReserve || !e.reservedForBatch
 	case !st.Fills || e.servingCount == 0:
 		return true
 	case e.overTargetSince > 0 && !s.knownHarmless(e, st.Image):
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -33,8 +33,11 @@
 	key     stepKey
 	step    *Step
 	pool    *executorPool
-	advised bool          // only executors with a ticket are admitted
-	starved bool          // see Shard.isStarved
+	advised bool // only executors with a ticket are admitted
+	starved bool // see Shard.isStarved
+
+	ignoresReserve bool // executors that are reserved for batch tasks are not excluded
+
 	rack    unit.Rack     // rack of the other tasks of the step, "" if it does not matter
 	weights []imageWeight // of the image of the step; used by weight
 
@@ -156,7 +159,7 @@
 		// Serving tasks of one image peak at the same time and leave processor
 		// time idle at the same time.
 		rating += penaltyImage * float64(e.otherServingImages(step.Image))
-		if !request.pool.allowsPerpetual(e) {
+		if e.reservedForBatch {
 			rating += penaltyReserve
 		}
 		rating += 10 * float64(e.Capacity.CPU-e.allocated.CPU) / milliCPUPerCore // prefers the fullest executor that fits
@@ -180,7 +183,7 @@
 	}
 	pools := s.pools(now)
 	s.placedAt = s.availability
-	keys := s.sortedReady()
+	keys := s.sortedReady(now)
 	s.placeRestarts(now, keys, pools)
 	s.reserveForRestarts(now, keys, pools)
 	for _, pool := range pools {
@@ -265,7 +268,7 @@
 				ready.restartFailedAt = s.availability
 				break
 			}
-			pool.recordPlacement(request.step, e)
+			s.recordPlacement(pool, request.step, e)
 			s.assign(now, TaskID{k.job, k.occurrence, k.step, i}, j, request.step, &tasks[i], e)
 		}
 	}
@@ -371,8 +374,7 @@
 // the first one that fits nowhere.
 func (s *Shard) placeEach(request *placementRequest, j *Job, tasks []Task) bool {
 	k, pool, ready := request.key, request.pool, s.readySteps[request.key]
-	slack := pool.slack()
-	if request.starved && !ready.starved || request.step.Perpetual && slack > ready.slack {
+	if request.starved && !ready.starved {
 		ready.failedAt = 0 // executors may take a task now although they have not changed
 	}
 	for i := range tasks {
@@ -384,14 +386,18 @@
 			request.rack = s.rackOf(tasks)
 		}
 		e, ok := s.choose(pool.since(s.retryFrom(request, ready.failedAt)), request.forTask(t))
+		if !ok {
+			e, ok = s.exchangeReserved(request)
+		}
 		if !ok {
 			if !request.isRestart() {
-				ready.failedAt, ready.slack, ready.starved = s.availability, slack, request.starved
+				ready.failedAt, ready.starved = s.availability, request.starved
 			}
 			return false
 		}
-		pool.recordPlacement(request.step, e)
+		s.recordPlacement(pool, request.step, e)
 		s.assign(request.now, TaskID{k.job, k.occurrence, k.step, i}, j, request.step, t, e)
+		request.starved = false // its job has an assigned task now
 	}
 	return true
 }
@@ -429,7 +435,7 @@
 			continue
 		}
 		tasks[i].Run, tasks[i].Checkpoint = lastRun, checkpoint
-		pool.recordPlacement(st, e)
+		s.recordPlacement(pool, st, e)
 		s.assign(request.now, id, j, st, &tasks[i], e)
 	}
 	return len(chosen) == len(tasks)
@@ -439,13 +445,11 @@
 // assignment is stored.
 func (s *Shard) assign(now clock.Millis, id TaskID, j *Job, st *Step, t *Task, e *Executor) {
 	t.State = TaskPlaced
+	j.Occurrences[id.Occurrence].Steps[id.Step].times.assign(now, &t.times)
 	t.Run++
 	t.Executor, t.Incarnation = e.Executor, e.Incarnation
 	t.confirmedAt, t.progress, t.lastActionAt = 0, 0, now
 	t.startUncertain, t.inFlight, t.recovered, t.orderedPace, t.targetPace = false, false, false, fullPace, fullPace
-	if st.Perpetual && e.perpetual.CPU == 0 {
-		s.markAvailable(e) // see executorPool.allowsPerpetual
-	}
 	e.addRun(assignment{id, t.Run, j, st, t})
 	s.pendingStarts = append(s.pendingStarts, id)
 	s.markDirty(id.Job, j)
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -1,66 +1,26 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
 )
 
-const (
-	// initialReserveShare is the share of the processors of a service that
-	// perpetual tasks leave free for batch tasks until the demand of batch
-	// tasks is known.
-	initialReserveShare = 0.06
-	// maxReserveShare is the largest share of the processors that is kept free
-	// for batch tasks, even if they use more.
-	maxReserveShare = 0.08
-	// peakHalfLife is the interval at which the recorded peak is halved.
-	peakHalfLife = 20 * clock.Second
-)
-
-// batchReserve decides how many processors of a service to keep free of
-// perpetual tasks, in whole executors, so that batch tasks find unfragmented
-// capacity. The zero value is ready to use.
-type batchReserve struct {
-	peak          unit.MilliCPU // largest usage by batch tasks at one time, halved at each half-life
-	nextHalvingAt clock.Millis  // next time at which the peak is halved
-	initialUntil  clock.Millis  // until when initialReserveShare is the minimum
-}
-
-// recordUsage records the processor time that is now allocated to batch tasks.
-func (r *batchReserve) recordUsage(now clock.Millis, usage unit.MilliCPU) {
-	if r.initialUntil == 0 {
-		r.initialUntil, r.nextHalvingAt = now.Add(peakHalfLife), now.Add(peakHalfLife)
-	}
-	if now >= r.nextHalvingAt {
-		r.peak, r.nextHalvingAt = r.peak/2, now.Add(peakHalfLife)
-	}
-	r.peak = max(r.peak, usage)
-}
-
-// size returns the processor time to keep free, out of total.
-func (r *batchReserve) size(now clock.Millis, total unit.MilliCPU) unit.MilliCPU {
-	cpu := r.peak
-	if now < r.initialUntil {
-		cpu = max(cpu, unit.MilliCPU(initialReserveShare*float64(total)))
-	}
-	return min(cpu, unit.MilliCPU(maxReserveShare*float64(total)))
-}
-
 // executorPool holds the usable executors of a service.
 type executorPool struct {
-	executors       []*Executor
-	recent          []*Executor   // became available after recentFrom
-	recentFrom      availability  // at the last placement
-	nonPerpetualCPU unit.MilliCPU // capacity of executors without perpetual tasks
-	reserveCPU      unit.MilliCPU // part of nonPerpetualCPU to keep free for batch tasks
+	executors  []*Executor
+	recent     []*Executor   // became available after recentFrom
+	recentFrom availability  // at the last placement
+	reserveCPU unit.MilliCPU // to keep free of first runs of perpetual tasks
 }
 
 // pools returns the pools of usable executors by service, and updates the
 // reserve of each. Executors with unknown runs are left out.
 func (s *Shard) pools(now clock.Millis) map[unit.Service]*executorPool {
 	pools := make(map[unit.Service]*executorPool)
-	type totals struct{ total, batch unit.MilliCPU }
-	sums := make(map[unit.Service]totals)
+	totals := make(map[unit.Service]unit.MilliCPU)
 	for _, e := range s.executors.All() {
 		accepting := s.accepts(now, e)
 		if accepting && !e.accepting {
@@ -76,34 +36,138 @@
 			pools[e.Service] = pool
 		}
 		pool.executors = append(pool.executors, e)
-		if e.perpetual.CPU == 0 {
-			pool.nonPerpetualCPU += e.Capacity.CPU
-		}
-		t := sums[e.Service]
-		t.total += e.Capacity.CPU
-		t.batch += e.allocated.CPU - e.perpetual.CPU
-		sums[e.Service] = t
+		totals[e.Service] += e.Capacity.CPU
 	}
 	for name, pool := range pools {
-		if s.reserves == nil {
-			s.reserves = make(map[unit.Service]*batchReserve)
-		}
-		reserve := s.reserves[name]
-		if reserve == nil {
-			reserve = new(batchReserve)
-			s.reserves[name] = reserve
+		demand := s.batchDemandOf(name)
+		demand.update(now)
+		size := demand.size(now, totals[name], totals[name]/unit.MilliCPU(len(pool.executors)))
+		if s.fixedBatchShare > 0 {
+			size = unit.MilliCPU(s.fixedBatchShare * float64(totals[name]))
 		}
-		reserve.recordUsage(now, sums[name].batch)
-		pool.reserveCPU = reserve.size(now, sums[name].total)
+		s.reserveForBatch(pool, size)
 		pool.updateRecent()
 	}
 	return pools
 }
 
-// allowsPerpetual reports whether a perpetual task may be placed on e without
-// using the reserve for batch tasks.
-func (p *executorPool) allowsPerpetual(e *Executor) bool {
-	return e.perpetual.CPU > 0 || p.nonPerpetualCPU-e.Capacity.CPU >= p.reserveCPU
+// maxReservedPerpetual is the largest share of the processors of an executor that
+// perpetual tasks may have when it is first reserved for batch tasks.
+const maxReservedPerpetual = 0.5
+
+// mayReserve reports whether e may be reserved for batch tasks that need size in all.
+// If size is less than an executor, only one without perpetual tasks is, and the first
+// one there ends the reservation, so that a small service is not kept from most of its
+// processors.
+func mayReserve(e *Executor, size unit.MilliCPU) bool {
+	switch {
+	case e.perpetual.CPU == 0:
+		return size > 0
+	case e.Capacity.CPU > size:
+		return false
+	}
+	return e.reservedForBatch || float64(e.perpetual.CPU) <= maxReservedPerpetual*float64(e.Capacity.CPU)
+}
+
+// reserveForBatch chooses the executors that are kept free of first runs of perpetual
+// tasks, so that at least size is left on them. Those that are reserved stay so while
+// they are needed, also when a task of a starved job or a restart was placed there,
+// which would otherwise open all of them to others. Further ones are those with the
+// fewest perpetual tasks, and the largest among these, where large tasks leave the
+// least unused.
+func (s *Shard) reserveForBatch(pool *executorPool, size unit.MilliCPU) {
+	pool.reserveCPU = size
+	var reserved, others []*Executor
+	var left unit.MilliCPU // on reserved
+	for _, e := range pool.executors {
+		switch {
+		case !mayReserve(e, size):
+			s.openToPerpetual(e)
+		case e.reservedForBatch:
+			reserved = append(reserved, e)
+			left += e.batchRoom()
+		default:
+			others = append(others, e)
+		}
+	}
+	byPreference := func(a, b *Executor) int {
+		return cmp.Or(cmp.Compare(a.perpetual.CPU, b.perpetual.CPU), cmp.Compare(b.Capacity.CPU, a.Capacity.CPU), cmp.Compare(b.Executor, a.Executor))
+	}
+	if left < size {
+		slices.SortFunc(others, byPreference)
+	}
+	for _, e := range others {
+		if left >= size {
+			break
+		}
+		left += e.batchRoom()
+		e.reservedForBatch = true
+		reserved = append(reserved, e)
+	}
+	slices.SortFunc(reserved, byPreference)
+	for _, e := range slices.Backward(reserved) {
+		if free := e.batchRoom(); left-free >= size {
+			left -= free
+			s.openToPerpetual(e)
+		}
+	}
+}
+
+// exchangeReserved reserves another executor in place of one that the requested first
+// run of a perpetual task needs, and returns the latter. A label or advice may allow
+// the task only there, while what is kept for batch tasks can be on any executor. It
+// returns false if no executor that is not reserved has as much room without
+// perpetual tasks.
+func (s *Shard) exchangeReserved(request *placementRequest) (*Executor, bool) {
+	pool := request.pool
+	if !request.step.Perpetual || request.ranBefore || pool.reserveCPU == 0 {
+		return nil, false
+	}
+	var needed *Executor
+	for _, e := range pool.executors {
+		if e.reservedForBatch && request.takesIfOpen(e) && (!request.advised || request.hasTicket(e)) && (needed == nil || e.batchRoom() < needed.batchRoom()) {
+			needed = e
+		}
+	}
+	if needed == nil {
+		return nil, false
+	}
+	for _, e := range pool.executors {
+		if !e.reservedForBatch && mayReserve(e, pool.reserveCPU) && e.batchRoom() >= needed.batchRoom() {
+			e.reservedForBatch = true
+			s.openToPerpetual(needed)
+			pool.recent = append(pool.recent, needed)
+			return needed, true
+		}
+	}
+	return nil, false
+}
+
+// takesIfOpen reports whether e could take the requested task, with a ticket if it
+// needs one, if e were not reserved for batch tasks.
+func (request *placementRequest) takesIfOpen(e *Executor) bool {
+	request.ignoresReserve = true
+	defer func() { request.ignoresReserve = false }()
+	return request.exclusionDespiteTicket(e) == NotExcluded
+}
+
+// batchRoom returns the processor time of e without perpetual tasks.
+func (e *Executor) batchRoom() unit.MilliCPU { return e.Capacity.CPU - e.perpetual.CPU }
+
+// recordPlacement updates the pool before a task of a step is assigned to e.
+func (s *Shard) recordPlacement(pool *executorPool, st *Step, e *Executor) {
+	if st.Perpetual && e.reservedForBatch && e.Capacity.CPU > pool.reserveCPU {
+		s.openToPerpetual(e)
+		pool.recent = append(pool.recent, e) // other perpetual tasks may now be placed beside it
+	}
+}
+
+// openToPerpetual ends the reservation of e for batch tasks, if there is one.
+func (s *Shard) openToPerpetual(e *Executor) {
+	if e.reservedForBatch {
+		e.reservedForBatch = false
+		s.markAvailable(e)
+	}
 }
 
 // updateRecent updates the list of executors that became available recently.
@@ -116,10 +180,6 @@
 	}
 }
 
-// slack returns the processor time by which the executors without perpetual tasks
-// exceed the reserve for batch tasks.
-func (p *executorPool) slack() unit.MilliCPU { return p.nonPerpetualCPU - p.reserveCPU }
-
 // since returns the executors that became available after a point, or more. All
 // executors became available after 0.
 func (p *executorPool) since(from availability) []*Executor {
@@ -148,12 +208,3 @@
 	}
 	return chosen
 }
-
-// recordPlacement updates the pool after a task of a step was chosen for e and
-// before e counts it.
-func (p *executorPool) recordPlacement(st *Step, e *Executor) {
-	if st.Perpetual && e.perpetual.CPU == 0 {
-		p.nonPerpetualCPU -= e.Capacity.CPU
-		p.recent = append(p.recent, e) // other perpetual tasks may now be placed beside it
-	}
-}
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -126,6 +126,7 @@
 func (s *Shard) markRunning(now clock.Millis, id TaskID, j *Job, t *Task) {
 	t.State, t.confirmedAt, t.startUncertain, t.recovered = TaskRunning, now, false, false
 	t.progressChangedAt, t.runningSince = now, now
+	t.times.startRunning(now)
 	if j.State == JobQueued {
 		j.State = JobRunning
 		s.markDirty(id.Job, j)
@@ -161,6 +162,7 @@
 		return
 	}
 	t.State = TaskReady
+	t.times.requeue(now)
 	s.markReady(now, id.Job, id.Occurrence, id.Step)
 }
 
@@ -198,7 +200,11 @@
 // the job after its last task.
 func (s *Shard) completeTask(now clock.Millis, wall unit.UnixMillis, id TaskID, j *Job, st *Step, t *Task, e *Executor) {
 	e.consecutiveFailures = 0
+	s.recordHeld(now, j, st, t)
 	o := &j.Occurrences[id.Occurrence]
+	if o.Steps[id.Step].remaining == 1 || st.Gang {
+		s.finishStep(now, j, id, t)
+	}
 	if st.Gang {
 		s.completeGang(id, o)
 	} else {
@@ -213,6 +219,9 @@
 	if o.Steps[id.Step].remaining == 0 {
 		s.unblockSteps(now, id.Job, j, id.Occurrence)
 	}
+	if o.done() {
+		s.finishOccurrence(now, j, id)
+	}
 	if len(j.Occurrences) < j.Spec.occurrenceCount() {
 		return
 	}
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -69,7 +69,7 @@
 	storingStarts      []TaskID                          // starts whose runs are in the append in flight
 	pendingOrders      []Order                           // returned by the next tick
 	interferenceModels map[unit.Image]*InterferenceModel // by image of serving tasks
-	reserves           map[unit.Service]*batchReserve
+	batchDemands       map[unit.Service]*batchDemand
 	openJobs           int  // jobs that have not ended
 	fenced             bool // an executor has refused an order because it has received a higher fencing token
 	advice             adviceTracker
@@ -91,8 +91,12 @@
 	loadsAt            clock.Millis               // 0 if the loads have to be computed
 	expiredLoans       []unit.Executor            // records of loans to delete
 	removedExecutors   map[unit.Executor]removedExecutor
-	collected          int64 // jobs in all appends so far
-	ratings            int64 // executors rated for a task so far
+	finished           []finishedOccurrence
+	plainOrder         bool         // ready steps have no urgency; only for tests, which compare with it
+	fixedBatchShare    float64      // share of the processors kept for batch tasks instead of their forecast demand; only for tests, as above
+	relocatedAt        clock.Millis // last search for runs to relocate
+	collected          int64        // jobs in all appends so far
+	ratings            int64        // executors rated for a task so far
 }
 
 // stepKey identifies a step of one occurrence of a job in the tables. It has the
@@ -108,21 +112,21 @@
 	since    clock.Millis
 	failedAt availability // up to which no executor can take a task of the step, 0 if they have to be rated again
 
-	restartFailedAt availability  // failedAt of the tasks of a perpetual step that ran before
-	slack           unit.MilliCPU // of the pool at failedAt, see executorPool.slack
-	starved         bool          // at failedAt
+	restartFailedAt availability // failedAt of the tasks of a perpetual step that ran before
+	starved         bool         // at failedAt
 }
 
 // Event describes a decision about a job or a task, or, if Task is zero, a change
 // of the state of an executor. Fields that do not apply are zero.
 type Event struct {
-	Kind     string
-	Task     TaskID
-	Run      unit.Run
-	Executor unit.Executor
-	Reason   string
-	Age      clock.Span // age of the clock reading that a start used, time since the lease expired for runLapsed, or since the end of the job was stored for stopDelayed and runsStopped
-	Anomaly  bool       // should not occur without a fault; at most maxAnomalies in a second
+	Kind      string
+	Task      TaskID
+	Run       unit.Run
+	Executor  unit.Executor
+	Reason    string
+	Age       clock.Span // age of the clock reading that a start used, time since the lease expired for runLapsed, or since the end of the job was stored for stopDelayed and runsStopped
+	Breakdown *Breakdown // for finished
+	Anomaly   bool       // should not occur without a fault; at most maxAnomalies in a second
 }
 
 // report passes an event to the Report function, if there is one.
@@ -263,10 +267,11 @@
 	s.reportDelayedStops(now)
 	s.resendOrders(now)
 	s.moveRuns(now)
-	s.sendPaces()
+	s.sendPaces(now)
 	if canStore {
 		s.startScheduledOccurrences(now, wall)
 		s.place(now)
+		s.relocatePacedRuns(now)
 		s.requestAdvice(now)
 		s.expireEndedJobs(now, wall)
 		s.requestLoans(now)
@@ -352,6 +357,7 @@
 		}
 	}
 	s.storingJobs = s.storingJobs[:0]
+	s.reportFinished(now)
 	s.handleLoansStored()
 	s.leases.handleLeasesStored()
 	for _, e := range s.executors.All() {
@@ -368,41 +374,3 @@
 func (s *Shard) Idle() bool {
 	return s.openJobs == 0 && len(s.dirty) == 0 && len(s.stoppingJobs) == 0 && !s.hasLoansToStore()
 }
-
-// sortedReady returns the ready steps, most urgent first: by priority of the
-// queue, then by the time when the current occurrence of the job should be
-// completed.
-func (s *Shard) sortedReady() []stepKey {
-	keys := make([]stepKey, 0, len(s.readySteps))
-	for k := range s.readySteps {
-		keys = append(keys, k)
-	}
-	type rank struct {
-		priority int
-		dueAt    clock.Millis
-	}
-	ranks := make(map[unit.Job]rank, len(keys))
-	for _, k := range keys {
-		if j := s.jobs.Get(k.job); j != nil && j.Spec != nil {
-			ranks[k.job] = rank{s.queue(j).Priority, j.dueAt}
-		}
-	}
-	slices.SortFunc(keys, func(a, b stepKey) int {
-		x, y := ranks[a.job], ranks[b.job]
-		switch {
-		case x.priority != y.priority:
-			return x.priority - y.priority
-		case x.dueAt != y.dueAt:
-			return int(x.dueAt.Sub(y.dueAt))
-		case a.job != b.job:
-			if a.job < b.job {
-				return -1
-			}
-			return 1
-		case a.occurrence != b.occurrence:
-			return a.occurrence - b.occurrence
-		}
-		return a.step - b.step
-	})
-	return keys
-}
--- a/schedule/dispatch/task.go
+++ b/schedule/dispatch/task.go
@@ -9,7 +9,7 @@
 	"mimosadock/schedule/unit"
 )
 
-//go:generate go tool stringer -type=TaskState,JobState,EndKind,Outcome,Exclusion -linecomment -output=enums_string.go
+//go:generate go tool stringer -type=TaskState,JobState,EndKind,Outcome,Exclusion,TimePart -linecomment -output=enums_string.go
 
 // TaskID identifies a task within a shard.
 type TaskID struct {
@@ -89,11 +89,13 @@
 	startUncertain    bool                // a start order had no answer, so the run may exist
 	recovered         bool                // the run is known from the store only, not yet from the executor
 	progress          unit.Percent        // of a batch run: work done; of a perpetual run: 100 once it has warmed up
+	savedProgress     unit.Percent        // progress when the last checkpoint was first listed, of any run
 	progressChangedAt clock.Millis        // when progress last changed
 	runningSince      clock.Millis        // when the run was first known to run
 	orderedPace       unit.Percent        // pace last ordered
 	targetPace        unit.Percent        // pace that the run should have
 	avoidedExecutor   unit.Executor       // executor of the last run that failed or was moved
+	times             taskTimes
 }
 
 // EndKind is the reason why a run ended.
