--- a/Makefile
+++ b/Makefile
@@ -7,12 +7,12 @@
 # there are none.
 SKIP = $(shell sh tools/knownred.sh | paste -sd '|' | sed -n "s/..*/-skip '^(&)$$'/p")
 
-.PHONY: run test format lint generated wire build vet unit prove bench load fuzz generate
+.PHONY: run test format lint generated wire build vet unit crowd prove bench load fuzz generate
 
 run:
 	go run ./demo
 
-test: format lint generated wire build vet unit
+test: format lint generated wire build vet unit crowd
 
 # Fails if a file is not formatted with gofumpt.
 format:
@@ -41,7 +41,12 @@
 
 unit:
 	@names=$$(sh tools/knownred.sh) && for n in $$names; do echo "skipped, see KNOWN-RED.txt: $$n"; done
-	$(strip go test -race $(SKIP) $(PACKAGES))
+	$(strip go test -race $(SKIP) $$(go list $(PACKAGES) | grep -v '/soak/crowd$$'))
+
+# Runs the tests with crowds of clients by themselves, since they check the memory
+# of the programs.
+crowd:
+	$(strip go test -count=1 $(SKIP) ./soak/crowd)
 
 prove:
 	go run ./replay prove
