Add tables of connections and bytes of requests, and a guard of listeners

Package intake decides over a table and a clock which connections are kept and for which bytes of requests there is room; package listener applies it to the listener and the handler of an HTTP server. No program uses them yet.

go test -race -count=5 ./schedule/intake ./schedule/listener passes.

--- /dev/null
+++ b/schedule/intake/table.go
@@ -0,0 +1,255 @@
+package intake
+
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/table"
+	"mimosadock/schedule/unit"
+)
+
+// ID identifies a connection of a table, from 1.
+type ID uint64
+
+// connection is a row of the table.
+type connection struct {
+	phase      Phase
+	startedAt  clock.Millis // of the phase
+	progressAt clock.Millis // last time that bytes arrived, or the start of the phase
+	received   unit.Bytes   // in the phase
+	held       unit.Bytes   // reserved for the request
+	evicted    bool         // the table has told to close it or to refuse its request
+}
+
+func (c *connection) enter(p Phase, now clock.Millis) {
+	c.phase, c.startedAt, c.progressAt, c.received = p, now, now, 0
+}
+
+// Stats are the state and the counters of a table.
+type Stats struct {
+	Connections     int        // open
+	Bytes           unit.Bytes // reserved
+	Refused         int64      // connections refused because of their number
+	Displaced       int64      // connections closed for others
+	RefusedRequests int64      // requests refused because of their bytes
+	Stalled         int64      // requests refused to make room for others
+	Slow            int64      // connections whose client sent too slowly
+}
+
+// Refusals returns the sum of the counters.
+func (s Stats) Refusals() int64 {
+	return s.Refused + s.Displaced + s.RefusedRequests + s.Stalled + s.Slow
+}
+
+// Table has the connections of a listener. Set Limits before use. It is not safe
+// for concurrent use.
+type Table struct {
+	Limits Limits
+
+	connections table.Table[ID, connection]
+	lastID      ID
+	held        unit.Bytes
+	tickedAt    clock.Millis // last tick, or start of the first body after it; 0 if no client has to send
+	stats       Stats
+}
+
+// Stats returns the state and the counters.
+func (t *Table) Stats() Stats {
+	s := t.stats
+	s.Connections, s.Bytes = t.connections.Len(), t.held
+	return s
+}
+
+// Open adds a connection. If there are too many, displaced is the one to close for
+// it, or 0. If none can be closed, ok is false.
+func (t *Table) Open(now clock.Millis) (id, displaced ID, ok bool) {
+	if t.connections.Len() >= t.Limits.Connections {
+		displaced = t.longestPause(now)
+		if displaced == 0 {
+			t.stats.Refused++
+			return 0, 0, false
+		}
+		t.stats.Displaced++
+		t.Close(displaced)
+	}
+	t.lastID++
+	t.connections.Ensure(t.lastID).enter(PhaseIdle, now)
+	return t.lastID, displaced, true
+}
+
+// Close removes a connection and frees what it has reserved.
+func (t *Table) Close(id ID) {
+	if c := t.connections.Get(id); c != nil {
+		t.release(c)
+		t.connections.Delete(id)
+	}
+}
+
+// Receive notes that bytes have arrived. The bytes of a header are reserved. If ok
+// is false, the connection must be closed. The requests of stalled must be refused.
+func (t *Table) Receive(id ID, n unit.Bytes, now clock.Millis) (stalled []ID, ok bool) {
+	c := t.connections.Get(id)
+	if c == nil || c.evicted {
+		return nil, false
+	}
+	if c.phase == PhaseIdle {
+		c.enter(PhaseHeader, now)
+	}
+	c.progressAt = now
+	c.received += n
+	if c.phase != PhaseHeader {
+		return nil, true
+	}
+	return t.Reserve(id, n, now)
+}
+
+// Touch notes progress on a connection without requests, which stays idle.
+func (t *Table) Touch(id ID, now clock.Millis) {
+	if c := t.connections.Get(id); c != nil {
+		c.progressAt = now
+	}
+}
+
+// Reserve reserves bytes for the request of a connection. If ok is false, there is
+// no room, and the request must be refused. The requests of stalled, which have
+// given up their bytes, must be refused in any case.
+func (t *Table) Reserve(id ID, n unit.Bytes, now clock.Millis) (stalled []ID, ok bool) {
+	c := t.connections.Get(id)
+	if c == nil || c.evicted {
+		return nil, false
+	}
+	for !t.fits(c, n) {
+		victim, id := t.mostStalled(c, now)
+		if victim == nil {
+			t.stats.RefusedRequests++
+			return stalled, false
+		}
+		t.evict(victim)
+		t.stats.Stalled++
+		stalled = append(stalled, id)
+	}
+	c.held += n
+	t.held += n
+	return stalled, true
+}
+
+// Release frees n of the bytes that are reserved for the request of a connection.
+func (t *Table) Release(id ID, n unit.Bytes) {
+	if c := t.connections.Get(id); c != nil {
+		n = min(n, c.held)
+		c.held -= n
+		t.held -= n
+	}
+}
+
+// Enter notes the phase of a connection. PhaseIdle ends the request and frees what
+// is reserved for it.
+func (t *Table) Enter(id ID, p Phase, now clock.Millis) {
+	c := t.connections.Get(id)
+	if c == nil || c.phase == p {
+		return
+	}
+	c.enter(p, now)
+	if p == PhaseIdle {
+		t.release(c)
+	}
+	if p == PhaseBody && t.tickedAt == 0 {
+		t.tickedAt = now
+	}
+}
+
+// TickInterval is the time between two calls of [Table.Tick] while a client has to
+// send.
+const TickInterval = 500 * clock.Millisecond
+
+// Tick returns the connections whose clients send too slowly, whose requests must
+// be refused, and whether it is to be called again. Time in which the process did
+// not run counts for no client.
+func (t *Table) Tick(now clock.Millis) (slow []ID, again bool) {
+	late := clock.Span(0)
+	if t.tickedAt > 0 {
+		late = max(0, now.Sub(t.tickedAt)-2*TickInterval)
+	}
+	for id, c := range t.connections.All() {
+		if !c.phase.receiving() || c.evicted {
+			continue
+		}
+		c.startedAt, c.progressAt = min(now, c.startedAt.Add(late)), min(now, c.progressAt.Add(late))
+		if t.isSlow(c, now) {
+			t.evict(c)
+			t.stats.Slow++
+			slow = append(slow, id)
+			continue
+		}
+		again = true
+	}
+	t.tickedAt = 0
+	if again {
+		t.tickedAt = now
+	}
+	return slow, again
+}
+
+// isSlow reports whether the client has paused for too long or sends at less than
+// the minimum rate.
+func (t *Table) isSlow(c *connection, now clock.Millis) bool {
+	l := &t.Limits
+	if l.MaxPause > 0 && now.Sub(c.progressAt) > l.MaxPause {
+		return true
+	}
+	due := now.Sub(c.startedAt) - l.Grace
+	return l.Grace > 0 && due > 0 && c.received < l.MinRate*unit.Bytes(due)/unit.Bytes(clock.Second)
+}
+
+// fits reports whether n more bytes for a connection are within the budget.
+func (t *Table) fits(c *connection, n unit.Bytes) bool {
+	limit := t.Limits.Bytes
+	if c.held+n > t.Limits.Small {
+		limit -= t.Limits.SmallBytes
+	}
+	return t.held+n <= limit
+}
+
+// mostStalled returns the connection whose request has held the most bytes for the
+// longest time without progress, or nil if none has paused for long enough.
+func (t *Table) mostStalled(except *connection, now clock.Millis) (victim *connection, id ID) {
+	most := int64(0)
+	for k, c := range t.connections.All() {
+		pause := now.Sub(c.progressAt)
+		if c == except || c.evicted || !c.phase.receiving() || pause < t.Limits.MinPause {
+			continue
+		}
+		if idle := int64(pause) * int64(c.held); idle > most {
+			most, victim, id = idle, c, k
+		}
+	}
+	return victim, id
+}
+
+// longestPause returns the connection to close for a new one: the one that has
+// been idle for longest, or without one the one whose client has paused for
+// longest. It returns 0 if none has paused for long enough.
+func (t *Table) longestPause(now clock.Millis) ID {
+	var victim ID
+	isIdle, longest := false, t.Limits.MinPause-1
+	for id, c := range t.connections.All() {
+		idle := c.phase == PhaseIdle
+		pause := now.Sub(c.progressAt)
+		if c.phase == PhaseServing || isIdle && !idle || pause < t.Limits.MinPause {
+			continue
+		}
+		if idle != isIdle || pause > longest {
+			victim, isIdle, longest = id, idle, pause
+		}
+	}
+	return victim
+}
+
+// evict frees what a connection has reserved before it is closed.
+func (t *Table) evict(c *connection) {
+	c.evicted = true
+	t.release(c)
+}
+
+func (t *Table) release(c *connection) {
+	t.held -= c.held
+	c.held = 0
+}
