--- a/schedule/dispatch/spec.go
+++ b/schedule/dispatch/spec.go
@@ -9,10 +9,12 @@
 	"mimosadock/schedule/unit"
 )
 
-// Bounds of a submission.
+// MaxSteps bounds the steps of a job.
+const MaxSteps = 64
+
+// Other bounds of a submission.
 const (
-	maxPayload = 4000 // bytes; the platform refuses starts with more
-	maxSteps   = 64
+	maxPayload = 4000   // bytes; the platform refuses starts with more
 	maxTasks   = 10_000 // in one occurrence
 
 	maxOccurrences = 10_000
@@ -98,8 +100,8 @@
 	if len(s.Payload) > maxPayload {
 		return fmt.Errorf("payload has %d bytes, at most %d are allowed", len(s.Payload), maxPayload)
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
-		return fmt.Errorf("job has %d steps, 1 to %d are allowed", len(s.Steps), maxSteps)
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return fmt.Errorf("job has %d steps, 1 to %d are allowed", len(s.Steps), MaxSteps)
 	}
 	if s.Repeat < 0 || s.Interval < 0 {
 		return errors.New("number of occurrences and interval between them must not be negative")
