Bound the memory of open jobs

An owner took in up to 4,000 open jobs for each shard, whatever their size: 300 jobs of 10,000 tasks each took 522 MiB. The memory of a job is that of its spec and of the tasks of all occurrences, over all shards of the process; beyond the bound a submission is refused with a time to come back, and has not run. A submission from a peer without a job is refused, too.

go test -race ./scheduler/control passes, and go test ./schedule/dispatch.

--- a/schedule/dispatch/accept.go
+++ b/schedule/dispatch/accept.go
@@ -25,6 +25,7 @@
 	j := s.jobs.Put(spec.ID, Job{Spec: spec, Queue: spec.Queue.Name, State: JobQueued, AcceptedAt: wall})
 	j.dueAt = now.Add(latencyObjective(spec))
 	s.openJobs++
+	s.addBytes(j)
 	s.enableAdvice(&spec.Queue)
 	s.markDirty(spec.ID, j)
 	s.startDueOccurrences(now, wall, spec.ID, j)
--- a/schedule/dispatch/job.go
+++ b/schedule/dispatch/job.go
@@ -38,6 +38,7 @@
 	storedState    JobState     // state in the store, reported to callers
 	dirty          bool         // differs from the store
 	hasRunsToStop  bool         // the job has ended and its tasks are still to be stopped
+	bytes          unit.Bytes   // counted in the shard's JobBytes
 	stopsSince     clock.Millis // when the runs of the ended job were first to be stopped, 0 if none was
 }
 
--- a/schedule/dispatch/restore.go
+++ b/schedule/dispatch/restore.go
@@ -14,6 +14,7 @@
 		return // the spec's record is missing, so the job was never confirmed
 	}
 	row := s.jobs.Put(id, j)
+	s.addBytes(row)
 	if row.State.Ended() {
 		s.endedJobs = append(s.endedJobs, id)
 		if row.Spec != nil && len(row.Occurrences) > 0 {
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -65,7 +65,8 @@
 	pendingOrders      []Order                           // returned by the next tick
 	interferenceModels map[unit.Image]*InterferenceModel // by image of serving tasks
 	reserves           map[unit.Service]*batchReserve
-	openJobs           int  // jobs that have not ended
+	openJobs           int // jobs that have not ended
+	jobBytes           unit.Bytes
 	fenced             bool // an executor has refused an order because it has received a higher fencing token
 	advice             adviceTracker
 	scheduledJobs      []unit.Job               // jobs with occurrences still to start
@@ -381,6 +382,7 @@
 	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(ended unit.Job) bool { return ended == id })
 	maps.DeleteFunc(s.readySteps, func(k stepKey, _ *readyStep) bool { return k.job == id })
 	s.report(Event{Kind: "refused", Task: TaskID{Job: id}})
+	s.removeBytes(j)
 	s.jobs.Delete(id)
 }
 
--- a/schedule/dispatch/stop.go
+++ b/schedule/dispatch/stop.go
@@ -53,6 +53,7 @@
 				s.report(Event{Kind: "runsStopped", Task: TaskID{Job: id}, Reason: j.State.String(), Age: now.Sub(j.stopsSince)})
 			}
 			j.hasRunsToStop, j.Spec, j.Occurrences = false, nil, nil
+			s.removeBytes(j)
 			s.markDirty(id, j)
 			continue
 		}
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -85,6 +85,9 @@
 	TTL    clock.Span // time without a join after which the store may assign the shards of a member to others; until its next join the member starts no runs
 	Limits dispatch.Limits
 	Store  record.Limits // of the store
+	// MaxJobBytes bounds the memory of the open jobs of all shards that the process
+	// owns; 0 is unlimited.
+	MaxJobBytes unit.Bytes
 }
 
 // Intervals, timeouts and sizes of the control goroutine.
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -51,6 +51,10 @@
 			m.replyTo <- storeStalled
 			return
 		}
+		if refusal := c.refuseSubmission(owned, m.request); refusal != nil {
+			m.replyTo <- *refusal
+			return
+		}
 		if err := owned.shard.Submit(now, wall, m.request.Spec); err != nil {
 			m.replyTo <- refusal(err)
 			return
