Bound what an unknown peer can send to a process

Streams, headers and windows of a connection have bounds, connections have to complete the handshake within 3 s, and a job from a peer is checked before a shard takes it in.

--- a/scheduler/peer/peer.go
+++ b/scheduler/peer/peer.go
@@ -27,6 +27,14 @@
 	serviceName    = "mimosadock.Scheduler"
 	requestMethod  = "/" + serviceName + "/Ask"
 	maxMessageSize = 1 << 20 // bytes
+	// A process has as many calls to another one as callers, which are bounded by its
+	// connections, and a few of its own.
+	maxStreams    = 2048     // calls at a time on a connection
+	maxHeaderSize = 16 << 10 // bytes
+	// windowSize is the number of bytes that a client may send ahead. A fixed one
+	// keeps the library from raising it to many times this size.
+	windowSize       = 256 << 10
+	handshakeTimeout = 3 * time.Second
 	// Keepalive pings detect dead connections, which are then closed.
 	pingInterval = 10 * time.Second // the minimum that the library allows
 	pingTimeout  = time.Second
@@ -60,7 +68,9 @@
 
 // NewServer returns a server that passes each request to handler.
 func NewServer(handler service) *Server {
-	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageSize), grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10),
+	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageSize), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderSize),
+		grpc.InitialWindowSize(windowSize), grpc.InitialConnWindowSize(windowSize), grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}))
 	s.RegisterService(&grpc.ServiceDesc{
 		ServiceName: serviceName, HandlerType: (*service)(nil),
@@ -76,6 +86,11 @@
 	if err := dec(&request); err != nil {
 		return nil, status.Error(codes.InvalidArgument, "call can't be decoded")
 	}
+	if request.Spec != nil { // the tables rely on the bounds of jobs
+		if err := request.Spec.Check(); err != nil {
+			return nil, status.Error(codes.InvalidArgument, err.Error())
+		}
+	}
 	r, err := srv.(service).Request(ctx, &request)
 	if err != nil {
 		return nil, status.Error(codes.Unknown, err.Error())
