Keep the clients of a scheduler within limits

Each listener has a guard with bounds that follow from the memory and the descriptors in the platform's settings. What a handler keeps after decoding is counted until the owner has decided.

--- a/schedule/intake/table.go
+++ b/schedule/intake/table.go
@@ -25,13 +25,13 @@
 
 // Stats are the state and the counters of a table.
 type Stats struct {
-	Connections     int        // open
-	Bytes           unit.Bytes // reserved
-	Refused         int64      // connections refused because of their number
-	Displaced       int64      // connections closed for others
-	RefusedRequests int64      // requests refused because of their bytes
-	Stalled         int64      // requests refused to make room for others
-	Slow            int64      // connections whose client sent too slowly
+	Connections     int        `json:"connections"`     // open
+	Bytes           unit.Bytes `json:"bytes"`           // reserved
+	Refused         int64      `json:"refused"`         // connections refused because of their number
+	Displaced       int64      `json:"displaced"`       // connections closed for others
+	RefusedRequests int64      `json:"refusedRequests"` // requests refused because of their bytes
+	Stalled         int64      `json:"stalled"`         // requests refused to make room for others
+	Slow            int64      `json:"slow"`            // requests refused because the client sent too slowly
 }
 
 // Refusals returns the sum of the counters.
--- a/scheduler/front/front.go
+++ b/scheduler/front/front.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"regexp"
@@ -16,6 +15,7 @@
 
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
+	"mimosadock/schedule/listener"
 	"mimosadock/schedule/unit"
 	"mimosadock/scheduler/control"
 	"mimosadock/scheduler/record"
@@ -187,28 +187,49 @@
 // readSubmission reads and decodes the body of a submission. If the body is
 // invalid, it returns the response to send instead.
 func (f *Front) readSubmission(r *http.Request, cfg *dispatch.Config, q *dispatch.Queue, id string) (*dispatch.Spec, *response) {
-	limit := int64(cfg.MaxBody)
+	limit := cfg.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, &response{status: http.StatusBadRequest, job: unit.Job(id), reason: "body can't be read"}
-	}
-	if int64(len(body)) > limit {
-		return nil, &response{status: http.StatusRequestEntityTooLarge, job: unit.Job(id), reason: "body too large"}
+	var spec *dispatch.Spec
+	size := 0
+	var invalid error
+	err := listener.ReadBody(r, limit, func(body []byte) error {
+		size = len(body)
+		spec, invalid = f.Format.DecodeJob(body)
+		return invalid
+	})
+	if err == nil {
+		err = listener.Keep(r, spec.Bytes())
 	}
-	spec, err := f.Format.DecodeJob(body)
 	if err != nil {
-		return nil, &response{status: http.StatusBadRequest, job: unit.Job(id), reason: err.Error()}
+		refused := refusedBody(err, invalid != nil)
+		refused.job = unit.Job(id)
+		return nil, &refused
 	}
-	if err := f.StoreLimits.CheckSize(spec, len(body)); err != nil {
+	if err := f.StoreLimits.CheckSize(spec, size); err != nil {
 		return nil, &response{status: http.StatusRequestEntityTooLarge, job: unit.Job(id), reason: err.Error()}
 	}
 	spec.ID, spec.Queue = unit.Job(id), *q
 	return spec, nil
 }
 
+// refusedBody returns the response for a body that is invalid or was not read. In
+// each case the submission has not run and never will.
+func refusedBody(err error, isInvalid bool) response {
+	switch {
+	case isInvalid:
+		return response{status: http.StatusBadRequest, reason: err.Error()}
+	case errors.Is(err, listener.ErrTooLarge):
+		return response{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	case errors.Is(err, listener.ErrTooSlow):
+		return response{status: http.StatusRequestTimeout, reason: err.Error()}
+	case errors.Is(err, listener.ErrNoRoom):
+		return response{status: http.StatusServiceUnavailable, retryAfter: clock.Second, reason: err.Error()}
+	}
+	return response{status: http.StatusBadRequest, reason: "body can't be read"}
+}
+
 // responseTo returns the response for the reply of an owner.
 func (f *Front) responseTo(request *control.Request, r control.Reply) response {
 	resp := response{status: http.StatusOK, job: request.Job, reason: r.Reason}
--- a/scheduler/process/process.go
+++ b/scheduler/process/process.go
@@ -80,6 +80,7 @@
 	server   *peer.Server
 	clock    clock.System
 	vars     *expvar.Map
+	guards   guards
 }
 
 // Open reads the platform's settings and prepares a process. It returns an error
@@ -110,6 +111,7 @@
 	p.control = &control.Control{
 		Settings: control.Settings{
 			Member: member, Shards: p.settings.Shards, TTL: p.ttl(), Limits: p.limits(), Store: p.storeLimits(),
+			MaxJobBytes: p.jobBytes(),
 		},
 		Store: p.store, Layouts: p.store, Owners: p.store, Executors: platform.NewExecutors(),
 		Advisor: platform.NewAdvisor(p.platform.Advisor), Operator: p.store.Operator(),
@@ -130,6 +132,7 @@
 	p.vars = new(expvar.Map)
 	counters.Publish(p.vars)
 	requests.Publish(p.vars)
+	p.guards = p.newGuards()
 }
 
 // storeLimits returns what the store accepts.
@@ -231,11 +234,15 @@
 	operator := http.NewServeMux()
 	operator.HandleFunc("GET /metrics", p.serveMetrics)
 	operator.HandleFunc("GET /state", p.serveState)
-	servers := []*http.Server{front.Server(p.front), front.Server(ready), front.Server(operator)}
-	for i, listener := range []net.Listener{l.callers, l.ready, l.operator} {
-		g.Go("server", func(context.Context) error { return front.Serve(servers[i], listener) })
+	gs := p.guards
+	servers := []*http.Server{
+		guardedServer(gs.callers, front.Server(p.front)), guardedServer(gs.ready, front.Server(ready)),
+		guardedServer(gs.operator, front.Server(operator)),
 	}
-	g.Go("peers", func(context.Context) error { return p.server.Serve(l.peers) })
+	for i, l := range []net.Listener{gs.callers.Listen(l.callers), gs.ready.Listen(l.ready), gs.operator.Listen(l.operator)} {
+		g.Go("server", func(context.Context) error { return front.Serve(servers[i], l) })
+	}
+	g.Go("peers", func(context.Context) error { return p.server.Serve(gs.peers.ListenRaw(l.peers)) })
 	return servers
 }
 
