--- a/soak/crowd/client_test.go
+++ b/soak/crowd/client_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -123,6 +124,16 @@
 	return pieces
 }
 
+// shortFields returns a request whose header never ends, of the given size, with
+// fields that are as short as possible.
+func shortFields(size int) []byte {
+	b := bytes.NewBufferString("GET /q/" + jobID(0) + " HTTP/1.1\r\nHost: q.example\r\n")
+	for i := 0; b.Len() < size; i++ {
+		fmt.Fprintf(b, "%s:\n", strconv.FormatInt(int64(i), 36))
+	}
+	return b.Bytes()
+}
+
 // openHead returns a request whose header never ends, of the given size.
 func openHead(size int) []byte {
 	b := bytes.NewBufferString("GET /q/" + jobID(0) + " HTTP/1.1\r\nHost: q.example\r\n")
--- a/soak/crowd/entry_test.go
+++ b/soak/crowd/entry_test.go
@@ -60,14 +60,15 @@
 		size   int
 		member member
 	}{
-		"whole bodies, stopped":     {900, stopped("tags")},
-		"bodies in pieces, stopped": {900, func(int) [][]byte { return pieces }},
-		"large chunks, stopped":     {300, streamed(60 << 10)},
-		"small chunks, stopped":     {300, streamed(64)},
-		"open headers":              {300, func(int) [][]byte { return [][]byte{openHead(900 << 10)} }},
-		"idle connections":          {900, func(int) [][]byte { return nil }},
-		"idle after a request":      {900, func(int) [][]byte { return [][]byte{get} }},
-		"pipelined requests":        {300, func(int) [][]byte { return [][]byte{bytes.Repeat(get, 2000)} }},
+		"whole bodies, stopped":      {900, stopped("tags")},
+		"bodies in pieces, stopped":  {900, func(int) [][]byte { return pieces }},
+		"large chunks, stopped":      {300, streamed(60 << 10)},
+		"small chunks, stopped":      {300, streamed(64)},
+		"open headers":               {300, func(int) [][]byte { return [][]byte{openHead(900 << 10)} }},
+		"open headers, short fields": {300, func(int) [][]byte { return [][]byte{shortFields(900 << 10)} }},
+		"idle connections":           {900, func(int) [][]byte { return nil }},
+		"idle after a request":       {900, func(int) [][]byte { return [][]byte{get} }},
+		"pipelined requests":         {300, func(int) [][]byte { return [][]byte{bytes.Repeat(get, 2000)} }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p, caller := openEntry(t)
--- a/soak/crowd/scheduler_test.go
+++ b/soak/crowd/scheduler_test.go
@@ -74,6 +74,7 @@
 		"jobs of many tasks":           {callers, 300, func(n int) [][]byte { return whole(n, manyTasks, 0) }},
 		"jobs with long labels":        {callers, 300, func(n int) [][]byte { return whole(n, longLabel, 0) }},
 		"open headers":                 {callers, 900, func(int) [][]byte { return [][]byte{openHead(12 << 10)} }},
+		"open headers, short fields":   {callers, 900, func(int) [][]byte { return [][]byte{shortFields(12 << 10)} }},
 		"idle connections":             {callers, 900, func(int) [][]byte { return nil }},
 		"idle after a request":         {callers, 900, func(int) [][]byte { return [][]byte{get} }},
 		"pipelined requests":           {callers, 300, func(int) [][]byte { return [][]byte{bytes.Repeat(get, 2000)} }},
