--- a/entry/front/request.go
+++ b/entry/front/request.go
@@ -18,6 +18,7 @@
 
 	"mimosadock/entry/control"
 	"mimosadock/schedule/clock"
+	"mimosadock/schedule/listener"
 	"mimosadock/schedule/route"
 	"mimosadock/schedule/service"
 	"mimosadock/schedule/unit"
@@ -82,7 +83,7 @@
 	}
 	var err error
 	if r.ContentLength > 0 && r.ContentLength <= maxBufferedBody {
-		cr.bufferedBody, err = io.ReadAll(r.Body)
+		err = cr.readBuffered(r)
 	} else {
 		cr.firstChunk = make([]byte, firstChunkSize)
 		var n int
@@ -91,13 +92,11 @@
 		if err == io.EOF {
 			cr.bufferedBody, cr.firstChunk, cr.remainingBody, err = cr.firstChunk, nil, nil, nil
 		}
+		listener.Stream(r)
 	}
 	if err != nil {
 		countDecision("refusedBody")
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return refuse(http.StatusRequestTimeout, "body did not arrive before the deadline")
-		}
-		return refuse(http.StatusBadRequest, "body: %v", err)
+		return refusedBody(err)
 	}
 	_ = rc.SetReadDeadline(time.Time{})
 	if cr.streamsBody() {
@@ -108,6 +107,31 @@
 	return nil
 }
 
+// readBuffered reads a whole body, which is kept for retries.
+func (cr *callerRequest) readBuffered(r *http.Request) error {
+	err := listener.ReadBody(r, maxBufferedBody, func(body []byte) error {
+		cr.bufferedBody = bytes.Clone(body)
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return listener.Keep(r, unit.Bytes(len(cr.bufferedBody)))
+}
+
+// refusedBody returns the refusal of a request whose body was not read.
+func refusedBody(err error) error {
+	switch {
+	case errors.Is(err, listener.ErrNoRoom):
+		return refuseWithRetry(http.StatusServiceUnavailable, drainRetryAfter, err.Error())
+	case errors.Is(err, listener.ErrTooSlow):
+		return refuse(http.StatusRequestTimeout, "%v", err)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(http.StatusRequestTimeout, "body did not arrive before the deadline")
+	}
+	return refuse(http.StatusBadRequest, "body: %v", err)
+}
+
 // abortBodyRead unblocks a pending read of the body, because the HTTP server
 // waits for it before it ends the request.
 func (cr *callerRequest) abortBodyRead(rc *http.ResponseController) {
--- a/entry/front/server.go
+++ b/entry/front/server.go
@@ -14,19 +14,20 @@
 )
 
 // maxRawHeaderBytes is the maximum header that net/http reads. The handler
-// refuses headers between MaxHeaderBytes and this limit.
-const maxRawHeaderBytes = 1 << 20
+// refuses headers between MaxHeaderBytes and this limit, which leaves room for what
+// MaxHeaderBytes doesn't count.
+const maxRawHeaderBytes = 4 * MaxHeaderBytes
 
 // Listener wraps l so that the error responses of net/http itself, which don't
 // pass through a handler, carry a verdict too. The server must have been passed
 // to [Configure].
-func Listener(l net.Listener) net.Listener { return listener{l} }
+func Listener(l net.Listener) net.Listener { return callerListener{l} }
 
-// listener accepts connections as callerConn.
-type listener struct{ net.Listener }
+// callerListener accepts connections as callerConn.
+type callerListener struct{ net.Listener }
 
 // Accept waits for the next connection and returns it as a callerConn.
-func (l listener) Accept() (net.Conn, error) {
+func (l callerListener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -63,7 +64,7 @@
 // caller interprets any other end as the end of a complete response.
 func resetOnClose(r *http.Request) {
 	if cc, ok := r.Context().Value(connContextKey{}).(*callerConn); ok {
-		if tcp, ok := cc.Conn.(*net.TCPConn); ok {
+		if tcp, ok := cc.Conn.(interface{ SetLinger(seconds int) error }); ok {
 			_ = tcp.SetLinger(0)
 		}
 	}
@@ -76,6 +77,9 @@
 	betweenRequests atomic.Bool // no handler has run since the last response ended
 }
 
+// NetConn returns the connection that c wraps.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // plainErrorHeaders is the end of the head of the error responses that net/http
 // writes itself.
 const plainErrorHeaders = "\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n"
--- a/entry/main.go
+++ b/entry/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -21,6 +22,10 @@
 // exitUsage is the exit code for invalid settings.
 const exitUsage = 2
 
+// memoryShare is the share of the memory in the settings above which the Go runtime
+// collects garbage more often.
+const memoryShare = 0.6
+
 func main() {
 	var s setting.Settings
 	app := kingpin.New("entry", "Entry process of mimosadock.")
@@ -33,6 +38,9 @@
 	}
 	level, _ := log.ParseLevel(s.LogLevel)
 	logger := log.NewWithOptions(os.Stderr, log.Options{Level: level, ReportTimestamp: true})
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare * (1 << 20)))
+	}
 	p, err := process.Open(s, logger)
 	if err != nil {
 		logger.Fatal("start failed", "err", err)
--- a/entry/process/process.go
+++ b/entry/process/process.go
@@ -58,6 +58,7 @@
 	pool             *pool.Pool
 	callerServer     *http.Server // for callers
 	operatorServer   *http.Server // for operators
+	guards           guards
 }
 
 // Open binds the addresses of the process and connects its packages. The process
@@ -78,6 +79,7 @@
 		operatorListener.Close()
 		return nil, err
 	}
+	p.guards = p.newGuards()
 	p.self = control.Self{
 		Instance:   unit.Instance(uuid.NewString()),
 		Host:       unit.Host(netip.MustParseAddrPort(s.Listen).Addr().String()),
@@ -140,9 +142,10 @@
 		return
 	}
 	client := &peer.Client{Self: p.self.Instance, Group: p.group, Clock: clock.System{}, Offer: p.Loop.Offer, Keys: p.keys}
+	listener := p.guards.peers.ListenRaw(p.peerListener)
 	server := &peer.Server{Self: p.self.Instance, Offer: p.Loop.Offer, Keys: p.keys}
 	p.Loop.Connect(client, p.Loop.HandleMembers(), tenure.DefaultLimits(), p.settings.Peers)
-	p.group.Go("peers", func(ctx context.Context) error { return server.Serve(ctx, p.peerListener) })
+	p.group.Go("peers", func(ctx context.Context) error { return server.Serve(ctx, listener) })
 	p.log.Info("serving peers", "address", p.PeerAddress())
 }
 
@@ -172,8 +175,10 @@
 	p.callerServer = &http.Server{Handler: p.front.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	front.Configure(p.callerServer)
 	p.operatorServer = &http.Server{Handler: p.operatorHandler(), ReadHeaderTimeout: headerTimeout}
-	p.serve("callers", p.callerServer, front.Listener(p.callerListener))
-	p.serve("operators", p.operatorServer, p.operatorListener)
+	p.guards.callers.Configure(p.callerServer)
+	p.guards.operators.Configure(p.operatorServer)
+	p.serve("callers", p.callerServer, front.Listener(p.guards.callers.Listen(p.callerListener)))
+	p.serve("operators", p.operatorServer, p.guards.operators.Listen(p.operatorListener))
 	p.log.Info("serving", "callers", p.CallerAddress(), "operators", p.OperatorAddress())
 	select {
 	case <-ctx.Done():
--- a/entry/setting/setting.go
+++ b/entry/setting/setting.go
@@ -28,6 +28,8 @@
 	Peers             []string      // addresses of known entry processes, "ip:port" each
 	PeerCert          string        // PEM file for mutual TLS between entry processes; set all three or none
 	PeerKey           string        // PEM file of the key of PeerCert
+	Memory            int           // memory of this process in MiB
+	Descriptors       int           // open files and sockets of this process
 	PeerCA            string        // PEM file of the authorities that sign the certificates
 }
 
@@ -42,6 +44,8 @@
 	app.Flag("log-level", "Lowest level to log.").Envar("MIMOSA_LOG_LEVEL").Default("info").StringVar(&s.LogLevel)
 	app.Flag("balancer-wait", "Time to accept new requests after a stop signal, until the load balancer has noticed that the process is not ready.").Envar("MIMOSA_BALANCER_WAIT").Default("10s").DurationVar(&s.BalancerWait)
 	app.Flag("drain-for", "Time limit of requests in flight after the balancer wait.").Envar("MIMOSA_DRAIN_FOR").Default("2h").DurationVar(&s.DrainFor)
+	app.Flag("memory", "Memory that this process may use, in MiB. Bounds what callers can make it hold.").Envar("MIMOSA_MEMORY").Default("1024").IntVar(&s.Memory)
+	app.Flag("descriptors", "Open files and sockets that this process may use. Bounds the connections of callers.").Envar("MIMOSA_DESCRIPTORS").Default("16384").IntVar(&s.Descriptors)
 	app.Flag("peer-listen", "Address for other entry processes.").Envar("MIMOSA_PEER_LISTEN").StringVar(&s.PeerListen)
 	app.Flag("peers", "Address of a known entry process; repeat for more.").Envar("MIMOSA_PEERS").StringsVar(&s.Peers)
 	app.Flag("peer-cert", "Certificate for TLS between entry processes.").Envar("MIMOSA_PEER_CERT").StringVar(&s.PeerCert)
@@ -80,6 +84,12 @@
 	if s.DrainFor < 0 || s.DrainFor > 24*time.Hour {
 		return fmt.Errorf("--drain-for is %s, must be 0s to 24h", s.DrainFor)
 	}
+	if s.Memory < 0 || s.Memory > 1<<20 {
+		return fmt.Errorf("--memory is %d, must be 0 to %d", s.Memory, 1<<20)
+	}
+	if s.Descriptors < 0 || s.Descriptors > 1<<20 {
+		return fmt.Errorf("--descriptors is %d, must be 0 to %d", s.Descriptors, 1<<20)
+	}
 	return s.checkPeers()
 }
 
--- a/entry/setting/setting_test.go
+++ b/entry/setting/setting_test.go
@@ -33,6 +33,8 @@
 		"peer host":    {change: func(s *Settings) { s.PeerListen = "0.0.0.0:90" }, want: "--peer-listen"},
 		"peers":        {change: func(s *Settings) { s.PeerListen, s.Peers = "10.0.0.1:90", []string{"a:1"} }, want: "--peers"},
 		"half of keys": {change: func(s *Settings) { s.PeerCert = "c.pem" }, want: "--peer-cert"},
+		"memory":       {change: func(s *Settings) { s.Memory = -1 }, want: "--memory"},
+		"descriptors":  {change: func(s *Settings) { s.Descriptors = -1 }, want: "--descriptors"},
 		"drain":        {change: func(s *Settings) { s.DrainFor = -1 }, want: "--drain-for"},
 	}
 	for name, tc := range tests {
