--- a/soak/crowd/client_test.go
+++ b/soak/crowd/client_test.go
@@ -124,6 +124,15 @@
 	return pieces
 }
 
+// unknownMethods returns requests with long methods that no other request has.
+func unknownMethods(n int) (pieces [][]byte) {
+	for i := range 20 {
+		method := fmt.Sprintf("M%d-%d-%s", n, i, strings.Repeat("x", 8<<10))
+		pieces = append(pieces, []byte(method+" /q/"+jobID(0)+" HTTP/1.1\r\nHost: q.example\r\n\r\n"))
+	}
+	return pieces
+}
+
 // shortFields returns a request whose header never ends, of the given size, with
 // fields that are as short as possible.
 func shortFields(size int) []byte {
--- a/soak/crowd/scheduler_test.go
+++ b/soak/crowd/scheduler_test.go
@@ -54,6 +54,7 @@
 	manySteps := []byte(`{"spec":"x","steps":[{}` + strings.Repeat(",{}", bodySize/3-20) + `]}`)
 	manyPredecessors := []byte(`{"spec":"x","steps":[{"count":1},{"count":1,"after":[0` + strings.Repeat(",0", bodySize/2-40) + `]}]}`)
 	manyTasks := []byte(`{"spec":"x","steps":[{"count":10000,"cpu":100,"mem_mb":10,"estimated_ms":1000}]}`)
+	longNumber := []byte(`{"spec":"x","steps":[{"count":1` + strings.Repeat("0", bodySize-60) + `}]}`)
 	longLabel := []byte(`{"spec":"x","steps":[{"count":1,"node_selector":"` + strings.Repeat("n", bodySize-60) + `"}]}`)
 	for name, test := range map[string]struct {
 		listener int
@@ -73,6 +74,8 @@
 		"jobs of many predecessors":    {callers, 300, func(n int) [][]byte { return whole(n, manyPredecessors, 0) }},
 		"jobs of many tasks":           {callers, 300, func(n int) [][]byte { return whole(n, manyTasks, 0) }},
 		"jobs with long labels":        {callers, 300, func(n int) [][]byte { return whole(n, longLabel, 0) }},
+		"jobs with long numbers":       {callers, 300, func(n int) [][]byte { return whole(n, longNumber, 0) }},
+		"unknown methods":              {callers, 300, unknownMethods},
 		"open headers":                 {callers, 900, func(int) [][]byte { return [][]byte{openHead(12 << 10)} }},
 		"open headers, short fields":   {callers, 900, func(int) [][]byte { return [][]byte{shortFields(12 << 10)} }},
 		"idle connections":             {callers, 900, func(int) [][]byte { return nil }},
