Bound the counters and log lines that callers' text goes into

The counters of requests had an entry for each method that a caller made up, of up to 16 KB, and the reason in the log quoted a body of 250 kB that did not decode; up to 1,024 lines wait for the log. The memory of an accepted body is counted with its encoding for the owner.

--- a/scheduler/front/front.go
+++ b/scheduler/front/front.go
@@ -28,6 +28,7 @@
 	responseReserve = 60 * time.Millisecond // part of the caller's timeout reserved for sending the response
 	defaultMaxBody  = 256 << 10             // bytes, if the configuration sets no limit
 	maxHeaderBytes  = 16 << 10              // bytes
+	maxReason       = 200                   // bytes of a log line
 	headerTimeout   = 3 * time.Second
 	countTTL        = 700 * clock.Millisecond // a count of pending jobs may be at most 2 s old
 )
@@ -113,12 +114,23 @@
 	w.WriteHeader(resp.status)
 	_, _ = w.Write(resp.body) // a disconnected caller needs no response
 	took := f.Clock.Now().Sub(startedAt)
-	f.Counters.observe(r.Method, resp.status, took)
-	if resp.status != http.StatusOK || r.Method != http.MethodGet {
-		f.EventLog.LogDecision("request", "method", r.Method, "job", resp.job, "status", resp.status, "tookMs", int64(took), "reason", resp.reason)
+	method := knownMethod(r.Method)
+	f.Counters.observe(method, resp.status, took)
+	if resp.status != http.StatusOK || method != http.MethodGet {
+		f.EventLog.LogDecision("request", "method", method, "job", resp.job, "status", resp.status, "tookMs", int64(took), "reason", resp.reason)
 	}
 }
 
+// knownMethod returns the method of a request, or "other" for one that is not
+// served: its text is up to the caller.
+func knownMethod(method string) string {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+		return method
+	}
+	return "other"
+}
+
 // response is the response to a caller and the fields of its log line.
 type response struct {
 	status     int
@@ -200,7 +212,7 @@
 		return invalid
 	})
 	if err == nil {
-		err = listener.Keep(r, spec.Bytes())
+		err = listener.Keep(r, 2*spec.Bytes()) // the job and its encoding for the owner
 	}
 	if err != nil {
 		refused := refusedBody(err, invalid != nil)
@@ -219,7 +231,8 @@
 func refusedBody(err error, isInvalid bool) response {
 	switch {
 	case isInvalid:
-		return response{status: http.StatusBadRequest, reason: err.Error()}
+		reason := err.Error() // may quote the body
+		return response{status: http.StatusBadRequest, reason: reason[:min(len(reason), maxReason)]}
 	case errors.Is(err, listener.ErrTooLarge):
 		return response{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
 	case errors.Is(err, listener.ErrTooSlow):
