Bound the memory of submissions that wait for an owner

Each process bounds the submissions of its callers, but an owner received those of all processes.

go test -race ./scheduler/peer passes.

--- a/scheduler/peer/peer.go
+++ b/scheduler/peer/peer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +19,8 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
 	"mimosadock/schedule/verdict"
 	"mimosadock/scheduler/control"
 )
@@ -56,9 +59,15 @@
 // Name returns the gRPC content subtype.
 func (codec) Name() string { return codecName }
 
-// Server serves the requests of other processes.
+// Server serves the requests of other processes. Set MaxPending before [Server.Serve].
 type Server struct {
-	server *grpc.Server
+	// MaxPending bounds the memory of the jobs whose submissions wait for a reply; 0
+	// is unlimited. Requests beyond it are refused.
+	MaxPending unit.Bytes
+
+	server  *grpc.Server
+	handler service
+	pending atomic.Int64 // bytes of the jobs of submissions without a reply
 }
 
 // service handles the requests that a [Server] receives.
@@ -68,15 +77,34 @@
 
 // NewServer returns a server that passes each request to handler.
 func NewServer(handler service) *Server {
-	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageSize), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderSize),
+	s := &Server{handler: handler}
+	s.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageSize), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderSize),
 		grpc.InitialWindowSize(windowSize), grpc.InitialConnWindowSize(windowSize), grpc.ConnectionTimeout(handshakeTimeout),
 		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}))
-	s.RegisterService(&grpc.ServiceDesc{
+	s.server.RegisterService(&grpc.ServiceDesc{
 		ServiceName: serviceName, HandlerType: (*service)(nil),
 		Methods: []grpc.MethodDesc{{MethodName: "Ask", Handler: handle}},
-	}, handler)
-	return &Server{s}
+	}, s)
+	return s
+}
+
+var _ service = (*Server)(nil)
+
+// Request checks a request and passes it to the handler.
+func (s *Server) Request(ctx context.Context, request *control.Request) (control.Reply, error) {
+	if request.Spec == nil {
+		return s.handler.Request(ctx, request)
+	}
+	if err := request.Spec.Check(); err != nil { // the tables rely on the bounds of jobs
+		return control.Reply{Status: control.StatusRefused, Reason: err.Error(), RetryAfter: clock.Second}, nil
+	}
+	n := int64(request.Spec.Bytes())
+	defer s.pending.Add(-n)
+	if pending := s.pending.Add(n); s.MaxPending > 0 && pending > int64(s.MaxPending) {
+		return control.Reply{Status: control.StatusRefused, Reason: "submissions that wait take too much memory", RetryAfter: clock.Second}, nil
+	}
+	return s.handler.Request(ctx, request)
 }
 
 // handle is the gRPC handler of the service: it decodes a request and returns the
@@ -86,11 +114,6 @@
 	if err := dec(&request); err != nil {
 		return nil, status.Error(codes.InvalidArgument, "call can't be decoded")
 	}
-	if request.Spec != nil { // the tables rely on the bounds of jobs
-		if err := request.Spec.Check(); err != nil {
-			return nil, status.Error(codes.InvalidArgument, err.Error())
-		}
-	}
 	r, err := srv.(service).Request(ctx, &request)
 	if err != nil {
 		return nil, status.Error(codes.Unknown, err.Error())
--- a/scheduler/peer/peer_test.go
+++ b/scheduler/peer/peer_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"mimosadock/schedule/dispatch"
 	"mimosadock/schedule/group"
 	"mimosadock/schedule/verdict"
 	"mimosadock/scheduler/control"
@@ -79,3 +81,31 @@
 		})
 	}
 }
+
+// TestRefusedRequests guards against requests of an unknown peer that the tables
+// can't hold or that take the memory of the process together.
+func TestRefusedRequests(t *testing.T) {
+	job := func(payload, tasks int) *dispatch.Spec {
+		return &dispatch.Spec{Payload: strings.Repeat("x", payload), Steps: []dispatch.Step{{Count: tasks}}}
+	}
+	for name, c := range map[string]struct {
+		request control.Request
+		want    control.Status
+	}{
+		"job":         {control.Request{Kind: control.KindSubmit, Spec: job(10, 1)}, control.StatusAccepted},
+		"invalid job": {control.Request{Kind: control.KindSubmit, Spec: job(10, 0)}, control.StatusRefused},
+		"large job":   {control.Request{Kind: control.KindSubmit, Spec: job(4000, 1)}, control.StatusRefused},
+		"no job":      {control.Request{Kind: control.KindState}, control.StatusAccepted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := NewServer(stubService{})
+			s.MaxPending = 2000
+			for range 3 { // what is pending is freed
+				r, err := s.Request(context.Background(), &c.request)
+				is.NoErr(err)
+				is.Equal(r.Status, c.want)
+			}
+		})
+	}
+}
--- a/scheduler/process/process.go
+++ b/scheduler/process/process.go
@@ -129,6 +129,7 @@
 		StoreLimits: p.storeLimits(), Clock: p.clock, EventLog: p.eventLog, Counters: requests,
 	}
 	p.server = peer.NewServer(p.control)
+	p.server.MaxPending = p.host().Callers().Bytes
 	p.vars = new(expvar.Map)
 	counters.Publish(p.vars)
 	requests.Publish(p.vars)
