--- a/soak/doc.go
+++ b/soak/doc.go
@@ -6,7 +6,7 @@
 // signals stop, pause, kill and restart processes; the store is down, slow or
 // loses answers; executors crash, restart, leave for new ones and execute
 // orders late. Faults come in series and overlap; other scenarios have one kind of
-// faults and cancel most jobs. Meanwhile a [Checker] checks
+// faults, or crowds of clients outside the limits, and cancel most jobs. Meanwhile a [Checker] checks
 // the guarantees against the events that callers and executors observe. All
 // choices follow from a seed. After the last fault, the checker also checks the
 // bounds on the times until tasks of perpetual jobs run again and those of
