--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -70,7 +70,8 @@
 	pendingOrders      []Order                           // returned by the next tick
 	interferenceModels map[unit.Image]*InterferenceModel // by image of serving tasks
 	batchDemands       map[unit.Service]*batchDemand
-	openJobs           int  // jobs that have not ended
+	openJobs           int // jobs that have not ended
+	jobBytes           unit.Bytes
 	fenced             bool // an executor has refused an order because it has received a higher fencing token
 	advice             adviceTracker
 	scheduledJobs      []unit.Job               // jobs with occurrences still to start
--- a/schedule/dispatch/unstored.go
+++ b/schedule/dispatch/unstored.go
@@ -65,5 +65,6 @@
 	// The same id may be submitted again.
 	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(ended unit.Job) bool { return ended == id })
 	maps.DeleteFunc(s.readySteps, func(k stepKey, _ *readyStep) bool { return k.job == id })
+	s.removeBytes(j)
 	s.jobs.Delete(id)
 }
--- a/scheduler/front/front.go
+++ b/scheduler/front/front.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"regexp"
@@ -16,6 +15,7 @@
 
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/dispatch"
+	"mimosadock/schedule/listener"
 	"mimosadock/schedule/unit"
 	"mimosadock/scheduler/control"
 	"mimosadock/scheduler/record"
@@ -28,6 +28,7 @@
 	responseReserve = 60 * time.Millisecond // part of the caller's timeout reserved for sending the response
 	defaultMaxBody  = 256 << 10             // bytes, if the configuration sets no limit
 	maxHeaderBytes  = 16 << 10              // bytes
+	maxReason       = 200                   // bytes of a log line
 	headerTimeout   = 3 * time.Second
 	countTTL        = 700 * clock.Millisecond // a count of pending jobs may be at most 2 s old
 )
@@ -113,12 +114,23 @@
 	w.WriteHeader(resp.status)
 	_, _ = w.Write(resp.body) // a disconnected caller needs no response
 	took := f.Clock.Now().Sub(startedAt)
-	f.Counters.observe(r.Method, resp.status, took)
-	if resp.status != http.StatusOK || r.Method != http.MethodGet {
-		f.EventLog.LogDecision("request", "method", r.Method, "job", resp.job, "status", resp.status, "tookMs", int64(took), "reason", resp.reason)
+	method := knownMethod(r.Method)
+	f.Counters.observe(method, resp.status, took)
+	if resp.status != http.StatusOK || method != http.MethodGet {
+		f.EventLog.LogDecision("request", "method", method, "job", resp.job, "status", resp.status, "tookMs", int64(took), "reason", resp.reason)
 	}
 }
 
+// knownMethod returns the method of a request, or "other" for one that is not
+// served: its text is up to the caller.
+func knownMethod(method string) string {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+		return method
+	}
+	return "other"
+}
+
 // response is the response to a caller and the fields of its log line.
 type response struct {
 	status     int
@@ -187,28 +199,50 @@
 // readSubmission reads and decodes the body of a submission. If the body is
 // invalid, it returns the response to send instead.
 func (f *Front) readSubmission(r *http.Request, cfg *dispatch.Config, q *dispatch.Queue, id string) (*dispatch.Spec, *response) {
-	limit := int64(cfg.MaxBody)
+	limit := cfg.MaxBody
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, &response{status: http.StatusBadRequest, job: unit.Job(id), reason: "body can't be read"}
-	}
-	if int64(len(body)) > limit {
-		return nil, &response{status: http.StatusRequestEntityTooLarge, job: unit.Job(id), reason: "body too large"}
+	var spec *dispatch.Spec
+	size := 0
+	var invalid error
+	err := listener.ReadBody(r, limit, func(body []byte) error {
+		size = len(body)
+		spec, invalid = f.Format.DecodeJob(body)
+		return invalid
+	})
+	if err == nil {
+		err = listener.Keep(r, 2*spec.Bytes()) // the job and its encoding for the owner
 	}
-	spec, err := f.Format.DecodeJob(body)
 	if err != nil {
-		return nil, &response{status: http.StatusBadRequest, job: unit.Job(id), reason: err.Error()}
+		refused := refusedBody(err, invalid != nil)
+		refused.job = unit.Job(id)
+		return nil, &refused
 	}
-	if err := f.StoreLimits.CheckSize(spec, len(body)); err != nil {
+	if err := f.StoreLimits.CheckSize(spec, size); err != nil {
 		return nil, &response{status: http.StatusRequestEntityTooLarge, job: unit.Job(id), reason: err.Error()}
 	}
 	spec.ID, spec.Queue = unit.Job(id), *q
 	return spec, nil
 }
 
+// refusedBody returns the response for a body that is invalid or was not read. In
+// each case the submission has not run and never will.
+func refusedBody(err error, isInvalid bool) response {
+	switch {
+	case isInvalid:
+		reason := err.Error() // may quote the body
+		return response{status: http.StatusBadRequest, reason: reason[:min(len(reason), maxReason)]}
+	case errors.Is(err, listener.ErrTooLarge):
+		return response{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	case errors.Is(err, listener.ErrTooSlow):
+		return response{status: http.StatusRequestTimeout, reason: err.Error()}
+	case errors.Is(err, listener.ErrNoRoom):
+		return response{status: http.StatusServiceUnavailable, retryAfter: clock.Second, reason: err.Error()}
+	}
+	return response{status: http.StatusBadRequest, reason: "body can't be read"}
+}
+
 // responseTo returns the response for the reply of an owner.
 func (f *Front) responseTo(request *control.Request, r control.Reply) response {
 	resp := response{status: http.StatusOK, job: request.Job, reason: r.Reason}
--- a/scheduler/peer/peer.go
+++ b/scheduler/peer/peer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,6 +19,8 @@
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
 	"mimosadock/schedule/verdict"
 	"mimosadock/scheduler/control"
 )
@@ -27,6 +30,14 @@
 	serviceName    = "mimosadock.Scheduler"
 	requestMethod  = "/" + serviceName + "/Ask"
 	maxMessageSize = 1 << 20 // bytes
+	// A process has as many calls to another one as callers, which are bounded by its
+	// connections, and a few of its own.
+	maxStreams    = 2048     // calls at a time on a connection
+	maxHeaderSize = 16 << 10 // bytes
+	// windowSize is the number of bytes that a client may send ahead. A fixed one
+	// keeps the library from raising it to many times this size.
+	windowSize       = 256 << 10
+	handshakeTimeout = 3 * time.Second
 	// Keepalive pings detect dead connections, which are then closed.
 	pingInterval = 10 * time.Second // the minimum that the library allows
 	pingTimeout  = time.Second
@@ -48,9 +59,15 @@
 // Name returns the gRPC content subtype.
 func (codec) Name() string { return codecName }
 
-// Server serves the requests of other processes.
+// Server serves the requests of other processes. Set MaxPending before [Server.Serve].
 type Server struct {
-	server *grpc.Server
+	// MaxPending bounds the memory of the jobs whose submissions wait for a reply; 0
+	// is unlimited. Requests beyond it are refused.
+	MaxPending unit.Bytes
+
+	server  *grpc.Server
+	handler service
+	pending atomic.Int64 // bytes of the jobs of submissions without a reply
 }
 
 // service handles the requests that a [Server] receives.
@@ -60,13 +77,34 @@
 
 // NewServer returns a server that passes each request to handler.
 func NewServer(handler service) *Server {
-	s := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageSize), grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10),
+	s := &Server{handler: handler}
+	s.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageSize), grpc.MaxConcurrentStreams(maxStreams), grpc.MaxHeaderListSize(maxHeaderSize),
+		grpc.InitialWindowSize(windowSize), grpc.InitialConnWindowSize(windowSize), grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.ReadBufferSize(4<<10), grpc.WriteBufferSize(4<<10),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: pingInterval / 2, PermitWithoutStream: true}))
-	s.RegisterService(&grpc.ServiceDesc{
+	s.server.RegisterService(&grpc.ServiceDesc{
 		ServiceName: serviceName, HandlerType: (*service)(nil),
 		Methods: []grpc.MethodDesc{{MethodName: "Ask", Handler: handle}},
-	}, handler)
-	return &Server{s}
+	}, s)
+	return s
+}
+
+var _ service = (*Server)(nil)
+
+// Request checks a request and passes it to the handler.
+func (s *Server) Request(ctx context.Context, request *control.Request) (control.Reply, error) {
+	if request.Spec == nil {
+		return s.handler.Request(ctx, request)
+	}
+	if err := request.Spec.Check(); err != nil { // the tables rely on the bounds of jobs
+		return control.Reply{Status: control.StatusRefused, Reason: err.Error(), RetryAfter: clock.Second}, nil
+	}
+	n := int64(request.Spec.Bytes())
+	defer s.pending.Add(-n)
+	if pending := s.pending.Add(n); s.MaxPending > 0 && pending > int64(s.MaxPending) {
+		return control.Reply{Status: control.StatusRefused, Reason: "submissions that wait take too much memory", RetryAfter: clock.Second}, nil
+	}
+	return s.handler.Request(ctx, request)
 }
 
 // handle is the gRPC handler of the service: it decodes a request and returns the
