dispatch: decide how long a wait for a rack pays

A step whose rack has no room started elsewhere at once and ran remote_factor times as long. The owner now compares a wait for room that is expected on the rack with a start elsewhere, by the share of the job's latency objective, the risk to miss it, and the capacity that a longer run keeps from others. A group goes to a rack with room for all, or waits for one, and holds nothing meanwhile. Waits are weighed only with bounds.remote_factor above 1 and for a step that names a rack or a group.

--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -124,9 +124,7 @@
 	if r.Checkpoint != "" {
 		t.Checkpoint = r.Checkpoint
 	}
-	if r.Progress != t.progress {
-		t.progress, t.progressChangedAt = r.Progress, now
-	}
+	t.updateProgress(now, r.Progress)
 	sample.addRun(e, st, r)
 	return true
 }
--- a/schedule/dispatch/job.go
+++ b/schedule/dispatch/job.go
@@ -52,8 +52,9 @@
 	Tasks []Task
 	Gang  GangFailures // of a step whose tasks are a gang
 
-	unblocked bool // all steps that it depends on are done
-	remaining int  // tasks that are not done
+	unblocked bool      // all steps that it depends on are done
+	wait      *rackWait // for room on a rack; nil if none was weighed
+	remaining int       // tasks that are not done
 }
 
 // GangFailures counts the failed runs of a gang. The members share the number of a
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -40,6 +40,8 @@
 
 	ranBefore       bool          // the task ran before
 	avoidedExecutor unit.Executor // executor of the last run that failed or was moved
+
+	round rackRound
 }
 
 // imageWeight is the weight of an image in an interference model.
@@ -99,9 +101,10 @@
 // also depend on processor time: by 10 per core for best-effort and perpetual
 // tasks, by 1 per core for batch tasks.
 const (
-	penaltyRack    = 1e6 // not on the rack of the data or of the other tasks; away from their data, runs take several times longer
-	penaltyReserve = 2e5 // a perpetual task uses the reserve for batch tasks
-	penaltyAvoided = 1e5 // the last run of the task failed there or was moved from there
+	penaltyRack     = 1e6 // not on the rack of the data or of the other tasks; away from their data, runs take several times longer
+	penaltyPromised = 5e5 // room there is promised to a task that waits for its rack, see Shard.promise
+	penaltyReserve  = 2e5 // a perpetual task uses the reserve for batch tasks
+	penaltyAvoided  = 1e5 // the last run of the task failed there or was moved from there
 	// penaltyServing applies to a best-effort task, times the headroom share that
 	// it would take from serving tasks, and unscaled to a perpetual task that
 	// shares an executor with best-effort tasks.
@@ -132,6 +135,9 @@
 	if step.Near != "" && !e.hasLabel(unit.Label(step.Near)) || request.rack != "" && !e.hasLabel(unit.Label(request.rack)) {
 		rating += penaltyRack
 	}
+	if request.now < e.promisedUntil && request.wantedRack() == "" {
+		rating += penaltyPromised
+	}
 	if request.avoidedExecutor == e.Executor {
 		rating += penaltyAvoided
 	}
@@ -173,6 +179,7 @@
 // place assigns ready tasks to executors, most urgent first. Perpetual tasks
 // that ran before come ahead of all others.
 func (s *Shard) place(now clock.Millis) {
+	defer s.reviewRackWaits(now)
 	if len(s.readySteps) == 0 {
 		return
 	}
@@ -228,16 +235,7 @@
 	if ready == nil || now.Sub(ready.since) < starvationTimeout {
 		return false
 	}
-	for o := range j.Occurrences {
-		for i := range j.Occurrences[o].Steps {
-			for n := range j.Occurrences[o].Steps[i].Tasks {
-				if j.Occurrences[o].Steps[i].Tasks[n].State.assigned() {
-					return false
-				}
-			}
-		}
-	}
-	return true
+	return !j.hasAssignedTask()
 }
 
 // placeRestarts places perpetual tasks that ran before ahead of those that
@@ -365,24 +363,33 @@
 	}
 }
 
-// placeEach places the ready tasks of a step one by one. It returns false at
-// the first one that fits nowhere.
+// placeEach places the ready tasks of a step one by one. It stops at the first one
+// that fits nowhere, and passes over those that wait for their rack. It reports
+// whether it placed all.
 func (s *Shard) placeEach(request *placementRequest, j *Job, tasks []Task) bool {
 	k, pool, ready := request.key, request.pool, s.readySteps[request.key]
 	slack := pool.slack()
 	if request.starved && !ready.starved || request.step.Perpetual && slack > ready.slack {
 		ready.failedAt = 0 // executors may take a task now although they have not changed
 	}
+	placedAll := true
 	for i := range tasks {
 		t := &tasks[i]
 		if t.State != TaskReady {
 			continue
 		}
 		if request.step.SameRack {
-			request.rack = s.rackOf(tasks)
+			var waits bool
+			if request.rack, waits = s.groupRack(request, j, tasks); waits {
+				return false
+			}
 		}
-		e, ok := s.choose(pool.since(s.retryFrom(request, ready.failedAt)), request.forTask(t))
-		if !ok {
+		e, waits := s.choosePlace(request.forTask(t), j, tasks, s.retryFrom(request, ready.failedAt))
+		if waits {
+			placedAll = false
+			continue
+		}
+		if e == nil {
 			if !request.isRestart() {
 				ready.failedAt, ready.slack, ready.starved = s.availability, slack, request.starved
 			}
@@ -391,7 +398,7 @@
 		pool.recordPlacement(request.step, e)
 		s.assign(request.now, TaskID{k.job, k.occurrence, k.step, i}, j, request.step, t, e)
 	}
-	return true
+	return placedAll
 }
 
 // placeGang places all tasks of a step or none, and reports whether it placed
@@ -408,6 +415,10 @@
 		lastRun = max(lastRun, tasks[i].Run)
 		checkpoint = max(checkpoint, tasks[i].Checkpoint)
 	}
+	var waits bool
+	if request.rack, waits = s.groupRack(request, j, tasks); waits {
+		return false
+	}
 	chosen := make([]*Executor, 0, len(tasks))
 	for i := range tasks {
 		if len(chosen) > 0 && st.SameRack {
@@ -439,7 +450,7 @@
 	t.State = TaskPlaced
 	t.Run++
 	t.Executor, t.Incarnation = e.Executor, e.Incarnation
-	t.confirmedAt, t.progress, t.lastActionAt = 0, 0, now
+	t.confirmedAt, t.progress, t.firstProgressAt, t.lastActionAt = 0, 0, 0, now
 	t.startUncertain, t.inFlight, t.recovered, t.orderedPace, t.targetPace = false, false, false, fullPace, fullPace
 	if st.Perpetual && e.perpetual.CPU == 0 {
 		s.markAvailable(e) // see executorPool.allowsPerpetual
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -53,6 +53,10 @@
 	recentFrom      availability  // at the last placement
 	nonPerpetualCPU unit.MilliCPU // capacity of executors without perpetual tasks
 	reserveCPU      unit.MilliCPU // part of nonPerpetualCPU to keep free for batch tasks
+
+	racks     map[unit.Rack][]*Executor  // see executorPool.onRack
+	names     []unit.Rack                // see executorPool.rackNames
+	forecasts map[unit.Rack]rackForecast // of this placement, see Shard.rackForecast
 }
 
 // pools returns the pools of usable executors by service, and updates the
@@ -152,6 +156,7 @@
 // recordPlacement updates the pool after a task of a step was chosen for e and
 // before e counts it.
 func (p *executorPool) recordPlacement(st *Step, e *Executor) {
+	p.takePlaced(st, e)
 	if st.Perpetual && e.perpetual.CPU == 0 {
 		p.nonPerpetualCPU -= e.Capacity.CPU
 		p.recent = append(p.recent, e) // other perpetual tasks may now be placed beside it
--- a/schedule/dispatch/restore.go
+++ b/schedule/dispatch/restore.go
@@ -40,6 +40,7 @@
 		}
 		s.unblockSteps(now, id, row, k)
 	}
+	row.spendRackWaits()
 	s.recoverRuns(id, row)
 	s.startDueOccurrences(now, wall, id, row)
 }
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -195,6 +195,7 @@
 // the job after its last task.
 func (s *Shard) completeTask(now clock.Millis, wall unit.UnixMillis, id TaskID, j *Job, st *Step, t *Task, e *Executor) {
 	e.consecutiveFailures = 0
+	s.recordRunTime(now, j, st, t, e)
 	o := &j.Occurrences[id.Occurrence]
 	if st.Gang {
 		s.completeGang(id, o)
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -22,6 +22,7 @@
 	CheckpointRestore clock.Span // time that a start from a checkpoint takes
 	MaxOverTarget     clock.Span // longest time that a serving task may exceed its target for the tail latency
 	MaxJobs           int        // open jobs, which are those that have not ended
+	RemoteFactor      float64    // by which a run takes longer away from the rack of its data or group; waits for a rack are weighed only above 1
 }
 
 // DefaultLimits apply unless settings override them. Spans without a unit are in
@@ -86,8 +87,11 @@
 	loadsAt            clock.Millis               // 0 if the loads have to be computed
 	expiredLoans       []unit.Executor            // records of loans to delete
 	removedExecutors   map[unit.Executor]removedExecutor
-	collected          int64 // jobs in all appends so far
-	ratings            int64 // executors rated for a task so far
+	runTimes           runTimeTable
+	rackWaits          map[stepKey]*rackWait             // steps that wait for room on a rack
+	placePolicy        Policy[placeOption, *placeChoice] // nil stands for expectedTimePolicy
+	collected          int64                             // jobs in all appends so far
+	ratings            int64                             // executors rated for a task so far
 }
 
 // stepKey identifies a step of one occurrence of a job in the tables. It has the
--- a/schedule/dispatch/summary.go
+++ b/schedule/dispatch/summary.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "mimosadock/schedule/unit"
+import (
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+)
 
 // Summary counts the jobs and tasks of a shard and lists its executors.
 type Summary struct {
@@ -9,10 +12,29 @@
 	Executors []ExecutorState `json:"executors"`
 	Ratings   int64           `json:"ratings"` // executors rated for a task since the start of the ownership
 
+	// RackWaits has the steps that wait for room on a rack, by the name of their
+	// first task.
+	RackWaits map[string]RackWaitState `json:"rackWaits"`
+
 	Lent     map[unit.Executor]unit.Shard `json:"lent"`     // borrower of each executor that is lent to another shard
 	Borrowed map[unit.Executor]unit.Shard `json:"borrowed"` // lender of each executor that is borrowed from another shard
 }
 
+// RackWaitState is the state of a step that waits for room on a rack. Spans are in
+// milliseconds.
+type RackWaitState struct {
+	Rack     unit.Rack     `json:"rack"`
+	Waited   clock.Span    `json:"waitedMs"` // until the last placement
+	AtMost   clock.Span    `json:"atMostMs"` // the wait ends by itself after this time, by the last estimate
+	Promises []RackPromise `json:"promises"` // one for each task that waits
+}
+
+// RackPromise is room that is promised to a task.
+type RackPromise struct {
+	Executor unit.Executor `json:"executor"`
+	Expected clock.Span    `json:"expectedMs"` // from the start of the wait until there is room
+}
+
 // ExecutorState is the state of an executor in the tables of the owner.
 type ExecutorState struct {
 	Executor     unit.Executor  `json:"executor"`
@@ -29,7 +51,8 @@
 func (s *Shard) Summarize() Summary {
 	out := Summary{
 		Ratings: s.ratings, Jobs: make(map[string]int), Tasks: make(map[string]int),
-		Lent: make(map[unit.Executor]unit.Shard), Borrowed: make(map[unit.Executor]unit.Shard),
+		RackWaits: make(map[string]RackWaitState),
+		Lent:      make(map[unit.Executor]unit.Shard), Borrowed: make(map[unit.Executor]unit.Shard),
 	}
 	for id, l := range s.loans.All() {
 		if l.Lent {
@@ -39,6 +62,13 @@
 	for id, b := range s.borrowed.All() {
 		out.Borrowed[id] = b.lender
 	}
+	for k, w := range s.rackWaits {
+		state := RackWaitState{Rack: w.rack, Waited: w.weighed.Sub(w.since), AtMost: w.until.Sub(w.since)}
+		for _, p := range w.promises {
+			state.Promises = append(state.Promises, RackPromise{p.executor.Executor, p.at.Sub(w.since)})
+		}
+		out.RackWaits[TaskID{k.job, k.occurrence, k.step, 0}.String()] = state
+	}
 	for id, j := range s.jobs.All() {
 		out.Jobs[j.State.String()]++
 		if j.Spec != nil {
--- a/schedule/dispatch/task.go
+++ b/schedule/dispatch/task.go
@@ -9,7 +9,7 @@
 	"mimosadock/schedule/unit"
 )
 
-//go:generate go tool stringer -type=TaskState,JobState,EndKind,Outcome,Exclusion -linecomment -output=enums_string.go
+//go:generate go tool stringer -type=TaskState,JobState,EndKind,Outcome,Exclusion,placeOption -linecomment -output=enums_string.go
 
 // TaskID identifies a task within a shard.
 type TaskID struct {
@@ -90,6 +90,8 @@
 	recovered         bool                // the run is known from the store only, not yet from the executor
 	progress          unit.Percent        // of a batch run: work done; of a perpetual run: 100 once it has warmed up
 	progressChangedAt clock.Millis        // when progress last changed
+	firstProgress     unit.Percent        // progress in the first run list with the run
+	firstProgressAt   clock.Millis        // when that list came, 0 if none did
 	runningSince      clock.Millis        // when the run was first known to run
 	orderedPace       unit.Percent        // pace last ordered
 	targetPace        unit.Percent        // pace that the run should have
--- a/scheduler/process/process.go
+++ b/scheduler/process/process.go
@@ -156,6 +156,9 @@
 	if b.Restore > 0 {
 		l.CheckpointRestore = b.Restore
 	}
+	if b.RemoteFactor > 1 {
+		l.RemoteFactor = b.RemoteFactor
+	}
 	if b.Interference > 0 {
 		l.MaxOverTarget = b.Interference
 	}
