--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -52,7 +52,7 @@
 	servingTasks          []servingTask       // from the last run list
 	bestEffortLoadsKnown  bool                // the best-effort loads of servingTasks are up to date
 	availableAt           availability        // when it last got able to take more tasks
-	promisedUntil         clock.Millis        // until when room on it is promised to tasks that wait for their rack
+	promisedIn            int64               // last placement that promised room on it to a task that waits for its rack, 0 if none did
 	accepting             bool                // accepted new runs at the last placement
 	listChanged           bool                // a run list came since the runs were last checked for stalls
 	pacesChanged          bool                // target paces were set since the paces were last sent
--- a/schedule/dispatch/locality.go
+++ b/schedule/dispatch/locality.go
@@ -16,7 +16,8 @@
 // fixed time. The rule here derives the wait from what runs on the rack. That a
 // wait may cost no more than the start elsewhere would is the rule of the rent-or-buy
 // problem (A. R. Karlin et al., "Competitive Snoopy Caching", Algorithmica 3, 1988):
-// if all estimates are wrong, a task takes less than twice as long as elsewhere.
+// while the pool is not short, a task takes less than twice as long as elsewhere,
+// however wrong the estimates of the wait are.
 
 // placeOption is what a task may do while its rack has no room.
 type placeOption int
@@ -51,9 +52,10 @@
 func (c *placeChoice) gain() clock.Span { return clock.Span((c.factor - 1) * float64(c.runTime)) }
 
 // limit returns the longest time for which the step waits, from the start of the
-// wait on.
+// wait on. In a pool that is short, the capacity that a start elsewhere keeps from
+// others is worth up to the gain once more.
 func (c *placeChoice) limit() clock.Span {
-	return min(c.gain()+clock.Span(c.shortage*float64(c.slowed)*float64(c.gain())), c.maxWait)
+	return min(clock.Span((1+c.shortage)*float64(c.gain())), c.maxWait)
 }
 
 // finish returns the expected time until the step is done, and its standard
--- a/schedule/dispatch/locality_forecast.go
+++ b/schedule/dispatch/locality_forecast.go
@@ -20,6 +20,8 @@
 	// minRateProgress is the progress, in percent, from which the rate of a run
 	// tells more about its remaining time than the estimate does.
 	minRateProgress = 20
+	// maxRunKinds bounds the kinds whose run times are learned. Callers name images.
+	maxRunKinds = 1000
 	// rateVariation is the standard deviation of a run time that is extrapolated
 	// from the progress, as a share of it.
 	rateVariation = 0.15
@@ -39,6 +41,9 @@
 func (r runTimeTable) add(kind runKind, estimated, actual clock.Span) {
 	m := r[kind]
 	if m == nil {
+		if len(r) >= maxRunKinds {
+			return
+		}
 		m = new(estimate.Moments)
 		r[kind] = m
 	}
--- a/schedule/dispatch/locality_group.go
+++ b/schedule/dispatch/locality_group.go
@@ -157,7 +157,7 @@
 	run, variation := s.expectedRunTime(j, request.step)
 	for _, p := range w.promises {
 		if f.has(p.executor) {
-			p.executor.promisedUntil = request.now.Add(promiseTerm)
+			p.executor.promisedIn = s.placements
 			f.reserve(p, request.step.demand(), run, clock.Span(variation*float64(run)))
 		}
 	}
@@ -218,14 +218,19 @@
 	return p.names
 }
 
-// shortage returns how short the pool is of processor time or memory, from 0 to 1.
+// shortage returns how short the pool is of processor time or memory, from 0 to 1, at
+// the first call in this placement.
 func (p *executorPool) shortage() float64 {
+	if p.scarcityKnown {
+		return p.scarcity
+	}
 	var used, total unit.Resources
 	for _, e := range p.executors {
 		used, total = used.Add(e.allocated), total.Add(e.Capacity)
 	}
 	fill := max(float64(used.CPU)/float64(max(total.CPU, 1)), float64(used.Memory)/float64(max(total.Memory, 1)))
-	return min(max(0, (fill-scarceFill)/(1-scarceFill)), 1)
+	p.scarcity, p.scarcityKnown = min(max(0, (fill-scarceFill)/(1-scarceFill)), 1), true
+	return p.scarcity
 }
 
 // takePlaced takes the capacity for a task that was placed on e out of the forecasts
--- a/schedule/dispatch/locality_sim_test.go
+++ b/schedule/dispatch/locality_sim_test.go
@@ -189,7 +189,7 @@
 	}
 	for id := range f.submitted {
 		j := f.shard.jobs.Get(id)
-		if _, ok := f.started[id]; !ok && !j.hasAssignedTask() && room >= 2*rackTasksPerStep {
+		if _, ok := f.started[id]; !ok && f.shard.isStarved(f.now, &readyStep{since: f.now.Add(-starvationTimeout)}, j) && room >= 2*rackTasksPerStep {
 			f.passedBy[id] += rackTick
 		}
 	}
@@ -205,11 +205,16 @@
 	}
 	slices.SortFunc(due, TaskID.compare)
 	for _, id := range due {
-		x.ends = append(x.ends, FinishedRun{Number: unit.EndNumber(len(x.ends) + 1), Task: id, Run: x.runs[id], Kind: EndDone})
 		delete(x.endsAt, id)
+		x.finish(id, EndDone)
 	}
 }
 
+// finish adds the end of a run to the list.
+func (x *rackExecutor) finish(id TaskID, kind EndKind) {
+	x.ends = append(x.ends, FinishedRun{Number: unit.EndNumber(len(x.ends) + 1), Task: id, Run: x.runs[id], Kind: kind})
+}
+
 // execute carries out an order. Lost executors don't answer.
 func (f *rackFleet) execute(o *Order) {
 	i := slices.IndexFunc(f.executors, func(x *rackExecutor) bool { return x.registration.Executor == o.To.Executor })
@@ -224,7 +229,7 @@
 		f.start(x, o.Start)
 	case o.Hold != nil:
 		for id, at := range x.endsAt {
-			left := clock.Span(float64(at.Sub(f.now)))
+			left := at.Sub(f.now)
 			progress := unit.Percent(100 - 100*float64(left)/float64(max(1, f.length(x, id))))
 			a.Running = append(a.Running, RunningRun{Task: id, Run: x.runs[id], Progress: min(max(progress, 0), 100)})
 		}
@@ -350,22 +355,6 @@
 	}
 }
 
-// places returns how many tasks of a job run on the rack of their data, and elsewhere.
-func (f *rackFleet) places(id unit.Job) (onRack, elsewhere int) {
-	for _, x := range f.executors {
-		for task := range x.endsAt {
-			switch {
-			case task.Job != id:
-			case x.registration.Labels[1] == unit.Label(f.shard.jobs.Get(id).Spec.Steps[task.Step].Near):
-				onRack++
-			default:
-				elsewhere++
-			}
-		}
-	}
-	return onRack, elsewhere
-}
-
 // racksOf returns the number of runs of a job by rack.
 func (f *rackFleet) racksOf(id unit.Job) map[unit.Label]int {
 	n := make(map[unit.Label]int)
@@ -379,15 +368,16 @@
 	return n
 }
 
-// extend lets the runs of a job take longer.
-func (f *rackFleet) extend(id unit.Job, span clock.Span) {
-	for _, x := range f.executors {
-		for task := range x.endsAt {
-			if task.Job == id {
-				x.endsAt[task] = x.endsAt[task].Add(span)
-			}
-		}
-	}
+// extend lets the run of a job on an executor take longer.
+func (f *rackFleet) extend(x int, id unit.Job, span clock.Span) {
+	task := TaskID{Job: id}
+	f.executors[x].endsAt[task] = f.executors[x].endsAt[task].Add(span)
+}
+
+// fail ends the run of a job on an executor as failed.
+func (f *rackFleet) fail(x int, id unit.Job) {
+	delete(f.executors[x].endsAt, TaskID{Job: id})
+	f.executors[x].finish(TaskID{Job: id}, EndFailed)
 }
 
 // takeOver replaces the shard by one that is restored from its jobs.
@@ -395,20 +385,8 @@
 	former := f.shard
 	f.shard = Shard{Epoch: former.Epoch + 1, Limits: former.Limits, Report: former.Report}
 	for id := range f.submitted {
-		j := *former.jobs.Get(id)
-		restored := Job{Queue: j.Queue, State: j.State, AcceptedAt: j.AcceptedAt, EndedAt: j.EndedAt}
-		for _, o := range j.Occurrences {
-			occurrence := newOccurrence(j.Spec)
-			for i := range o.Steps {
-				occurrence.Steps[i].remaining = 0
-				for n := range o.Steps[i].Tasks {
-					t := &o.Steps[i].Tasks[n]
-					occurrence.Steps[i].Tasks[n] = Task{State: t.State, Run: t.Run, Executor: t.Executor, Incarnation: t.Incarnation}
-				}
-			}
-			restored.Occurrences = append(restored.Occurrences, occurrence)
-		}
-		f.shard.Restore(f.now, unit.UnixMillis(f.now), id, restored, j.Spec)
+		j := former.jobs.Get(id)
+		f.shard.Restore(f.now, unit.UnixMillis(f.now), id, cloneJob(&Change{Job: j}), j.Spec)
 	}
 	f.register()
 	f.shard.StartOwnership(f.now)
--- a/schedule/dispatch/locality_test.go
+++ b/schedule/dispatch/locality_test.go
@@ -55,6 +55,7 @@
 		waits     int
 		onRack    int // tasks of job b on r0, its rack
 		elsewhere int
+		lapsed    int // promises
 	}{
 		"room soon": {
 			load: rackLoad{racks: 2, perRack: 1, factor: 3},
@@ -70,15 +71,19 @@
 		},
 		"run longer than estimated": {
 			load: rackLoad{racks: 2, perRack: 1, factor: 3},
-			play: func(f *rackFleet) { f.extend("a", 10*clock.Second); f.run(1200) }, waits: 1, elsewhere: 1,
+			play: func(f *rackFleet) { f.extend(0, "a", 10*clock.Second); f.run(1200) }, waits: 1, elsewhere: 1,
 		},
 		"executor drains": {
 			load: rackLoad{racks: 2, perRack: 1, factor: 3, drained: 1},
-			play: func(f *rackFleet) { f.run(100); f.disturb(); f.run(50) }, waits: 1, elsewhere: 1,
+			play: func(f *rackFleet) { f.run(100); f.disturb(); f.run(50) }, waits: 1, lapsed: 1, elsewhere: 1,
 		},
 		"executor is lost": {
 			load: rackLoad{racks: 2, perRack: 1, factor: 3, lost: 1},
-			play: func(f *rackFleet) { f.run(100); f.disturb(); f.run(100) }, waits: 1, elsewhere: 1,
+			play: func(f *rackFleet) { f.run(100); f.disturb(); f.run(100) }, waits: 1, lapsed: 1, elsewhere: 1,
+		},
+		"run fails after the wait": {
+			load: rackLoad{racks: 2, perRack: 1, factor: 3},
+			play: func(f *rackFleet) { f.extend(0, "a", 10*clock.Second); f.run(1200); f.fail(1, "b"); f.run(100) }, waits: 1, elsewhere: 1,
 		},
 		"takeover": {
 			load: rackLoad{racks: 2, perRack: 1, factor: 3},
@@ -94,9 +99,10 @@
 			f.add("b", 1000, near("r0", 1))
 			c.play(f)
 			is.Equal(r.events["waitsForRack"], c.waits)
-			onRack, elsewhere := f.places("b")
-			is.Equal(onRack, c.onRack)
-			is.Equal(elsewhere, c.elsewhere)
+			is.Equal(r.events["rackPromiseLapsed"], c.lapsed)
+			racks := f.racksOf("b")
+			is.Equal(racks["r0"], c.onRack)
+			is.Equal(racks["r1"], c.elsewhere)
 		})
 	}
 }
--- a/schedule/dispatch/locality_wait.go
+++ b/schedule/dispatch/locality_wait.go
@@ -9,15 +9,12 @@
 
 const (
 	// maxIdleRackWait is how long a step may be ready and wait for a rack while no
-	// task of its job is assigned. It leaves half of starvationTimeout for a start
+	// task of its job runs. It leaves half of starvationTimeout for a start
 	// elsewhere.
 	maxIdleRackWait = starvationTimeout / 2
 	// groupCheckInterval is the interval at which the forecasts of all racks are
 	// compared again for a group.
 	groupCheckInterval = 100 * clock.Millisecond
-	// promiseTerm is how long room stays promised after the placement that promised
-	// it. It is longer than the interval between two placements.
-	promiseTerm = 60 * clock.Millisecond
 	// scarceFill is the share of the capacity of a pool in use from which an
 	// occupied executor counts as missing to others.
 	scarceFill = 0.8
@@ -84,12 +81,14 @@
 	}
 }
 
-// hasAssignedTask reports whether a run of the job may exist.
-func (j *Job) hasAssignedTask() bool {
+// hasRunningTask reports whether a run of the job is known to run on an executor that
+// answers.
+func (s *Shard) hasRunningTask(j *Job) bool {
 	for o := range j.Occurrences {
 		for i := range j.Occurrences[o].Steps {
 			for n := range j.Occurrences[o].Steps[i].Tasks {
-				if j.Occurrences[o].Steps[i].Tasks[n].State.assigned() {
+				t := &j.Occurrences[o].Steps[i].Tasks[n]
+				if e := s.executors.Get(t.Executor); t.State == TaskRunning && e != nil && !e.unresponsive {
 					return true
 				}
 			}
@@ -191,7 +190,7 @@
 	if w.since > 0 {
 		c.waited = request.now.Sub(w.since)
 	}
-	if !j.hasAssignedTask() {
+	if !s.hasRunningTask(j) {
 		c.maxWait = maxIdleRackWait
 	}
 	if st.SameRack {
@@ -207,14 +206,19 @@
 	return c
 }
 
-// promise promises room to a task of a step. While the promise lasts, tasks without
-// a rack go elsewhere if they can.
+// promise promises room to a task of a step, until the placement after this one.
+// Meanwhile tasks without a rack go elsewhere if they can.
 func (s *Shard) promise(request *placementRequest, w *rackWait, f rackForecast, p promise, c *placeChoice) {
 	f.reserve(p, request.step.demand(), c.runTime, clock.Span(c.variation*float64(c.runTime)))
-	p.executor.promisedUntil = request.now.Add(promiseTerm)
+	p.executor.promisedIn = s.placements
 	w.promises = append(w.promises, p)
 }
 
+// isPromised reports whether this placement or the last one promised room on e.
+func (s *Shard) isPromised(e *Executor) bool {
+	return e.promisedIn > 0 && e.promisedIn >= s.placements-1
+}
+
 // continueWait records that a step waits, and reports it if it did not wait before.
 func (s *Shard) continueWait(request *placementRequest, w *rackWait, rack unit.Rack, c *placeChoice) {
 	now, k := request.now, request.key
@@ -282,13 +286,16 @@
 			w.promises = w.promises[:0] // there is no room elsewhere either
 			continue
 		}
+		w.active, w.promises = false, nil
+		delete(s.rackWaits, k)
+		if onRack+elsewhere == 0 {
+			continue // the job has ended
+		}
 		waited := now.Sub(w.since)
 		kind := "rackWaitUnpaid"
 		if clock.Span(onRack)*(w.gain-waited) > clock.Span(elsewhere)*waited {
 			kind = "rackWaitPaid"
 		}
-		w.active, w.promises = false, nil
-		delete(s.rackWaits, k)
 		s.report(Event{
 			Kind: kind, Task: TaskID{k.job, k.occurrence, k.step, 0}, Age: waited,
 			Reason: fmt.Sprintf("rack=%s onRack=%d elsewhere=%d gainMs=%d", w.rack, onRack, elsewhere, w.gain),
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -135,7 +135,7 @@
 	if step.Near != "" && !e.hasLabel(unit.Label(step.Near)) || request.rack != "" && !e.hasLabel(unit.Label(request.rack)) {
 		rating += penaltyRack
 	}
-	if request.now < e.promisedUntil && request.wantedRack() == "" {
+	if request.shard.isPromised(e) && request.wantedRack() == "" {
 		rating += penaltyPromised
 	}
 	if request.avoidedExecutor == e.Executor {
@@ -179,6 +179,7 @@
 // place assigns ready tasks to executors, most urgent first. Perpetual tasks
 // that ran before come ahead of all others.
 func (s *Shard) place(now clock.Millis) {
+	s.placements++
 	defer s.reviewRackWaits(now)
 	if len(s.readySteps) == 0 {
 		return
@@ -235,7 +236,16 @@
 	if ready == nil || now.Sub(ready.since) < starvationTimeout {
 		return false
 	}
-	return !j.hasAssignedTask()
+	for o := range j.Occurrences {
+		for i := range j.Occurrences[o].Steps {
+			for n := range j.Occurrences[o].Steps[i].Tasks {
+				if j.Occurrences[o].Steps[i].Tasks[n].State.assigned() {
+					return false
+				}
+			}
+		}
+	}
+	return true
 }
 
 // placeRestarts places perpetual tasks that ran before ahead of those that
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -57,6 +57,9 @@
 	racks     map[unit.Rack][]*Executor  // see executorPool.onRack
 	names     []unit.Rack                // see executorPool.rackNames
 	forecasts map[unit.Rack]rackForecast // of this placement, see Shard.rackForecast
+
+	scarcity      float64 // see executorPool.shortage
+	scarcityKnown bool
 }
 
 // pools returns the pools of usable executors by service, and updates the
