dispatch: weigh waits for racks by how many got room lately

In a trial with a changed site file, where half of the jobs name a rack, waits that were expected to take 20 to 500 ms often took 0.5 to 1 s, as estimates are off and others take the room. A wait is now weighed with the share of the tasks that waited lately and got room; the rest are taken to start elsewhere at the end of the wait. A task that never waited no longer counts in rackWaitPaid and rackWaitUnpaid.

--- a/schedule/dispatch/locality_group.go
+++ b/schedule/dispatch/locality_group.go
@@ -124,6 +124,9 @@
 	for _, p := range best {
 		s.promise(request, w, s.rackForecast(request, rack), p, &c)
 	}
+	for i := range tasks {
+		tasks[i].waitedForRack = tasks[i].State == TaskReady
+	}
 	s.continueWait(request, w, rack, &c)
 }
 
--- a/schedule/dispatch/locality_test.go
+++ b/schedule/dispatch/locality_test.go
@@ -14,7 +14,7 @@
 func TestExpectedTimePolicy(t *testing.T) {
 	base := placeChoice{
 		runTime: 1000, variation: 0.2, factor: 3, wait: 500, waitSpread: 100, maxWait: clock.Minute,
-		slack: 2500, objective: 2500, slowed: 1,
+		slack: 2500, objective: 2500, slowed: 1, hitRate: 1,
 	}
 	for name, c := range map[string]struct {
 		change func(c *placeChoice)
@@ -25,6 +25,7 @@
 		"later than the run elsewhere ends":      {func(c *placeChoice) { c.wait = 2100 }, false},
 		"limit passed":                           {func(c *placeChoice) { c.waited = 1600 }, false},
 		"nothing of the job runs":                {func(c *placeChoice) { c.maxWait = 400 }, false},
+		"room seldom comes":                      {func(c *placeChoice) { c.hitRate = 0.3 }, false},
 		"others end later anyway":                {func(c *placeChoice) { c.others, c.wait, c.factor, c.slack = 1600, 600, 1.6, clock.Minute }, false},
 		"others end later and pool is full":      {func(c *placeChoice) { c.others, c.wait, c.factor, c.shortage = 1600, 600, 1.6, 1 }, true},
 		"uncertain wait would miss objective":    {func(c *placeChoice) { c.wait, c.waitSpread, c.factor, c.slack = 400, 800, 1.5, 2200 }, false},
--- a/schedule/dispatch/locality_wait.go
+++ b/schedule/dispatch/locality_wait.go
@@ -156,6 +156,7 @@
 			first = c
 		}
 		s.promise(request, w, f, p, &c)
+		tasks[i].waitedForRack = true
 		c.others = max(c.others, c.wait+c.runTime)
 	}
 	if len(w.promises) > 0 {
@@ -183,7 +184,7 @@
 func (s *Shard) placeChoice(request *placementRequest, j *Job, tasks []Task, w *rackWait) placeChoice {
 	st := request.step
 	c := placeChoice{
-		factor: s.Limits.RemoteFactor, slowed: 1, objective: latencyObjective(j.Spec), shortage: request.pool.shortage(),
+		factor: s.Limits.RemoteFactor, slowed: 1, hitRate: s.rackHits.rate(request.now), objective: latencyObjective(j.Spec), shortage: request.pool.shortage(),
 		slack: j.dueAt.Sub(request.now) - j.Spec.pathAfter(request.key.step), maxWait: maxSpan,
 	}
 	c.runTime, c.variation = s.expectedRunTime(j, st)
@@ -291,6 +292,7 @@
 		if onRack+elsewhere == 0 {
 			continue // the job has ended
 		}
+		s.rackHits.add(now, onRack, elsewhere)
 		waited := now.Sub(w.since)
 		kind := "rackWaitUnpaid"
 		if clock.Span(onRack)*(w.gain-waited) > clock.Span(elsewhere)*waited {
@@ -303,8 +305,8 @@
 	}
 }
 
-// countStarts returns how many tasks of a step were assigned on the rack, and
-// elsewhere, since the step began to wait.
+// countStarts returns how many tasks of a step that waited were assigned on the rack,
+// and elsewhere. It counts a task once.
 func (s *Shard) countStarts(k stepKey, w *rackWait) (onRack, elsewhere int) {
 	j := s.jobs.Get(k.job)
 	if j == nil || j.Spec == nil {
@@ -315,12 +317,14 @@
 		t := &tasks[i]
 		e := s.executors.Get(t.Executor)
 		switch {
-		case !t.State.assigned() || t.lastActionAt < w.since || e == nil:
+		case !t.State.assigned() || !t.waitedForRack || e == nil:
+			continue
 		case e.hasLabel(unit.Label(w.rack)):
 			onRack++
 		default:
 			elsewhere++
 		}
+		t.waitedForRack = false
 	}
 	return onRack, elsewhere
 }
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -88,6 +88,7 @@
 	expiredLoans       []unit.Executor            // records of loans to delete
 	removedExecutors   map[unit.Executor]removedExecutor
 	runTimes           runTimeTable
+	rackHits           hitCount
 	placements         int64                             // so far
 	rackWaits          map[stepKey]*rackWait             // steps that wait for room on a rack
 	placePolicy        Policy[placeOption, *placeChoice] // nil stands for expectedTimePolicy
--- a/schedule/dispatch/task.go
+++ b/schedule/dispatch/task.go
@@ -90,6 +90,7 @@
 	recovered         bool                // the run is known from the store only, not yet from the executor
 	progress          unit.Percent        // of a batch run: work done; of a perpetual run: 100 once it has warmed up
 	progressChangedAt clock.Millis        // when progress last changed
+	waitedForRack     bool                // has waited for room on a rack, and its start is not counted
 	firstProgress     unit.Percent        // progress in the first run list with the run
 	firstProgressAt   clock.Millis        // when that list came, 0 if none did
 	runningSince      clock.Millis        // when the run was first known to run
