dispatch: weigh the tasks of a step together, and correct expected waits

If not all tasks of a step wait, the others are weighed again with the end of those that start elsewhere. Expected waits are corrected by the length of earlier ones. Promised room is kept from batch tasks only, as perpetual and best-effort ones lost by it.

--- a/schedule/dispatch/locality_forecast.go
+++ b/schedule/dispatch/locality_forecast.go
@@ -222,3 +222,34 @@
 	at, _ := slices.BinarySearchFunc(x.ends, end.at, func(e expectedEnd, t clock.Millis) int { return cmp.Compare(e.at, t) })
 	x.ends = slices.Insert(x.ends, at, end)
 }
+
+// waitError has the logarithm of the ratio of the actual to the expected length of
+// waits that got room. Runs that take longer than estimated, other tasks that take the
+// room and the time until an end is known make it differ. The zero value is ready to
+// use.
+type waitError struct{ log estimate.Moments }
+
+const (
+	// initialWaits is the number of waits as long as expected that the error starts
+	// from.
+	initialWaits = 5
+	// minWait is the shortest length of a wait in a ratio. A wait is as long as a few
+	// placements at least.
+	minWait = 50 * clock.Millisecond
+	// maxWaitRatio bounds the correction of an expected wait.
+	maxWaitRatio = 8.0
+)
+
+// add adds a wait.
+func (w *waitError) add(expected, actual clock.Span) {
+	w.log.Add(math.Log(float64(max(actual, minWait)) / float64(max(expected, minWait))))
+}
+
+// correct returns the expected length of a wait and its deviation, with the error of
+// earlier ones.
+func (w *waitError) correct(expected, deviation clock.Span) (clock.Span, clock.Span) {
+	n := float64(w.log.N)
+	ratio := math.Exp(w.log.Mean * n / (n + initialWaits))
+	ratio = min(max(ratio, 1), maxWaitRatio)
+	return clock.Span(ratio * float64(expected)), clock.Span(ratio * float64(deviation))
+}
--- a/schedule/dispatch/locality_group.go
+++ b/schedule/dispatch/locality_group.go
@@ -117,10 +117,11 @@
 		return
 	}
 	last := best[len(best)-1]
-	c.wait, c.waitSpread = last.at.Sub(request.now), last.deviation
+	c.wait, c.waitSpread = s.waitErrors.correct(last.at.Sub(request.now), last.deviation)
 	if !s.prefersWait(&c) {
 		return
 	}
+	c.wait = last.at.Sub(request.now)
 	for _, p := range best {
 		s.promise(request, w, s.rackForecast(request, rack), p, &c)
 	}
@@ -221,15 +222,15 @@
 	return p.names
 }
 
-// shortage returns how short the pool is of processor time or memory, from 0 to 1, at
-// the first call in this placement.
+// shortage returns how short the pool is of processor time or memory that perpetual
+// tasks leave, from 0 to 1, at the first call in this placement.
 func (p *executorPool) shortage() float64 {
 	if p.scarcityKnown {
 		return p.scarcity
 	}
 	var used, total unit.Resources
 	for _, e := range p.executors {
-		used, total = used.Add(e.allocated), total.Add(e.Capacity)
+		used, total = used.Add(e.allocated.Sub(e.perpetual)), total.Add(e.Capacity.Sub(e.perpetual))
 	}
 	fill := max(float64(used.CPU)/float64(max(total.CPU, 1)), float64(used.Memory)/float64(max(total.Memory, 1)))
 	p.scarcity, p.scarcityKnown = min(max(0, (fill-scarceFill)/(1-scarceFill)), 1), true
--- a/schedule/dispatch/locality_wait.go
+++ b/schedule/dispatch/locality_wait.go
@@ -15,8 +15,8 @@
 	// groupCheckInterval is the interval at which the forecasts of all racks are
 	// compared again for a group.
 	groupCheckInterval = 100 * clock.Millisecond
-	// scarceFill is the share of the capacity of a pool in use from which an
-	// occupied executor counts as missing to others.
+	// scarceFill is the share in use of the capacity that perpetual tasks leave from
+	// which what a run occupies counts as missing to others.
 	scarceFill = 0.8
 )
 
@@ -29,6 +29,7 @@
 	weighed  clock.Millis // last placement that decided to wait
 	active   bool         // its end is to be reported
 	spent    bool         // the step may not wait, since its owner took over
+	expected clock.Span   // expected length of the wait when it began, for all tasks
 	gain     clock.Span   // by how much a run is shorter on the rack
 	promises []promise    // one for each task that waits
 	checkAt  clock.Millis // when the forecasts are compared again for a group
@@ -133,36 +134,55 @@
 // weighWaits returns how many of the ready tasks of a step are to wait for its rack,
 // and promises room there to each. The steps of a placement are weighed in its
 // order, so that the most urgent one gets the first room, and a task for which room
-// is left too late starts elsewhere at once.
+// is left too late starts elsewhere at once. The step then ends no sooner than that
+// task does, so that the others are weighed again.
 func (s *Shard) weighWaits(request *placementRequest, j *Job, tasks []Task, w *rackWait) int {
 	s.reportLapses(request, w)
-	rack, demand := request.wantedRack(), request.step.demand()
-	f := s.rackForecast(request, rack)
-	c := s.placeChoice(request, j, tasks, w)
-	var first placeChoice
+	rack, ready := request.wantedRack(), countReady(tasks)
+	f, c := s.rackForecast(request, rack), s.placeChoice(request, j, tasks, w)
+	promises := s.payingWaits(request, f, c, ready)
+	if n := len(promises); n > 0 && n < ready {
+		c.others = max(c.others, c.runTime+c.gain())
+		promises = s.payingWaits(request, f, c, n)
+	}
+	if len(promises) == 0 {
+		return 0
+	}
+	for _, p := range promises {
+		s.promise(request, w, f, p, &c)
+	}
+	waiting := len(promises)
 	for i := range tasks {
-		if tasks[i].State != TaskReady {
-			continue
+		if tasks[i].State == TaskReady && waiting > 0 {
+			tasks[i].waitedForRack = true
+			waiting--
 		}
-		p, ok := f.earliest(demand, request.allows)
+	}
+	last := promises[len(promises)-1]
+	c.wait, c.waitSpread = last.at.Sub(request.now), last.deviation
+	s.continueWait(request, w, rack, &c)
+	return len(promises)
+}
+
+// payingWaits returns room for the first of n tasks of a step for which a wait pays.
+// It leaves the forecast as it is.
+func (s *Shard) payingWaits(request *placementRequest, f rackForecast, c placeChoice, n int) []promise {
+	f = f.clone()
+	var promises []promise
+	for range n {
+		p, ok := f.earliest(request.step.demand(), request.allows)
 		if !ok {
 			break
 		}
-		c.wait, c.waitSpread = p.at.Sub(request.now), p.deviation
+		c.wait, c.waitSpread = s.waitErrors.correct(p.at.Sub(request.now), p.deviation)
 		if !s.prefersWait(&c) {
 			break
 		}
-		if len(w.promises) == 0 {
-			first = c
-		}
-		s.promise(request, w, f, p, &c)
-		tasks[i].waitedForRack = true
+		f.reserve(p, request.step.demand(), c.runTime, clock.Span(c.variation*float64(c.runTime)))
 		c.others = max(c.others, c.wait+c.runTime)
+		promises = append(promises, p)
 	}
-	if len(w.promises) > 0 {
-		s.continueWait(request, w, rack, &first)
-	}
-	return len(w.promises)
+	return promises
 }
 
 // allows reports whether a task may run on e if it has the capacity.
@@ -208,7 +228,7 @@
 }
 
 // promise promises room to a task of a step, until the placement after this one.
-// Meanwhile tasks without a rack go elsewhere if they can.
+// Meanwhile batch tasks without a rack go elsewhere if they can.
 func (s *Shard) promise(request *placementRequest, w *rackWait, f rackForecast, p promise, c *placeChoice) {
 	f.reserve(p, request.step.demand(), c.runTime, clock.Span(c.variation*float64(c.runTime)))
 	p.executor.promisedIn = s.placements
@@ -230,7 +250,7 @@
 	if w.active {
 		return
 	}
-	w.active = true
+	w.active, w.expected = true, c.waited+c.wait
 	if s.rackWaits == nil {
 		s.rackWaits = make(map[stepKey]*rackWait)
 	}
@@ -292,8 +312,11 @@
 		if onRack+elsewhere == 0 {
 			continue // the job has ended
 		}
-		s.rackHits.add(now, onRack, elsewhere)
 		waited := now.Sub(w.since)
+		s.rackHits.add(now, onRack, elsewhere)
+		if elsewhere == 0 {
+			s.waitErrors.add(w.expected, waited)
+		}
 		kind := "rackWaitUnpaid"
 		if clock.Span(onRack)*(w.gain-waited) > clock.Span(elsewhere)*waited {
 			kind = "rackWaitPaid"
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -102,7 +102,7 @@
 // tasks, by 1 per core for batch tasks.
 const (
 	penaltyRack     = 1e6 // not on the rack of the data or of the other tasks; away from their data, runs take several times longer
-	penaltyPromised = 5e5 // room there is promised to a task that waits for its rack, see Shard.promise
+	penaltyPromised = 5e5 // a batch task uses room that is promised to one that waits for its rack, see Shard.promise
 	penaltyReserve  = 2e5 // a perpetual task uses the reserve for batch tasks
 	penaltyAvoided  = 1e5 // the last run of the task failed there or was moved from there
 	// penaltyServing applies to a best-effort task, times the headroom share that
@@ -135,9 +135,6 @@
 	if step.Near != "" && !e.hasLabel(unit.Label(step.Near)) || request.rack != "" && !e.hasLabel(unit.Label(request.rack)) {
 		rating += penaltyRack
 	}
-	if request.shard.isPromised(e) && request.wantedRack() == "" {
-		rating += penaltyPromised
-	}
 	if request.avoidedExecutor == e.Executor {
 		rating += penaltyAvoided
 	}
@@ -171,6 +168,9 @@
 		if e.servingCount == 0 {
 			rating += penaltyBatchNoServing
 		}
+		if request.shard.isPromised(e) && request.wantedRack() == "" {
+			rating += penaltyPromised
+		}
 		rating -= unrequestedCPU / milliCPUPerCore
 	}
 	return rating, true
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -89,6 +89,7 @@
 	removedExecutors   map[unit.Executor]removedExecutor
 	runTimes           runTimeTable
 	rackHits           hitCount
+	waitErrors         waitError
 	placements         int64                             // so far
 	rackWaits          map[stepKey]*rackWait             // steps that wait for room on a rack
 	placePolicy        Policy[placeOption, *placeChoice] // nil stands for expectedTimePolicy
