--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -125,9 +125,7 @@
 	if r.Checkpoint != "" && r.Checkpoint != t.Checkpoint {
 		t.Checkpoint, t.savedProgress = r.Checkpoint, r.Progress
 	}
-	if r.Progress != t.progress {
-		t.progress, t.progressChangedAt = r.Progress, now
-	}
+	t.updateProgress(now, r.Progress)
 	sample.addRun(e, st, r)
 	return true
 }
--- a/schedule/dispatch/job.go
+++ b/schedule/dispatch/job.go
@@ -55,8 +55,9 @@
 	Tasks []Task
 	Gang  GangFailures // of a step whose tasks are a gang
 
-	unblocked bool // all steps that it depends on are done
-	remaining int  // tasks that are not done
+	unblocked bool      // all steps that it depends on are done
+	wait      *rackWait // for room on a rack; nil if none was weighed
+	remaining int       // tasks that are not done
 	times     stepTimes
 }
 
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -43,6 +43,8 @@
 
 	ranBefore       bool          // the task ran before
 	avoidedExecutor unit.Executor // executor of the last run that failed or was moved
+
+	round rackRound
 }
 
 // imageWeight is the weight of an image in an interference model.
@@ -104,9 +106,10 @@
 // also depend on processor time: by 10 per core for best-effort and perpetual
 // tasks, by 1 per core for batch tasks.
 const (
-	penaltyRack    = 1e6 // not on the rack of the data or of the other tasks; away from their data, runs take several times longer
-	penaltyReserve = 2e5 // a perpetual task uses the reserve for batch tasks
-	penaltyAvoided = 1e5 // the last run of the task failed there or was moved from there
+	penaltyRack     = 1e6 // not on the rack of the data or of the other tasks; away from their data, runs take several times longer
+	penaltyPromised = 5e5 // a batch task uses room that is promised to one that waits for its rack, see Shard.promise
+	penaltyReserve  = 2e5 // a perpetual task uses the reserve for batch tasks
+	penaltyAvoided  = 1e5 // the last run of the task failed there or was moved from there
 	// penaltyServing applies to a best-effort task, times the headroom share that
 	// it would take from serving tasks, and unscaled to a perpetual task that
 	// shares an executor with best-effort tasks.
@@ -170,6 +173,9 @@
 		if e.servingCount == 0 {
 			rating += penaltyBatchNoServing
 		}
+		if request.shard.isPromised(e) && request.wantedRack() == "" {
+			rating += penaltyPromised
+		}
 		rating -= unrequestedCPU / milliCPUPerCore
 	}
 	return rating, true
@@ -178,6 +184,8 @@
 // place assigns ready tasks to executors, most urgent first. Perpetual tasks
 // that ran before come ahead of all others.
 func (s *Shard) place(now clock.Millis) {
+	s.placements++
+	defer s.reviewRackWaits(now)
 	if len(s.readySteps) == 0 || s.AwaitsOperator {
 		return
 	}
@@ -370,26 +378,35 @@
 	}
 }
 
-// placeEach places the ready tasks of a step one by one. It returns false at
-// the first one that fits nowhere.
+// placeEach places the ready tasks of a step one by one. It stops at the first one
+// that fits nowhere, and passes over those that wait for their rack. It reports
+// whether it placed all.
 func (s *Shard) placeEach(request *placementRequest, j *Job, tasks []Task) bool {
 	k, pool, ready := request.key, request.pool, s.readySteps[request.key]
 	if request.starved && !ready.starved {
 		ready.failedAt = 0 // executors may take a task now although they have not changed
 	}
+	placedAll := true
 	for i := range tasks {
 		t := &tasks[i]
 		if t.State != TaskReady {
 			continue
 		}
 		if request.step.SameRack {
-			request.rack = s.rackOf(tasks)
+			var waits bool
+			if request.rack, waits = s.groupRack(request, j, tasks); waits {
+				return false
+			}
 		}
-		e, ok := s.choose(pool.since(s.retryFrom(request, ready.failedAt)), request.forTask(t))
-		if !ok {
-			e, ok = s.exchangeReserved(request)
+		e, waits := s.choosePlace(request.forTask(t), j, tasks, s.retryFrom(request, ready.failedAt))
+		if waits {
+			placedAll = false
+			continue
 		}
-		if !ok {
+		if e == nil {
+			e, _ = s.exchangeReserved(request)
+		}
+		if e == nil {
 			if !request.isRestart() {
 				ready.failedAt, ready.starved = s.availability, request.starved
 			}
@@ -399,7 +416,7 @@
 		s.assign(request.now, TaskID{k.job, k.occurrence, k.step, i}, j, request.step, t, e)
 		request.starved = false // its job has an assigned task now
 	}
-	return true
+	return placedAll
 }
 
 // placeGang places all tasks of a step or none, and reports whether it placed
@@ -416,6 +433,10 @@
 		lastRun = max(lastRun, tasks[i].Run)
 		checkpoint = max(checkpoint, tasks[i].Checkpoint)
 	}
+	var waits bool
+	if request.rack, waits = s.groupRack(request, j, tasks); waits {
+		return false
+	}
 	chosen := make([]*Executor, 0, len(tasks))
 	for i := range tasks {
 		if len(chosen) > 0 && st.SameRack {
@@ -448,7 +469,7 @@
 	j.Occurrences[id.Occurrence].Steps[id.Step].times.assign(now, &t.times)
 	t.Run++
 	t.Executor, t.Incarnation = e.Executor, e.Incarnation
-	t.confirmedAt, t.progress, t.lastActionAt = 0, 0, now
+	t.confirmedAt, t.progress, t.firstProgressAt, t.lastActionAt = 0, 0, 0, now
 	t.startUncertain, t.inFlight, t.recovered, t.orderedPace, t.targetPace = false, false, false, fullPace, fullPace
 	e.addRun(assignment{id, t.Run, j, st, t})
 	s.pendingStarts = append(s.pendingStarts, id)
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -14,6 +14,13 @@
 	recent     []*Executor   // became available after recentFrom
 	recentFrom availability  // at the last placement
 	reserveCPU unit.MilliCPU // to keep free of first runs of perpetual tasks
+
+	racks     map[unit.Rack][]*Executor  // see executorPool.onRack
+	names     []unit.Rack                // see executorPool.rackNames
+	forecasts map[unit.Rack]rackForecast // of this placement, see Shard.rackForecast
+
+	scarcity      float64 // see executorPool.shortage
+	scarcityKnown bool
 }
 
 // pools returns the pools of usable executors by service, and updates the
@@ -156,6 +163,7 @@
 
 // recordPlacement updates the pool before a task of a step is assigned to e.
 func (s *Shard) recordPlacement(pool *executorPool, st *Step, e *Executor) {
+	pool.takePlaced(st, e)
 	if st.Perpetual && e.reservedForBatch && e.Capacity.CPU > pool.reserveCPU {
 		s.openToPerpetual(e)
 		pool.recent = append(pool.recent, e) // other perpetual tasks may now be placed beside it
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -21,6 +21,7 @@
 	CheckpointRestore clock.Span // time that a start from a checkpoint takes
 	MaxOverTarget     clock.Span // longest time that a serving task may exceed its target for the tail latency
 	MaxJobs           int        // open jobs, which are those that have not ended
+	RemoteFactor      float64    // by which a run takes longer away from the rack of its data or group; waits for a rack are weighed only above 1
 }
 
 // DefaultLimits apply unless settings override them. Spans without a unit are in
@@ -96,8 +97,14 @@
 	plainOrder         bool         // ready steps have no urgency; only for tests, which compare with it
 	fixedBatchShare    float64      // share of the processors kept for batch tasks instead of their forecast demand; only for tests, as above
 	relocatedAt        clock.Millis // last search for runs to relocate
-	collected          int64        // jobs in all appends so far
-	ratings            int64        // executors rated for a task so far
+	runTimes           runTimeTable
+	rackHits           hitCount
+	waitErrors         waitError
+	placements         int64                             // so far
+	rackWaits          map[stepKey]*rackWait             // steps that wait for room on a rack
+	placePolicy        Policy[placeOption, *placeChoice] // nil stands for expectedTimePolicy
+	collected          int64                             // jobs in all appends so far
+	ratings            int64                             // executors rated for a task so far
 }
 
 // stepKey identifies a step of one occurrence of a job in the tables. It has the
--- a/schedule/dispatch/task.go
+++ b/schedule/dispatch/task.go
@@ -9,7 +9,7 @@
 	"mimosadock/schedule/unit"
 )
 
-//go:generate go tool stringer -type=TaskState,JobState,EndKind,Outcome,Exclusion,TimePart -linecomment -output=enums_string.go
+//go:generate go tool stringer -type=TaskState,JobState,EndKind,Outcome,Exclusion,TimePart,placeOption -linecomment -output=enums_string.go
 
 // TaskID identifies a task within a shard.
 type TaskID struct {
@@ -91,6 +91,9 @@
 	progress          unit.Percent        // of a batch run: work done; of a perpetual run: 100 once it has warmed up
 	savedProgress     unit.Percent        // progress when the last checkpoint was first listed, of any run
 	progressChangedAt clock.Millis        // when progress last changed
+	waitedForRack     bool                // has waited for room on a rack, and its start is not counted
+	firstProgress     unit.Percent        // progress in the first run list with the run
+	firstProgressAt   clock.Millis        // when that list came, 0 if none did
 	runningSince      clock.Millis        // when the run was first known to run
 	orderedPace       unit.Percent        // pace last ordered
 	targetPace        unit.Percent        // pace that the run should have
