Close connections after their responses while others are refused

Each connection is now closed with its next response for 2 s after another was refused, so that clients take turns.

--- a/schedule/intake/table.go
+++ b/schedule/intake/table.go
@@ -47,6 +47,7 @@
 	connections table.Table[ID, connection]
 	lastID      ID
 	held        unit.Bytes
+	refusedAt   clock.Millis // when a connection was last refused, 0 if never
 	tickedAt    clock.Millis // last tick, or start of the first body after it; 0 if no client has to send
 	stats       Stats
 }
@@ -65,6 +66,7 @@
 		displaced = t.longestPause(now)
 		if displaced == 0 {
 			t.stats.Refused++
+			t.refusedAt = max(1, now)
 			return 0, 0, false
 		}
 		t.stats.Displaced++
@@ -75,6 +77,17 @@
 	return t.lastID, displaced, true
 }
 
+// crowdedPeriod is how long after a refused connection others are closed with their
+// next response. A refused caller retries within it.
+const crowdedPeriod = 2 * clock.Second
+
+// IsCrowded reports whether a connection was refused lately, so that one whose request
+// is answered now should be closed after the response. A client whose requests follow
+// one another without a pause would otherwise keep its place for good.
+func (t *Table) IsCrowded(now clock.Millis) bool {
+	return t.refusedAt > 0 && now.Sub(t.refusedAt) < crowdedPeriod
+}
+
 // Close removes a connection and frees what it has reserved.
 func (t *Table) Close(id ID) {
 	if c := t.connections.Get(id); c != nil {
--- a/schedule/intake/table_test.go
+++ b/schedule/intake/table_test.go
@@ -51,6 +51,34 @@
 	}
 }
 
+// TestCrowded guards against clients whose requests follow one another without a
+// pause and keep all connections, and against closed connections while there is room.
+func TestCrowded(t *testing.T) {
+	for name, test := range map[string]struct {
+		connections int // that were opened at 1000, besides those that the limit allows
+		at          clock.Millis
+		crowded     bool
+	}{
+		"room for all":    {0, 1000, false},
+		"one was refused": {1, 1000, true},
+		"soon after":      {1, 1000 + clock.Millis(crowdedPeriod) - 1, true},
+		"long after":      {1, 1000 + clock.Millis(crowdedPeriod), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := &Table{Limits: testLimits}
+			for range testLimits.Connections {
+				open(is, table, PhaseServing, 1000)
+			}
+			for range test.connections {
+				_, _, ok := table.Open(1000)
+				is.True(!ok)
+			}
+			is.Equal(table.IsCrowded(test.at), test.crowded)
+		})
+	}
+}
+
 // TestReserve guards against requests that exceed the budget together, and against
 // stalled ones that keep it.
 func TestReserve(t *testing.T) {
--- a/schedule/listener/guard.go
+++ b/schedule/listener/guard.go
@@ -123,8 +123,12 @@
 }
 
 // serve calls the handler. Until the body has been read, also after the return of
-// the handler, the client has to make progress.
+// the handler, the client has to make progress. While connections are short, each is
+// closed after its response, and the requests behind it are not read.
 func (g *Guard) serve(handler http.Handler, w http.ResponseWriter, r *http.Request) {
+	if g.isCrowded() {
+		w.Header().Set("Connection", "close")
+	}
 	if c := connOf(r); c != nil {
 		if r.ContentLength == 0 {
 			g.enter(c, intake.PhaseServing)
@@ -136,6 +140,12 @@
 	handler.ServeHTTP(w, r)
 }
 
+func (g *Guard) isCrowded() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.table.IsCrowded(g.Clock.Now())
+}
+
 // enter notes the phase of a connection. The progress of bodies is checked from
 // the first one on; the server itself bounds the time of headers.
 func (g *Guard) enter(c *conn, p intake.Phase) {
--- a/schedule/listener/guard_test.go
+++ b/schedule/listener/guard_test.go
@@ -127,3 +127,40 @@
 		})
 	}
 }
+
+// TestBusyClientsTakeTurns guards against clients that keep all connections by sending
+// one request after the other.
+func TestBusyClientsTakeTurns(t *testing.T) {
+	is := is.New(t)
+	g := &Guard{Limits: intake.Limits{Connections: 4, Bytes: 1 << 20, Small: bodyLimit, MinPause: clock.Minute}, Clock: clock.System{}}
+	address := serve(t, g)
+	busy := group.New(context.Background())
+	for range 4 {
+		busy.Go("client", func(ctx context.Context) error {
+			for ctx.Err() == nil {
+				if c, err := net.Dial("tcp4", address); err == nil {
+					stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+					for err == nil {
+						_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+					}
+					stop()
+					_ = c.Close()
+				}
+			}
+			return nil
+		})
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		resp, err := client.Post("http://"+address, "text/plain", strings.NewReader("body"))
+		if err == nil {
+			is.NoErr(resp.Body.Close())
+			if resp.StatusCode == http.StatusOK && g.Stats().Refused > 0 {
+				break
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	busy.Stop()
+	is.NoErr(busy.Wait())
+}
