dispatch: count no memory for ended jobs that expire

A job that was cancelled before its first occurrence keeps its spec until its state expires; its memory stayed counted after a takeover. TestJobBytes failed without the change.

--- a/schedule/dispatch/accept.go
+++ b/schedule/dispatch/accept.go
@@ -172,6 +172,7 @@
 		}
 		s.endedJobs = s.endedJobs[1:]
 		if j != nil && s.jobs.Delete(id) {
+			s.removeBytes(j)
 			s.dirty = append(s.dirty, id)
 		}
 	}
--- a/schedule/dispatch/memory_test.go
+++ b/schedule/dispatch/memory_test.go
@@ -33,6 +33,10 @@
 			spec := f.shard.jobs.Get("j").Spec
 			is.True(spec.JobBytes() > 300)
 			is.Equal(f.shard.JobBytes(), spec.JobBytes())
+			ended := Shard{Limits: DefaultLimits}
+			ended.Restore(0, 0, "j", Job{State: JobCancelled}, spec) // before its first occurrence
+			ended.Tick(0, unit.UnixMillis(DefaultLimits.StatusRetention), true)
+			is.Equal(ended.JobBytes(), unit.Bytes(0))
 			successor := Shard{Limits: DefaultLimits}
 			successor.Restore(0, 0, "j", Job{State: JobQueued}, spec)
 			is.Equal(successor.JobBytes(), spec.JobBytes())
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -65,8 +65,7 @@
 	pendingOrders      []Order                           // returned by the next tick
 	interferenceModels map[unit.Image]*InterferenceModel // by image of serving tasks
 	reserves           map[unit.Service]*batchReserve
-	openJobs           int // jobs that have not ended
-	jobBytes           unit.Bytes
+	openJobs           int  // jobs that have not ended
 	fenced             bool // an executor has refused an order because it has received a higher fencing token
 	advice             adviceTracker
 	scheduledJobs      []unit.Job               // jobs with occurrences still to start
@@ -85,6 +84,7 @@
 	loads              []ServiceLoad              // computed at loadsAt
 	wants              []LoanWant                 // computed at loadsAt
 	loadsAt            clock.Millis               // 0 if the loads have to be computed
+	jobBytes           unit.Bytes                 // memory of the jobs that have a spec
 	expiredLoans       []unit.Executor            // records of loans to delete
 	removedExecutors   map[unit.Executor]removedExecutor
 	collected          int64 // jobs in all appends so far
