--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -45,6 +45,7 @@
 	vacatingSince         clock.Millis        // when it was first kept free of new runs to be lent
 	notLentBefore         clock.Millis        // is not lent before, because it could not be vacated in time
 	overTargetSince       clock.Millis        // since when a serving task exceeds its target, 0 if none does
+	speed                 speedMeter          // of the batch runs on it
 	lastSample            interferenceSample  // last one used for training
 	silentSince           clock.Millis        // when it became unresponsive
 	reference             unit.ExecutorMillis // reading of its clock that is known most precisely
--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -79,6 +79,7 @@
 		}
 	}
 	e.unknownRuns, e.listChanged = unknown, true
+	s.avoidSlow(now, e)
 	s.updateInterference(now, e, &sample)
 	s.markAvailable(e)
 	if len(a.Finished) >= maxEndsPerList {
@@ -124,6 +125,7 @@
 	if r.Checkpoint != "" && r.Checkpoint != t.Checkpoint {
 		t.Checkpoint, t.savedProgress = r.Checkpoint, r.Progress
 	}
+	s.measureSpeed(now, e, r.Task.Job, st, t, r.Progress)
 	if r.Progress != t.progress {
 		t.progress, t.progressChangedAt = r.Progress, now
 	}
--- a/schedule/dispatch/relocate.go
+++ b/schedule/dispatch/relocate.go
@@ -39,6 +39,14 @@
 	return r.lost >= cost && r.left > cost
 }
 
+// relocationFromSlowPays reports whether to stop a run on a slow executor and start it
+// on another one. The executor works at a share of the usual speed, which is measured,
+// so that the time that is saved is known, but for errors of the estimates.
+func relocationFromSlowPays(r pacedRun, share float64, restore clock.Span) bool {
+	stay, move := float64(r.left)/max(share, 0.01), float64(r.left+r.unsaved+restore+relocationDelay)
+	return stay > 2*move
+}
+
 // relocation is a run that may be relocated.
 type relocation struct {
 	id    TaskID
@@ -49,11 +57,20 @@
 	dueAt clock.Millis
 }
 
+// reason returns why the run moves, for the log.
+func (r *relocation) reason() string {
+	if r.task.orderedPace <= maxRelocatedPace {
+		return "low pace"
+	}
+	return "slow executor"
+}
+
 // relocatePacedRuns stops best-effort runs that the load of serving tasks beside them
 // slows down, if there is an executor that takes them at full pace. It answers a load
 // of serving tasks that rises in parts of the service for longer than a batch task
 // runs: to wait for it to fall takes several times the time of a restart from a
-// checkpoint. Jobs that can still be done in time come first.
+// checkpoint. It also stops batch runs on slow executors. Jobs that can still be done
+// in time come first.
 func (s *Shard) relocatePacedRuns(now clock.Millis) {
 	if now < s.relocatedAt.Add(relocationInterval) {
 		return
@@ -81,7 +98,7 @@
 		request := s.newPlacementRequest(now, stepKey{c.id.Job, c.id.Occurrence, c.id.Step}, c.job, pool).forTask(c.task)
 		request.avoidedExecutor = c.from.Executor
 		if to, ok := s.choose(pool.executors, request); ok && to != c.from {
-			s.moveRun(c.id, c.task, c.from, "low pace")
+			s.moveRun(c.id, c.task, c.from, c.reason())
 		}
 	}
 }
@@ -90,16 +107,18 @@
 func (s *Shard) relocationCandidates(now clock.Millis) []relocation {
 	var candidates []relocation
 	for _, e := range s.executors.All() {
-		if e.bestEffortCPU == 0 || len(e.servingTasks) == 0 || e.unresponsive || !e.reconciled {
+		share := s.speedShare(now, e)
+		if e.unresponsive || !e.reconciled || share == 1 && (e.bestEffortCPU == 0 || len(e.servingTasks) == 0) {
 			continue
 		}
 		for i := range e.runs {
 			a := &e.runs[i]
-			if !a.step.Fills || a.step.Gang || a.step.Perpetual || !a.isCurrent() || a.job.State.Ended() || a.task.State != TaskRunning || a.task.confirmedAt == 0 || a.task.orderedPace > maxRelocatedPace {
+			if a.step.Gang || a.step.Perpetual || !a.isCurrent() || a.job.State.Ended() || a.task.State != TaskRunning || a.task.confirmedAt == 0 {
 				continue
 			}
 			r := newPacedRun(now, a.step, a.task)
-			if relocationPays(r, s.Limits.CheckpointRestore) {
+			if a.step.Fills && a.task.orderedPace <= maxRelocatedPace && relocationPays(r, s.Limits.CheckpointRestore) ||
+				share < 1 && relocationFromSlowPays(r, share, s.Limits.CheckpointRestore) {
 				candidates = append(candidates, relocation{a.id, a.job, a.task, e, now.Add(r.left) > a.job.dueAt, a.job.dueAt})
 			}
 		}
--- /dev/null
+++ b/schedule/dispatch/speed_test.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mimosadock/schedule/clock"
+	"mimosadock/schedule/unit"
+)
+
+// TestSlowExecutors guards against jobs that are late because an executor that has
+// turned slow keeps its runs and gets new ones, and against executors that are avoided
+// because the estimates of some or all tasks are wrong.
+func TestSlowExecutors(t *testing.T) {
+	for name, c := range map[string]struct {
+		slowness clock.Span // factor of the times of runs on x0
+		times    float64    // of all runs in relation to the estimates
+		uneven   bool       // the tasks of each fourth job take four times as long
+		suspect  bool
+	}{
+		"none":                        {1, 1, false, false},
+		"one slow executor":           {6, 1, false, true},
+		"estimates are too low":       {1, 2, false, false},
+		"slow and estimates too low":  {6, 2, false, true},
+		"estimates of some are wrong": {1, 1, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(8)
+			started := make(map[TaskID]clock.Millis)
+			progress := func(id TaskID) unit.Percent {
+				_, step, task := f.shard.findTask(id)
+				length := clock.Span(float64(step.Estimate) * c.times)
+				if c.uneven && strings.HasSuffix(string(id.Job), "0") {
+					length *= 4
+				}
+				if task.Executor == "x0" {
+					length *= c.slowness
+				}
+				return unit.Percent(min(100, 100*f.now.Sub(started[id])/length))
+			}
+			f.list = func(r *RunningRun) { r.Progress = progress(r.Task) }
+			suspect, moved := false, 0
+			f.shard.Report = func(e Event) {
+				suspect = suspect || e.Kind == "executorSuspect"
+				if e.Kind == "moved" {
+					moved++
+				}
+			}
+			runs := make(map[TaskID]unit.Run)
+			for n := range 650 {
+				if n%50 == 0 && n < 400 {
+					for part := range 4 {
+						f.submit(unit.Job(fmt.Sprint("j", n, "part", part)), Step{Count: 8, Size: resources(500), Estimate: 1000})
+					}
+				}
+				f.runFor(20)
+				for x := range f.runs {
+					for id, run := range f.runs[x] {
+						if runs[id] != run {
+							runs[id], started[id] = run, f.now
+						}
+						if _, _, task := f.shard.findTask(id); task.State == TaskRunning && progress(id) == 100 {
+							f.endRun(id, EndDone)
+						}
+					}
+				}
+			}
+			is.Equal(suspect, c.suspect)
+			is.Equal(moved > 0, c.suspect)
+			late := 0
+			for _, j := range f.shard.jobs.All() {
+				if j.State != JobCompleted {
+					late++
+				}
+			}
+			is.Equal(late, 0) // 5 s after the last was handed in; a run on x0 takes 6 to 12 s
+		})
+	}
+}
--- a/schedule/dispatch/task.go
+++ b/schedule/dispatch/task.go
@@ -89,6 +89,7 @@
 	startUncertain    bool                // a start order had no answer, so the run may exist
 	recovered         bool                // the run is known from the store only, not yet from the executor
 	progress          unit.Percent        // of a batch run: work done; of a perpetual run: 100 once it has warmed up
+	listedAt          clock.Millis        // when the run was last listed
 	savedProgress     unit.Percent        // progress when the last checkpoint was first listed, of any run
 	progressChangedAt clock.Millis        // when progress last changed
 	runningSince      clock.Millis        // when the run was first known to run
