--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -80,6 +80,7 @@
 		}
 	}
 	e.unknownRuns, e.listChanged = unknown, true
+	s.avoidSlow(now, e)
 	s.updateInterference(now, e, &sample)
 	s.markAvailable(e)
 	if len(a.Finished) >= maxEndsPerList {
@@ -125,6 +126,7 @@
 	if r.Checkpoint != "" && r.Checkpoint != t.Checkpoint {
 		t.Checkpoint, t.savedProgress = r.Checkpoint, r.Progress
 	}
+	s.measureSpeed(now, e, r.Task.Job, st, t, r.Progress)
 	t.updateProgress(now, r.Progress)
 	sample.addRun(e, st, r)
 	return true
