--- a/schedule/dispatch/share.go
+++ b/schedule/dispatch/share.go
@@ -10,10 +10,10 @@
 const (
 	// initialBatchShare is the share of the processors of a service that perpetual
 	// tasks leave free for batch tasks until the demand of batch tasks is known.
-	initialBatchShare = 0.1
+	initialBatchShare = 0.08
 	// maxBatchShare is the largest share of the processors that is kept free for
 	// batch tasks, whatever they need.
-	maxBatchShare = 0.12
+	maxBatchShare = 0.1
 	// demandPeriod is the time after which the demand is taken to be known.
 	demandPeriod = 20 * clock.Second
 	// demandTimeConstant is the time constant of the average of the offered work, a
