Prefer executors without serving tasks for best-effort tasks that disturb

A task that would take more than a tenth of the headroom of a serving task goes to an executor without serving tasks if there is one; it was 0.3.

--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -119,7 +119,7 @@
 // nonServingHeadroomShare is the headroom share that an executor without
 // serving tasks counts as. A best-effort task goes there if it would take a
 // larger share on every executor with serving tasks.
-const nonServingHeadroomShare = 0.3
+const nonServingHeadroomShare = 0.1
 
 // Rate implements [Policy]. It excludes executors that do not satisfy the
 // demand of the task or do not admit it.
