dispatch: play waits for racks in the model of executors, store and owners

The mix racks of TestStartsUnderFaults and every second seed of TestJobsEndAfterFaults have steps that name a rack or form a group.

--- a/schedule/dispatch/simulation_test.go
+++ b/schedule/dispatch/simulation_test.go
@@ -93,6 +93,10 @@
 	// membership still counts as confirmed, so that it continues to start runs.
 	rebalance float64
 
+	// racks lets the steps of batch jobs name a rack or form a group, so that they
+	// wait for racks.
+	racks bool
+
 	// slowAppend is the probability that an append takes seconds.
 	slowAppend float64
 
@@ -181,7 +185,7 @@
 			incarnation = x.formerIncarnation
 		}
 		r.Entries = append(r.Entries, Registration{
-			Executor: x.id, Service: "s", Address: x.address, Capacity: x.capacity, Incarnation: incarnation,
+			Executor: x.id, Service: "s", Address: x.address, Capacity: x.capacity, Incarnation: incarnation, Labels: []unit.Label{"a", unit.Label("r" + x.id[len(x.id)-1:])},
 			Draining: x.leavesAt > 0, TimeLeft: max(0, x.leavesAt.Sub(sim.now)),
 		})
 	}
@@ -194,7 +198,7 @@
 // simulatedLimits returns the limits of the owners.
 func simulatedLimits() Limits {
 	l := DefaultLimits
-	l.MaxHold = maxSimulatedHold
+	l.MaxHold, l.RemoteFactor = maxSimulatedHold, 3
 	return l
 }
 
@@ -435,13 +439,17 @@
 
 // batchSpec returns a job of two steps with random counts of tasks.
 func (sim *simulation) batchSpec(id unit.Job) *Spec {
-	return &Spec{
+	s := &Spec{
 		ID: id, Queue: Queue{Name: "q", Service: "s", MaxAttempts: 3, SlackFactor: 1.5},
 		Steps: []Step{
 			{Count: 1 + sim.random.Intn(5), Size: unit.Resources{CPU: 1000, Memory: 500}, Estimate: 500},
 			{Count: 1 + sim.random.Intn(3), Size: unit.Resources{CPU: 1500, Memory: 500}, Estimate: 500, After: []int{0}, SavesProgress: true},
 		},
 	}
+	if sim.faults.racks {
+		s.Steps[0].Near, s.Steps[1].SameRack = "r0", true
+	}
+	return s
 }
 
 // submitTo submits a job to a shard.
@@ -486,6 +494,7 @@
 		"cut off, late":   {replaceOwner: 0.003, cutOff: 0.4, late: 0.05, partition: 0.0005, crash: 0.0003},
 		"restarts":        {lost: 0.02, crash: 0.002, misdelivered: 0.8},
 		"silent restarts": {silentRestart: 0.0015, misdelivered: 0.5},
+		"racks":           {racks: true, lost: 0.03, late: 0.03, crash: 0.0005, partition: 0.0005, replaceOwner: 0.002},
 		"all":             {lost: 0.03, late: 0.03, crash: 0.0005, partition: 0.0005, replaceOwner: 0.002},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -522,11 +531,11 @@
 }
 
 // TestJobsEndAfterFaults guards against lost jobs: jobs end after the faults
-// stop.
+// stop, also those whose steps wait for racks.
 func TestJobsEndAfterFaults(t *testing.T) {
 	is := is.New(t)
-	for seed := range int64(seeds()) {
-		sim := newSimulation(seed, faults{lost: 0.05, late: 0.02, crash: 0.001, partition: 0.0005, replaceOwner: 0.003})
+	for seed := range int64(2 * seeds()) {
+		sim := newSimulation(seed/2, faults{lost: 0.05, late: 0.02, crash: 0.001, partition: 0.0005, replaceOwner: 0.003, racks: seed%2 == 1})
 		sim.run(1200)
 		sim.faults = faults{}
 		for range 4000 {
@@ -539,7 +548,7 @@
 			}
 			state, ok := sim.shards[0].owner.State(s.ID)
 			if !ok || !state.Ended() {
-				t.Logf("seed %d: %s is %s", seed, s.ID, state)
+				t.Logf("seed %d, racks %t: %s is %s", seed/2, seed%2 == 1, s.ID, state)
 			}
 			is.True(ok && state.Ended())
 		}
