--- a/schedule/dispatch/simulation_test.go
+++ b/schedule/dispatch/simulation_test.go
@@ -190,7 +190,7 @@
 		}
 		r.Entries = append(r.Entries, Registration{
 			Executor: x.id, Service: "s", Address: x.address, DataCentre: x.dataCentre, Capacity: x.capacity, Incarnation: incarnation,
-			Labels: []unit.Label{"a", unit.Label("r" + x.id[len(x.id)-1:])},
+			Labels:   []unit.Label{"a", unit.Label("r" + x.id[len(x.id)-1:])},
 			Draining: x.leavesAt > 0, TimeLeft: max(0, x.leavesAt.Sub(sim.now)),
 		})
 	}
