control: look for the next owner after a probe without an answer

They are now tried again for 2.6 s, as submissions of unknown outcome are, and likewise those that an owner dropped.

--- a/scheduler/control/directory.go
+++ b/scheduler/control/directory.go
@@ -31,7 +31,7 @@
 const (
 	attemptTimeout     = 900 * time.Millisecond   // of one call to an owner; an append takes under 300 ms on a slow store
 	ownerTimeout       = 700 * clock.Millisecond  // to find an owner
-	outcomeTimeout     = 2600 * clock.Millisecond // for the outcome of a call that may have been accepted; a successor responds 1.6 s after the loss of the owner
+	outcomeTimeout     = 2600 * clock.Millisecond // for the outcome of a call to an owner that did not answer; a successor responds 1.6 s after the loss of the owner
 	minLookupInterval  = 150 * clock.Millisecond  // between two lookups of the owners
 	probeInterval      = 400 * time.Millisecond   // while an owner is unreachable
 	probeTimeout       = 600 * time.Millisecond
@@ -111,6 +111,7 @@
 func (d *Directory) Call(ctx context.Context, request *Request) Reply {
 	startedAt := d.Clock.Now()
 	mayBeAccepted := false // an owner may have accepted an earlier attempt
+	wait := ownerTimeout
 	last := Reply{Status: StatusRefused, Reason: "no owner of the shard is known", RetryAfter: clock.Second}
 	for {
 		r, err := d.attempt(ctx, request)
@@ -124,20 +125,22 @@
 			return r
 		case err == nil:
 			mayBeAccepted = mayBeAccepted || r.Status == StatusUndetermined
+			if r.Status == StatusUndetermined || r.Dropped {
+				wait = outcomeTimeout
+			}
 			last.Reason = r.Reason
 		default:
 			var v *verdict.Error
 			if !errors.As(err, &v) || v.Verdict != verdict.DidNotRun {
 				mayBeAccepted = true
 			}
+			if mayBeAccepted || errors.Is(err, errSilent) {
+				wait = outcomeTimeout
+			}
 			last.Reason = err.Error()
 			d.recordResult(request.Kind, false)
 		}
 		d.refreshOwners(ctx)
-		wait := ownerTimeout
-		if mayBeAccepted {
-			wait = outcomeTimeout
-		}
 		if ctx.Err() != nil || d.Clock.Now().Sub(startedAt) > wait || !sleep(ctx, retryDelay(request.Kind)) {
 			if mayBeAccepted {
 				last.Status = StatusUndetermined
@@ -179,6 +182,9 @@
 	return d.callPeer(ctx, owner, request)
 }
 
+// errSilent reports that a process has not answered a probe that was sent.
+var errSilent = errors.New("no answer to a probe")
+
 // probe asks an owner that may be cut off whether it serves a shard. The error has the
 // verdict DidNotRun: nothing that matters was sent.
 func (d *Directory) probe(ctx context.Context, owner unit.Member, s unit.Shard) (Reply, error) {
@@ -186,6 +192,9 @@
 	defer cancel()
 	r, err := d.callPeer(ctx, owner, &Request{Kind: KindProbe, Shard: s})
 	if err != nil {
+		if verdict.Of(err) != verdict.DidNotRun {
+			err = errors.Join(errSilent, err)
+		}
 		return Reply{}, &verdict.Error{Verdict: verdict.DidNotRun, Reason: "owner does not answer", Err: err}
 	}
 	if r.Status == StatusUndetermined {
--- a/scheduler/control/directory_test.go
+++ b/scheduler/control/directory_test.go
@@ -58,3 +58,56 @@
 		})
 	}
 }
+
+// replacedOwners is an [Owners] whose shard 0 gets another owner at a time.
+type replacedOwners struct {
+	clock      *clock.Manual
+	replacedAt clock.Millis
+}
+
+// Members implements [Owners].
+func (replacedOwners) Members(context.Context) (map[unit.Member]int, error) { return nil, nil }
+
+// Owners implements [Owners].
+func (o replacedOwners) Owners(context.Context) (map[unit.Shard]unit.Member, error) {
+	if o.clock.Now() >= o.replacedAt {
+		return map[unit.Shard]unit.Member{0: "10.0.0.2:1/b/800"}, nil
+	}
+	return map[unit.Shard]unit.Member{0: "10.0.0.1:1/a/800"}, nil
+}
+
+// lostPeer is a [Peers] whose process at 10.0.0.1 does not answer. A call to it takes
+// 300 ms.
+type lostPeer struct{ clock *clock.Manual }
+
+// Request implements [Peers].
+func (p lostPeer) Request(_ context.Context, address string, _ *Request) (Reply, error) {
+	if address == "10.0.0.2:1" {
+		return Reply{Status: StatusAccepted}, nil
+	}
+	p.clock.Advance(300)
+	return Reply{}, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "call failed"}
+}
+
+// Guards against submissions that are refused although the next owner would take them
+// soon, and against an unknown outcome of one that was never sent.
+func TestSubmissionsWaitForTheNextOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		replacedAt clock.Millis
+		want       Status
+	}{
+		"replaced in time": {3000, StatusAccepted},
+		"not replaced":     {60_000, StatusRefused},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := new(clock.Manual)
+			now.Advance(clock.Second)
+			d := &Directory{Owners: replacedOwners{now, c.replacedAt}, Peers: lostPeer{now}, Clock: now, Control: &Control{Counters: new(Counters)}}
+			d.refreshOwners(t.Context())
+			_, err := d.attempt(t.Context(), &Request{Kind: KindState}) // shows that the owner is silent
+			is.True(err != nil)
+			is.Equal(d.Call(t.Context(), &Request{Kind: KindSubmit}).Status, c.want)
+		})
+	}
+}
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -315,7 +315,7 @@
 	for _, w := range owned.queuedWaiters {
 		r := Reply{Status: StatusUndetermined, Reason: "shard was released"}
 		if w.submission && owned.shard.Withdraw(w.job) {
-			r.Status = StatusNotOwner // the next owner may accept it
+			r.Status, r.Dropped = StatusNotOwner, true // the next owner may accept it
 		}
 		w.replyTo <- r
 	}
--- a/scheduler/control/message.go
+++ b/scheduler/control/message.go
@@ -69,6 +69,7 @@
 	Held       int                 `cbor:"6,keyasint,omitempty"` // for KindEvacuate: remaining perpetual runs that can't be moved now within the miss budget of their step; Count is the number of all remaining runs
 	Loans      *dispatch.LoanReply `cbor:"7,keyasint,omitempty"` // for KindLend
 	Borrower   unit.Shard          `cbor:"8,keyasint,omitempty"` // for StatusLent
+	Dropped    bool                `cbor:"9,keyasint,omitempty"` // for StatusNotOwner: the owner had the request for some time and has dropped it, so that it never runs
 }
 
 // joinOutcome is the follow-up that a join requires. The zero value requires
--- a/scheduler/control/reply.go
+++ b/scheduler/control/reply.go
@@ -44,7 +44,7 @@
 		return r, nil
 	case <-ctx.Done():
 		if m.settled.CompareAndSwap(false, true) {
-			return Reply{Status: StatusNotOwner, Reason: "owner is overloaded"}, nil
+			return Reply{Status: StatusNotOwner, Reason: "owner is overloaded", Dropped: true}, nil
 		}
 		return Reply{}, &verdict.Error{Verdict: verdict.MayHaveRun, Reason: "no outcome in time", Err: ctx.Err()}
 	}
