--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -125,7 +125,7 @@
 	if r.Checkpoint != "" && r.Checkpoint != t.Checkpoint {
 		t.Checkpoint, t.savedProgress = r.Checkpoint, r.Progress
 	}
-	s.measureSpeed(now, e, r.Task.Job, st, t, r.Progress)
+	s.measureSpeed(now, e, st, t, r)
 	if r.Progress != t.progress {
 		t.progress, t.progressChangedAt = r.Progress, now
 	}
--- a/schedule/dispatch/speed.go
+++ b/schedule/dispatch/speed.go
@@ -53,28 +53,31 @@
 	return m.work / m.time / (other.work / other.time)
 }
 
-// measureSpeed takes the progress of a run on e that a list reports. Runs below full
-// pace do not count, nor best-effort ones where other tasks need all processors.
-func (s *Shard) measureSpeed(now clock.Millis, e *Executor, job unit.Job, step *Step, t *Task, progress unit.Percent) {
-	before, at := t.progress, t.listedAt
+// measureSpeed takes the progress of a run on e that a list reports. For best-effort
+// runs, only the share of the time counts in which they had the processor time that
+// they requested: others may need it, and a former owner may have ordered a lower pace.
+func (s *Shard) measureSpeed(now clock.Millis, e *Executor, step *Step, t *Task, r *RunningRun) {
+	done, at := r.Progress-t.progress, t.listedAt
 	t.listedAt = now
 	from := t.runningSince.Add(speedDelay)
 	if t.Checkpoint != "" {
 		from = from.Add(s.Limits.CheckpointRestore)
 	}
-	if step.Perpetual || step.Gang || t.State != TaskRunning || t.orderedPace < fullPace || at < from || progress < before ||
-		step.Fills && e.availableBestEffortCPU() < 0 {
+	if step.Perpetual || step.Gang || t.State != TaskRunning || at < from || done < 0 {
 		return
 	}
-	work, span := step.Estimate*clock.Span(progress-before)/clock.Span(fullPace), now.Sub(at)
-	e.speed.add(now, job, work, span)
+	work, span := step.Estimate*clock.Span(done)/clock.Span(fullPace), now.Sub(at)
+	if step.Fills {
+		span = clock.Span(float64(span) * min(1, float64(r.Measurement)/float64(max(1, step.Size.CPU))))
+	}
+	e.speed.add(now, r.Task.Job, work, span)
 	if s.speeds == nil {
 		s.speeds = make(map[unit.Service]*speedMeter)
 	}
 	if s.speeds[e.Service] == nil {
 		s.speeds[e.Service] = new(speedMeter)
 	}
-	s.speeds[e.Service].add(now, job, work, span)
+	s.speeds[e.Service].add(now, r.Task.Job, work, span)
 }
 
 // maxSpeedAge is the age of the last sample from which a speed is unknown.
