Compare the speed of executors by kinds of runs, and bound how many are suspect

Executors that ran tasks without an estimate, with one far too low for their image, or so long that a percent of progress takes seconds, were taken to be slow: they got no runs and their batch runs moved. At most a quarter of the executors of a service is now suspect as slow at a time.

--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -40,6 +40,7 @@
 	unansweredHolds       int                 // holds without an answer in a row
 	consecutiveFailures   int                 // failed runs in a row; suspectThreshold-1 once it becomes suspect, 0 after a success or a restart
 	suspectUntil          clock.Millis        // gets no new runs before, because runs failed, stalled or were refused
+	slowUntil             clock.Millis        // suspect until then because its runs are slow, see Shard.avoidSlow
 	reservedCPU           unit.MilliCPU       // processor time kept from first runs of perpetual tasks, see Shard.reserveForRestarts
 	reservedForBatch      bool                // gets no first runs of perpetual tasks, see Shard.reserveForBatch
 	overdueCPU            unit.MilliCPU       // part of reservedCPU that is kept from all but restarts
--- a/schedule/dispatch/hold.go
+++ b/schedule/dispatch/hold.go
@@ -126,7 +126,7 @@
 	if r.Checkpoint != "" && r.Checkpoint != t.Checkpoint {
 		t.Checkpoint, t.savedProgress = r.Checkpoint, r.Progress
 	}
-	s.measureSpeed(now, e, r.Task.Job, st, t, r.Progress)
+	s.measureSpeed(now, e, r.Task.Job, j, st, t, r.Progress)
 	t.updateProgress(now, r.Progress)
 	sample.addRun(e, st, r)
 	return true
--- a/schedule/dispatch/incarnation.go
+++ b/schedule/dispatch/incarnation.go
@@ -37,8 +37,8 @@
 		e.formerIncarnations = slices.Delete(e.formerIncarnations, 0, n)
 	}
 	e.reconciled, e.clockReadAt, e.storedEndNumber, e.processedEndNumber, e.storingEndNumber, e.acknowledgedEndNumber = false, 0, 0, 0, 0, 0
-	e.consecutiveFailures, e.suspectUntil, e.holdRetryAt, e.unansweredHolds = 0, 0, now, 0
-	e.referenceSentAt = 0
+	e.consecutiveFailures, e.suspectUntil, e.slowUntil, e.holdRetryAt, e.unansweredHolds = 0, 0, 0, now, 0
+	e.referenceSentAt, e.speed = 0, speedMeter{}
 	s.report(Event{Kind: "executorRestarted", Executor: e.Executor})
 }
 
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -62,7 +62,7 @@
 	unsettled          map[TaskID]struct{}               // tasks with an order to send; orders in flight are added if they get no answer
 	resentAt           clock.Millis                      // last check of unsettled
 	placedAt           availability                      // at the last placement
-	speeds             map[unit.Service]*speedMeter      // of all batch runs
+	speeds             map[speedKind]*speedMeter         // of all batch runs of a kind
 	reservedRestarts   int                               // tasks that waited at reservedAt
 	reservedAt         clock.Millis                      // last call of reserveForRestarts that made reservations
 	dirty              []unit.Job                        // jobs that differ from the store
--- a/schedule/dispatch/speed.go
+++ b/schedule/dispatch/speed.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -20,6 +21,14 @@
 	// slowSpeed is the share of the mean speed of the service below which an executor is
 	// slow. Tasks take over twice as long there.
 	slowSpeed = 0.4
+	// maxMeasuredEstimate is the estimate of a run up to which its progress counts. The
+	// progress of longer ones, in whole percents, stands still for too long.
+	maxMeasuredEstimate = 20 * clock.Second
+	// maxSlowShare is the share of the executors of a service that may be suspect as
+	// slow at a time, but for one. The others keep room if the speeds are wrong.
+	maxSlowShare = 0.25
+	// maxSpeedKinds bounds the kinds whose speeds are kept. Callers name images.
+	maxSpeedKinds = 1000
 	// speedDelay is the time after its start from which the progress of a run counts.
 	speedDelay = 300 * clock.Millisecond
 )
@@ -28,12 +37,14 @@
 // The zero value has no samples. It is not stored: a new owner measures anew.
 type speedMeter struct {
 	work, time float64 // decayed sums, in ms
+	usual      float64 // decayed work at the mean speed of each kind in the service, in ms
 	updatedAt  clock.Millis
 	jobs       []unit.Job // with runs in the sums since updatedAt
 }
 
-// add adds the work that a run of a job did in span.
-func (m *speedMeter) add(now clock.Millis, job unit.Job, work, span clock.Span) {
+// add adds the work that a run of a job did in span. usual is the work at the mean
+// speed of its kind.
+func (m *speedMeter) add(now clock.Millis, job unit.Job, work, span clock.Span, usual float64) {
 	if now > m.updatedAt {
 		m.jobs = m.jobs[:0]
 	}
@@ -41,40 +52,63 @@
 		m.jobs = append(m.jobs, job)
 	}
 	decay := math.Exp(-float64(now.Sub(m.updatedAt)) / float64(speedTimeConstant))
-	m.work, m.time, m.updatedAt = m.work*decay+float64(work), m.time*decay+float64(span), now
+	m.work, m.time, m.usual, m.updatedAt = m.work*decay+float64(work), m.time*decay+float64(span), m.usual*decay+usual, now
 }
 
-// share returns the speed as a share of that of other, or 1 if one of them is not
-// known. Estimates that are off for all tasks cancel.
-func (m *speedMeter) share(other *speedMeter) float64 {
-	if len(m.jobs) < minMeasuredJobs || m.time < float64(minMeasuredTime) || other.time <= m.time || other.work == 0 {
+// share returns the speed as a share of the usual one, or 1 if it is not known.
+func (m *speedMeter) share() float64 {
+	if len(m.jobs) < minMeasuredJobs || m.time < float64(minMeasuredTime) || m.usual <= 0 {
 		return 1
 	}
-	return m.work / m.time / (other.work / other.time)
+	return m.work / m.usual
+}
+
+// speedKind identifies runs of a service whose estimates are off alike.
+type speedKind struct {
+	service unit.Service
+	runKind
+}
+
+// speedOf returns the meter of a kind, or nil if there are too many. Those without
+// a recent sample make room.
+func (s *Shard) speedOf(now clock.Millis, kind speedKind) *speedMeter {
+	if m := s.speeds[kind]; m != nil {
+		return m
+	}
+	if s.speeds == nil {
+		s.speeds = make(map[speedKind]*speedMeter)
+	}
+	if len(s.speeds) >= maxSpeedKinds {
+		maps.DeleteFunc(s.speeds, func(_ speedKind, m *speedMeter) bool { return now.Sub(m.updatedAt) > maxSpeedAge })
+	}
+	if len(s.speeds) >= maxSpeedKinds {
+		return nil
+	}
+	m := new(speedMeter)
+	s.speeds[kind] = m
+	return m
 }
 
 // measureSpeed takes the progress of a run on e that a list reports. Runs below full
-// pace do not count, nor best-effort ones where other tasks need all processors.
-func (s *Shard) measureSpeed(now clock.Millis, e *Executor, job unit.Job, step *Step, t *Task, progress unit.Percent) {
+// pace do not count, nor those without an estimate, nor best-effort ones where other tasks need all processors.
+func (s *Shard) measureSpeed(now clock.Millis, e *Executor, id unit.Job, j *Job, step *Step, t *Task, progress unit.Percent) {
 	before, at := t.progress, t.listedAt
 	t.listedAt = now
 	from := t.runningSince.Add(speedDelay)
 	if t.Checkpoint != "" {
 		from = from.Add(s.Limits.CheckpointRestore)
 	}
-	if step.Perpetual || step.Gang || t.State != TaskRunning || t.orderedPace < fullPace || at < from || progress < before ||
+	if step.Perpetual || step.Gang || step.Estimate <= 0 || step.Estimate > maxMeasuredEstimate || t.State != TaskRunning || t.orderedPace < fullPace || at < from || progress < before ||
 		step.Fills && e.availableBestEffortCPU() < 0 {
 		return
 	}
 	work, span := step.Estimate*clock.Span(progress-before)/clock.Span(fullPace), now.Sub(at)
-	e.speed.add(now, job, work, span)
-	if s.speeds == nil {
-		s.speeds = make(map[unit.Service]*speedMeter)
-	}
-	if s.speeds[e.Service] == nil {
-		s.speeds[e.Service] = new(speedMeter)
+	mean := s.speedOf(now, speedKind{e.Service, runKind{j.Queue, step.Image}})
+	if mean == nil || span <= 0 {
+		return
 	}
-	s.speeds[e.Service].add(now, job, work, span)
+	mean.add(now, id, work, span, 0)
+	e.speed.add(now, id, work, span, mean.work/mean.time*float64(span))
 }
 
 // maxSpeedAge is the age of the last sample from which a speed is unknown.
@@ -83,11 +117,10 @@
 // speedShare returns the speed of e as a share of the mean of its service if e is slow,
 // and 1 otherwise.
 func (s *Shard) speedShare(now clock.Millis, e *Executor) float64 {
-	mean := s.speeds[e.Service]
-	if mean == nil || now.Sub(e.speed.updatedAt) > maxSpeedAge {
+	if now.Sub(e.speed.updatedAt) > maxSpeedAge {
 		return 1
 	}
-	if share := e.speed.share(mean); share < slowSpeed {
+	if share := e.speed.share(); share < slowSpeed {
 		return share
 	}
 	return 1
@@ -98,9 +131,26 @@
 // answer: a run there takes several times its estimate, and its job misses its
 // objective. After the time new runs show whether it still is slow.
 func (s *Shard) avoidSlow(now clock.Millis, e *Executor) {
-	if now < e.suspectUntil || s.speedShare(now, e) == 1 {
+	if now < e.suspectUntil || s.speedShare(now, e) == 1 || !s.mayAvoidSlow(now, e.Service) {
 		return
 	}
 	e.suspectUntil = now.Add(suspectPeriod)
+	e.slowUntil = e.suspectUntil
 	s.report(Event{Kind: "executorSuspect", Executor: e.Executor, Reason: "runs are slow"})
 }
+
+// mayAvoidSlow reports whether one more executor of a service may be suspect as slow.
+func (s *Shard) mayAvoidSlow(now clock.Millis, service unit.Service) bool {
+	slow, executors := 0, 0
+	for _, e := range s.executors.All() {
+		switch {
+		case e.Service != service:
+		case now < e.slowUntil:
+			slow++
+			executors++
+		case s.accepts(now, e):
+			executors++
+		}
+	}
+	return slow == 0 || float64(slow+1) <= maxSlowShare*float64(executors)
+}
--- a/schedule/dispatch/speed_test.go
+++ b/schedule/dispatch/speed_test.go
@@ -81,3 +81,99 @@
 		})
 	}
 }
+
+// TestHealthyExecutorsAreNotSuspect guards against executors that are avoided because
+// of the estimates of the tasks that run there, which callers choose.
+func TestHealthyExecutorsAreNotSuspect(t *testing.T) {
+	for name, c := range map[string]struct {
+		step Step // of jobs whose tasks run on half of the executors
+		took clock.Span
+	}{
+		"no estimate":                   {Step{Count: 2, Size: resources(500)}, 2000},
+		"estimates of an image too low": {Step{Count: 2, Size: resources(500), Estimate: 200, Image: "b"}, 2000},
+		"long estimate":                 {Step{Count: 2, Size: resources(500), Estimate: 600_000}, 600_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(8)
+			started := make(map[TaskID]clock.Millis)
+			progress := func(id TaskID) unit.Percent {
+				_, step, _ := f.shard.findTask(id)
+				length := step.Estimate
+				if step.Needs != "" {
+					length = c.took
+				}
+				return unit.Percent(min(100, 100*f.now.Sub(started[id])/length))
+			}
+			f.list = func(r *RunningRun) { r.Progress = progress(r.Task) }
+			suspect, moved := 0, 0
+			f.shard.Report = func(e Event) {
+				if e.Kind == "executorSuspect" {
+					suspect++
+				}
+				if e.Kind == "moved" {
+					moved++
+				}
+			}
+			c.step.Needs = "r0"
+			for n := range 12 {
+				f.submit(unit.Job(fmt.Sprint("own", n)), c.step)
+			}
+			for n := range 250 {
+				if n%50 == 0 {
+					for part := range 4 {
+						f.submit(unit.Job(fmt.Sprint("j", n, "part", part)), Step{Count: 8, Size: resources(500), Estimate: 1000})
+					}
+				}
+				f.runFor(20)
+				f.endRunsWithProgress(started, progress)
+			}
+			is.Equal(suspect, 0)
+			is.Equal(moved, 0)
+		})
+	}
+}
+
+// endRunsWithProgress ends the runs that are done, and notes when each began.
+func (f *fixture) endRunsWithProgress(started map[TaskID]clock.Millis, progress func(TaskID) unit.Percent) {
+	for x := range f.runs {
+		for id := range f.runs[x] {
+			if _, ok := started[id]; !ok {
+				started[id] = f.now
+			}
+			if _, _, task := f.shard.findTask(id); task.State == TaskRunning && progress(id) == 100 {
+				f.endRun(id, EndDone)
+			}
+		}
+	}
+}
+
+// TestSlowExecutorsKeepRoom guards against a service that is left without room because
+// too many of its executors are taken to be slow at a time.
+func TestSlowExecutorsKeepRoom(t *testing.T) {
+	for name, c := range map[string]struct{ executors, slow, most int }{
+		"half of eight": {8, 4, 2},
+		"one of two":    {2, 1, 1},
+		"two of three":  {3, 2, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(c.executors)
+			now := clock.Millis(10_000)
+			for _, e := range f.shard.executors.All() {
+				e.speed = speedMeter{work: 1000, time: 2000, usual: 2000, updatedAt: now, jobs: []unit.Job{"a", "b", "c"}}
+				if int(e.Executor[1]-'0') < c.slow {
+					e.speed.work = 200
+				}
+			}
+			suspect := 0
+			for _, e := range f.shard.executors.All() {
+				f.shard.avoidSlow(now, e)
+				if now < e.suspectUntil {
+					suspect++
+				}
+			}
+			is.Equal(suspect, c.most)
+		})
+	}
+}
