Let tasks that outlast their estimates end

A batch task that advances by less than a percent in 1.5 s was moved again and again and never ended. The stall timeout grows with the estimate, and from the second move on each further one needs twice the time or gain. Runs of a group move within its rack.

--- a/schedule/dispatch/relocate.go
+++ b/schedule/dispatch/relocate.go
@@ -27,15 +27,17 @@
 	lost    clock.Span // time lost to the pace so far
 	left    clock.Span // work left
 	unsaved clock.Span // work done since the last checkpoint
+	factor  clock.Span // see Task.moveFactor; 0 stands for 1
 }
 
 // relocationPays reports whether to stop a run and start it on another executor. How
 // long its pace will stay low is unknown. If it moves once it has lost as much time as
 // the move costs, it never loses more than twice of what a choice with that knowledge
 // would lose (A. Karlin et al., "Competitive snoopy caching", Algorithmica 3, 1988).
-// A run that has less work left than the move costs stays.
+// A run that has less work left than the move costs stays. See [Task.moveFactor] for
+// further moves of a task.
 func relocationPays(r pacedRun, restore clock.Span) bool {
-	cost := r.unsaved + restore + relocationDelay
+	cost := (r.unsaved + restore + relocationDelay) * max(1, r.factor)
 	return r.lost >= cost && r.left > cost
 }
 
@@ -44,7 +46,7 @@
 // so that the time that is saved is known, but for errors of the estimates.
 func relocationFromSlowPays(r pacedRun, share float64, restore clock.Span) bool {
 	stay, move := float64(r.left)/max(share, 0.01), float64(r.left+r.unsaved+restore+relocationDelay)
-	return stay > 2*move
+	return stay > 2*move*float64(max(1, r.factor))
 }
 
 // relocation is a run that may be relocated.
@@ -97,6 +99,9 @@
 		}
 		request := s.newPlacementRequest(now, stepKey{c.id.Job, c.id.Occurrence, c.id.Step}, c.job, pool).forTask(c.task)
 		request.avoidedExecutor = c.from.Executor
+		if request.step.SameRack {
+			request.rack = s.rackOf(c.job.Occurrences[c.id.Occurrence].Steps[c.id.Step].Tasks)
+		}
 		if to, ok := s.choose(pool.executors, request); ok && to != c.from {
 			s.moveRun(c.id, c.task, c.from, c.reason())
 		}
@@ -135,5 +140,5 @@
 		saved = t.savedProgress
 	}
 	share := func(p unit.Percent) clock.Span { return step.Estimate * clock.Span(p) / clock.Span(fullPace) }
-	return pacedRun{lost: times.paced, left: share(fullPace - t.progress), unsaved: share(max(0, t.progress-saved))}
+	return pacedRun{lost: times.paced, left: share(fullPace - t.progress), unsaved: share(max(0, t.progress-saved)), factor: t.moveFactor()}
 }
--- a/schedule/dispatch/relocate_test.go
+++ b/schedule/dispatch/relocate_test.go
@@ -122,3 +122,35 @@
 		})
 	}
 }
+
+// TestTasksThatOutlastEstimatesEnd guards against a task that never ends because its
+// runs are moved again and again: it takes much longer than its estimate everywhere,
+// or so long that its progress in whole percents seldom changes.
+func TestTasksThatOutlastEstimatesEnd(t *testing.T) {
+	for name, c := range map[string]struct{ estimate, took clock.Span }{
+		"long":                 {400_000, 400_000},
+		"longer than estimate": {1000, 400_000},
+		"no estimate":          {0, 400_000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(3)
+			f.submit("j", Step{Count: 1, Size: resources(500), Estimate: c.estimate})
+			f.runFor(100)
+			id, started, run := TaskID{Job: "j"}, f.now, unit.Run(1)
+			progress := func() unit.Percent { return unit.Percent(100 * f.now.Sub(started) / c.took) }
+			f.list = func(r *RunningRun) { r.Progress = progress() }
+			for f.now < clock.Millis(3*c.took) && f.shard.jobs.Get("j").State != JobCompleted {
+				f.runFor(200)
+				_, _, task := f.shard.findTask(id)
+				if task.Run != run {
+					started, run = f.now, task.Run
+				}
+				if task.State == TaskRunning && progress() >= fullPace {
+					f.endRun(id, EndDone)
+				}
+			}
+			is.Equal(f.shard.jobs.Get("j").State, JobCompleted)
+		})
+	}
+}
--- a/schedule/dispatch/stall.go
+++ b/schedule/dispatch/stall.go
@@ -3,9 +3,12 @@
 import "mimosadock/schedule/clock"
 
 const (
-	// stallTimeout is how long the progress of a run may stay unchanged. The
-	// longest tasks advance by a percent in 240 ms.
-	stallTimeout = 1500 * clock.Millisecond
+	// stallTimeout is how long the progress of a run may stay unchanged, and
+	// stalledPercents the same in percents of its estimate, for long tasks.
+	stallTimeout    = 1500 * clock.Millisecond
+	stalledPercents = 6
+	// maxMoveDoublings bounds how often the wait or the cost of a move doubles.
+	maxMoveDoublings = 10
 	// drainMargin is the part of the time left on a draining executor that is
 	// kept for saving checkpoints.
 	drainMargin = 700 * clock.Millisecond
@@ -54,7 +57,7 @@
 	if st.Perpetual {
 		return t.progress < 100 && unchangedFor > warmUpTimeout+s.Limits.CheckpointRestore
 	}
-	limit := stallTimeout
+	limit := max(stallTimeout, stalledPercents*st.Estimate/clock.Span(fullPace)) * t.moveFactor()
 	if t.Checkpoint != "" && t.progressChangedAt == t.runningSince {
 		limit += s.Limits.CheckpointRestore
 	}
@@ -64,10 +67,18 @@
 	return unchangedFor > limit && t.progress < 99
 }
 
+// moveFactor returns the factor by which a move of a run of t must pay more than the
+// first one. It doubles with each move from the second one on, so that a task which
+// needs much longer than its estimate on any executor gets done.
+func (t *Task) moveFactor() clock.Span { return 1 << min(max(0, t.moves-1), maxMoveDoublings) }
+
 // moveRun marks a run to be stopped, so that its task starts again. A later tick
 // sends the stop order. Later placements of the task give e a penalty.
 func (s *Shard) moveRun(id TaskID, t *Task, e *Executor, reason string) {
 	t.State, t.confirmedAt, t.inFlight, t.avoidedExecutor = TaskStopping, 0, false, e.Executor
+	if !e.Draining {
+		t.moves++
+	}
 	s.markUnsettled(id)
 	s.report(Event{Kind: "moved", Task: id, Run: t.Run, Executor: e.Executor, Reason: reason})
 }
--- a/schedule/dispatch/task.go
+++ b/schedule/dispatch/task.go
@@ -99,6 +99,7 @@
 	orderedPace       unit.Percent        // pace last ordered
 	targetPace        unit.Percent        // pace that the run should have
 	avoidedExecutor   unit.Executor       // executor of the last run that failed or was moved
+	moves             int                 // runs that this owner stopped to start the task elsewhere, except from executors that drain
 	times             taskTimes
 }
 
