--- a/schedule/dispatch/stall.go
+++ b/schedule/dispatch/stall.go
@@ -6,7 +6,7 @@
 	// stallTimeout is how long the progress of a run may stay unchanged, and
 	// stalledPercents the same in percents of its estimate, for long tasks.
 	stallTimeout    = 1500 * clock.Millisecond
-	stalledPercents = 6
+	stalledPercents = 2
 	// maxMoveDoublings bounds how often the wait or the cost of a move doubles.
 	maxMoveDoublings = 10
 	// drainMargin is the part of the time left on a draining executor that is
