--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -48,6 +48,7 @@
 	for name, pool := range pools {
 		demand := s.batchDemandOf(name)
 		demand.update(now)
+		demand.limitTo(totals[name])
 		size := demand.size(now, totals[name], totals[name]/unit.MilliCPU(len(pool.executors)))
 		if s.fixedBatchShare > 0 {
 			size = unit.MilliCPU(s.fixedBatchShare * float64(totals[name]))
--- a/schedule/dispatch/share.go
+++ b/schedule/dispatch/share.go
@@ -79,6 +79,12 @@
 	d.offered, d.updatedAt = 0, now
 }
 
+// limitTo bounds the level and its peak to the processors of the service. A single job
+// may offer many orders of magnitude more, which would take hours to fall back.
+func (d *batchDemand) limitTo(total unit.MilliCPU) {
+	d.level, d.peak = min(d.level, float64(total)), min(d.peak, float64(total))
+}
+
 // need returns the processor time that batch tasks are forecast to hold at the crest
 // of the load.
 func (d *batchDemand) need() unit.MilliCPU { return unit.MilliCPU(d.peak * max(1, d.heldRatio)) }
--- a/schedule/dispatch/urgency_test.go
+++ b/schedule/dispatch/urgency_test.go
@@ -83,6 +83,35 @@
 	}
 }
 
+// TestDemandOfLargeJobs guards against one job with large sizes, estimates or counts
+// that keeps the reserve at its most, and the load that lenders compare, for hours.
+func TestDemandOfLargeJobs(t *testing.T) {
+	for name, step := range map[string]Step{
+		"longest estimate": {Count: 1, Size: resources(8000), Estimate: maxSpan},
+		"most tasks":       {Count: maxTasks, Size: resources(8000), Estimate: clock.Hour},
+		"largest of all":   {Count: maxTasks, Size: resources(maxSize), Estimate: maxSpan},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(20)
+			f.submit("large", step)
+			total := unit.MilliCPU(20 * 8000)
+			for range 10 {
+				f.runFor(100)
+				need := f.shard.batchDemandOf("s").need()
+				is.True(need >= 0 && need <= total)
+			}
+			f.shard.Cancel(f.now, unit.UnixMillis(f.now), "large")
+			f.runFor(100)
+			for range 10 * 60 {
+				f.now = f.now.Add(clock.Second)
+				f.shard.pools(f.now)
+			}
+			is.True(f.shard.batchDemandOf("s").need() < total/1000)
+		})
+	}
+}
+
 // TestStarvedJobsLeaveTheReserve guards against a perpetual job that fills the
 // executors that are kept for batch tasks because no task of it runs yet.
 func TestStarvedJobsLeaveTheReserve(t *testing.T) {
