--- a/schedule/dispatch/locality_forecast.go
+++ b/schedule/dispatch/locality_forecast.go
@@ -17,6 +17,9 @@
 	// initialVariation is the standard deviation of run times as a share of the
 	// estimate while the actual one is not known.
 	initialVariation = 0.5
+	// maxVariation bounds the standard deviation of run times as a share of their mean,
+	// against estimates that are off by many orders.
+	maxVariation = 2.0
 	// minRateProgress is the progress, in percent, from which the rate of a run
 	// tells more about its remaining time than the estimate does.
 	minRateProgress = 20
@@ -57,8 +60,8 @@
 	if m == nil || m.N < minRunTimeSamples {
 		return 1, initialVariation
 	}
-	variance := m.StdDev() * m.StdDev()
-	return math.Exp(m.Mean + variance/2), math.Sqrt(math.Expm1(variance))
+	variance := min(m.StdDev()*m.StdDev(), math.Log1p(maxVariation*maxVariation))
+	return math.Exp(m.Mean + variance/2), min(math.Sqrt(math.Expm1(variance)), maxVariation)
 }
 
 // recordRunTime learns from a run that is done. It ignores runs that did not start
@@ -87,7 +90,7 @@
 // its standard deviation as a share of it.
 func (s *Shard) expectedRunTime(j *Job, st *Step) (clock.Span, float64) {
 	ratio, variation := s.runTimes.ratio(runKind{j.Queue, st.Image})
-	return clock.Span(ratio * float64(st.Estimate)), variation
+	return clock.Span(min(max(ratio*float64(st.Estimate), 1), float64(maxSpan))), variation
 }
 
 // updateProgress records the progress that a run list reports.
--- a/schedule/dispatch/locality_test.go
+++ b/schedule/dispatch/locality_test.go
@@ -178,3 +178,27 @@
 		})
 	}
 }
+
+// TestRunTimesOfFarOffEstimates guards against forecasts that overflow because the
+// estimates of one kind of runs, which callers choose, are off by many orders.
+func TestRunTimesOfFarOffEstimates(t *testing.T) {
+	for name, c := range map[string]struct{ estimates []clock.Span }{
+		"too low":        {[]clock.Span{1}},
+		"too high":       {[]clock.Span{maxSpan}},
+		"low and high":   {[]clock.Span{1, maxSpan}},
+		"one of several": {[]clock.Span{1000, 1000, 1000, 1000, maxSpan}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := Shard{runTimes: make(runTimeTable)}
+			for n := range 100 {
+				s.runTimes.add(runKind{}, c.estimates[n%len(c.estimates)], 1000)
+			}
+			for _, estimate := range []clock.Span{1, 1000, maxSpan} {
+				mean, variation := s.expectedRunTime(&Job{}, &Step{Estimate: estimate})
+				is.True(mean >= 1 && mean <= maxSpan)
+				is.True(variation >= 0 && variation <= maxVariation)
+			}
+		})
+	}
+}
