Relocate runs only where their next run has room

Room for one run counted for up to eight, a run left the rack of its data or group, where it takes several times as long, and an owner that places nothing yet stopped runs.

--- a/schedule/dispatch/locality_wait.go
+++ b/schedule/dispatch/locality_wait.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
@@ -298,10 +300,8 @@
 // that waited in this placement, once a task has started or none is left to place.
 // A wait paid if the tasks on the rack gained more time than the step waited.
 func (s *Shard) reviewRackWaits(now clock.Millis) {
-	for k, w := range s.rackWaits {
-		if w.weighed == now {
-			continue
-		}
+	for _, k := range s.endedRackWaits(now) {
+		w := s.rackWaits[k]
 		onRack, elsewhere := s.countStarts(k, w)
 		if s.readySteps[k] != nil && onRack+elsewhere == 0 {
 			w.promises = w.promises[:0] // there is no room elsewhere either
@@ -328,6 +328,21 @@
 	}
 }
 
+// endedRackWaits returns the steps without a task that waited in this placement, in a
+// fixed order, since what is learned from them depends on it.
+func (s *Shard) endedRackWaits(now clock.Millis) []stepKey {
+	var ended []stepKey
+	for k, w := range s.rackWaits {
+		if w.weighed != now {
+			ended = append(ended, k)
+		}
+	}
+	slices.SortFunc(ended, func(a, b stepKey) int {
+		return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step))
+	})
+	return ended
+}
+
 // countStarts returns how many tasks of a step that waited were assigned on the rack,
 // and elsewhere. It counts a task once.
 func (s *Shard) countStarts(k stepKey, w *rackWait) (onRack, elsewhere int) {
--- a/schedule/dispatch/relocate.go
+++ b/schedule/dispatch/relocate.go
@@ -74,7 +74,7 @@
 // checkpoint. It also stops batch runs on slow executors. Jobs that can still be done
 // in time come first.
 func (s *Shard) relocatePacedRuns(now clock.Millis) {
-	if now < s.relocatedAt.Add(relocationInterval) {
+	if s.AwaitsOperator || now < s.relocatedAt.Add(relocationInterval) {
 		return
 	}
 	s.relocatedAt = now
@@ -89,7 +89,7 @@
 			}
 			return -1
 		}
-		return cmp.Or(cmp.Compare(a.dueAt, b.dueAt), cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index))
+		return cmp.Or(cmp.Compare(a.dueAt, b.dueAt), cmp.Compare(a.id.Job, b.id.Job), cmp.Compare(a.id.Occurrence, b.id.Occurrence), cmp.Compare(a.id.Step, b.id.Step), cmp.Compare(a.id.Index, b.id.Index))
 	})
 	pools := s.pools(now)
 	for _, c := range candidates[:min(len(candidates), maxRelocations)] {
@@ -97,17 +97,34 @@
 		if pool == nil {
 			continue
 		}
-		request := s.newPlacementRequest(now, stepKey{c.id.Job, c.id.Occurrence, c.id.Step}, c.job, pool).forTask(c.task)
-		request.avoidedExecutor = c.from.Executor
-		if request.step.SameRack {
-			request.rack = s.rackOf(c.job.Occurrences[c.id.Occurrence].Steps[c.id.Step].Tasks)
-		}
-		if to, ok := s.choose(pool.executors, request); ok && to != c.from {
+		if to := s.relocationTarget(now, &c, pool); to != nil {
+			// The room is taken until all are chosen, so that it counts for one run.
+			to.addRun(assignment{c.id, c.task.Run + 1, c.job, &c.job.Spec.Steps[c.id.Step], c.task})
+			defer to.removeRun(c.id)
 			s.moveRun(c.id, c.task, c.from, c.reason())
 		}
 	}
 }
 
+// relocationTarget returns the executor that takes a run that may be relocated, or nil.
+// A run on the rack of its data or group does not leave it, since it would run longer
+// elsewhere.
+func (s *Shard) relocationTarget(now clock.Millis, c *relocation, pool *executorPool) *Executor {
+	request := s.newPlacementRequest(now, stepKey{c.id.Job, c.id.Occurrence, c.id.Step}, c.job, pool).forTask(c.task)
+	request.avoidedExecutor = c.from.Executor
+	if request.step.SameRack {
+		request.rack = s.rackOf(c.job.Occurrences[c.id.Occurrence].Steps[c.id.Step].Tasks)
+	}
+	to, ok := s.choose(pool.executors, request)
+	if !ok || to == c.from || to.indexOf(c.id) >= 0 { // an earlier run may be left on to
+		return nil
+	}
+	if rack := unit.Label(request.wantedRack()); rack != "" && c.from.hasLabel(rack) && !to.hasLabel(rack) {
+		return nil
+	}
+	return to
+}
+
 // relocationCandidates returns the runs for which relocation pays.
 func (s *Shard) relocationCandidates(now clock.Millis) []relocation {
 	var candidates []relocation
--- a/schedule/dispatch/relocate_test.go
+++ b/schedule/dispatch/relocate_test.go
@@ -123,6 +123,44 @@
 	}
 }
 
+// TestRelocationNeedsRoom guards against runs that are stopped although no executor
+// takes their next run: room for one that is counted for several, room away from the
+// data, and an owner that places nothing yet.
+func TestRelocationNeedsRoom(t *testing.T) {
+	for name, c := range map[string]struct {
+		step   Step
+		awaits bool
+		moved  int
+	}{
+		"room for one":                  {Step{Count: 4}, false, 1},
+		"owner that awaits an operator": {Step{Count: 4}, true, 0},
+		"room on the rack":              {Step{Count: 2, Near: "r0"}, false, 1},
+		"room off the rack":             {Step{Count: 3, Near: "r0"}, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newPacedFixture(5)
+			c.step.Size, c.step.Estimate, c.step.Fills, c.step.Image = unit.Resources{CPU: 500, Memory: 8500}, 20_000, true, "f"
+			f.submit("batch", c.step)
+			f.play(500)
+			is.Equal(f.countRuns("batch"), c.step.Count)
+			for i := range c.step.Count {
+				_, _, task := f.shard.findTask(TaskID{Job: "batch", Index: i})
+				task.orderedPace, task.times.paced = 0, 10_000
+			}
+			moved := 0
+			f.shard.Report = func(e Event) {
+				if e.Kind == "moved" {
+					moved++
+				}
+			}
+			f.shard.AwaitsOperator = c.awaits
+			f.shard.relocatePacedRuns(f.now.Add(relocationInterval))
+			is.Equal(moved, c.moved)
+		})
+	}
+}
+
 // TestTasksThatOutlastEstimatesEnd guards against a task that never ends because its
 // runs are moved again and again: it takes much longer than its estimate everywhere,
 // or so long that its progress in whole percents seldom changes.
