--- a/schedule/dispatch/locality_wait.go
+++ b/schedule/dispatch/locality_wait.go
@@ -284,6 +284,8 @@
 		return ""
 	case e.Draining:
 		return "executor drains"
+	case e.evacuated:
+		return "data centre is evacuated"
 	case now < e.evacuatingUntil:
 		return "executor is evacuated"
 	case now < e.vacatingUntil:
