--- a/schedule/dispatch/speed.go
+++ b/schedule/dispatch/speed.go
@@ -89,8 +89,16 @@
 	return m
 }
 
+// tellsSpeed reports whether the progress of the runs of a step on e depends on the
+// speed of e. Away from the rack of their data or group, they take several times as
+// long, and best-effort ones wait where other tasks need all processors.
+func (s *Step) tellsSpeed(e *Executor) bool {
+	return !s.Perpetual && !s.Gang && !s.SameRack && !s.isRemote(e) && s.Estimate > 0 && s.Estimate <= maxMeasuredEstimate &&
+		(!s.Fills || e.availableBestEffortCPU() >= 0)
+}
+
 // measureSpeed takes the progress of a run on e that a list reports. Runs below full
-// pace do not count, nor those without an estimate, nor best-effort ones where other tasks need all processors.
+// pace do not count.
 func (s *Shard) measureSpeed(now clock.Millis, e *Executor, id unit.Job, j *Job, step *Step, t *Task, progress unit.Percent) {
 	before, at := t.progress, t.listedAt
 	t.listedAt = now
@@ -98,8 +106,7 @@
 	if t.Checkpoint != "" {
 		from = from.Add(s.Limits.CheckpointRestore)
 	}
-	if step.Perpetual || step.Gang || step.Estimate <= 0 || step.Estimate > maxMeasuredEstimate || t.State != TaskRunning || t.orderedPace < fullPace || at < from || progress < before ||
-		step.Fills && e.availableBestEffortCPU() < 0 {
+	if !step.tellsSpeed(e) || t.State != TaskRunning || t.orderedPace < fullPace || at < from || progress < before {
 		return
 	}
 	work, span := step.Estimate*clock.Span(progress-before)/clock.Span(fullPace), now.Sub(at)
