--- a/schedule/dispatch/speed.go
+++ b/schedule/dispatch/speed.go
@@ -89,10 +89,16 @@
 	return m
 }
 
-// measureSpeed takes the progress of a run on e that a list reports. Runs without an
-// estimate do not count. For best-effort runs, only the share of the time counts in
-// which they had the processor time that they requested: others may need it, and a
-// former owner may have ordered a lower pace.
+// tellsSpeed reports whether the progress of the runs of a step on e depends on the
+// speed of e. Away from the rack of their data or group, they take several times as
+// long.
+func (s *Step) tellsSpeed(e *Executor) bool {
+	return !s.Perpetual && !s.Gang && !s.SameRack && !s.isRemote(e) && s.Estimate > 0 && s.Estimate <= maxMeasuredEstimate
+}
+
+// measureSpeed takes the progress of a run on e that a list reports. For best-effort
+// runs, only the share of the time counts in which they had the processor time that
+// they requested: others may need it, and a former owner may have ordered a lower pace.
 func (s *Shard) measureSpeed(now clock.Millis, e *Executor, j *Job, step *Step, t *Task, r *RunningRun) {
 	done, at := r.Progress-t.progress, t.listedAt
 	t.listedAt = now
@@ -100,7 +106,7 @@
 	if t.Checkpoint != "" {
 		from = from.Add(s.Limits.CheckpointRestore)
 	}
-	if step.Perpetual || step.Gang || step.Estimate <= 0 || step.Estimate > maxMeasuredEstimate || t.State != TaskRunning || at < from || done < 0 {
+	if !step.tellsSpeed(e) || t.State != TaskRunning || at < from || done < 0 {
 		return
 	}
 	work, span := step.Estimate*clock.Span(done)/clock.Span(fullPace), now.Sub(at)
