Repeat lost paces, and take a serving task for recovered only well below its target

A serving task was over its target for 4.5 s while best-effort tasks went on beside it. Two ways to that are closed: single rough measurements below the target restarted the time after which the best- effort tasks are paused (TestOverTargetUntilRecovered), and a pace whose order had no answer counted as carried out (TestPacesAreRepeated). Both tests failed before.

--- a/schedule/dispatch/incarnation.go
+++ b/schedule/dispatch/incarnation.go
@@ -118,7 +118,8 @@
 	s.orderUndetermined(o)
 }
 
-// orderUndetermined lets a later tick repeat a start or stop order.
+// orderUndetermined lets a later tick repeat an order, that of a pace after the next
+// run list.
 func (s *Shard) orderUndetermined(o *Order) {
 	switch {
 	case o.Start != nil:
@@ -131,5 +132,9 @@
 			t.inFlight = false
 			s.markUnsettled(o.Stop.Task)
 		}
+	case o.Pace != nil:
+		if _, _, t := s.findTask(o.Pace.Task); t != nil && t.Run == o.Pace.Run {
+			t.paceUncertain = true
+		}
 	}
 }
--- a/schedule/dispatch/pace.go
+++ b/schedule/dispatch/pace.go
@@ -22,6 +22,10 @@
 	// may raise the tail latency. The rest allows for changes in the load of
 	// the serving tasks before the next run list.
 	targetTailRatio = 0.7
+	// recoveredTailRatio is the ratio of the target from which a serving task that has
+	// exceeded its target counts as below it again. The measurements are rough: near
+	// the target, one of them alone shows nothing.
+	recoveredTailRatio = 0.9
 	// maxPaceIncrease is the largest increase of a pace with one run list.
 	maxPaceIncrease unit.Percent = 25
 	// maxHeadroomShare is the largest share of the headroom of a serving task
@@ -50,7 +54,7 @@
 func (s *Shard) updateInterference(now clock.Millis, e *Executor, sample *interferenceSample) {
 	s.trainModels(now, e, sample)
 	e.servingTasks = e.servingTasks[:0]
-	overTarget := false
+	overTarget, recovered := false, true
 	for _, tail := range sample.tailLatencies {
 		model := s.interferenceModels[tail.image]
 		ownLoad := model.loadAt(tail.latency)
@@ -59,12 +63,13 @@
 		}
 		serving := servingTask{image: tail.image, model: model, headroom: max(0, model.loadAt(targetTailRatio*tail.target)-max(0, ownLoad)), overTarget: tail.latency > tail.target}
 		overTarget = overTarget || serving.overTarget
+		recovered = recovered && tail.latency <= recoveredTailRatio*tail.target
 		e.servingTasks = append(e.servingTasks, serving)
 	}
 	switch {
-	case !overTarget:
+	case recovered:
 		e.overTargetSince = 0
-	case e.overTargetSince == 0:
+	case overTarget && e.overTargetSince == 0:
 		e.overTargetSince = now
 	}
 	s.allocatePaces(now, e)
@@ -223,11 +228,11 @@
 				continue
 			}
 			target := t.targetPace
-			if diff := target - t.orderedPace; diff == 0 || diff < minPaceChange && diff > -minPaceChange && target != 0 && target != fullPace {
+			if diff := target - t.orderedPace; !t.paceUncertain && (diff == 0 || diff < minPaceChange && diff > -minPaceChange && target != 0 && target != fullPace) {
 				continue
 			}
 			t.times.changePace(now, t.orderedPace)
-			t.orderedPace = target
+			t.orderedPace, t.paceUncertain = target, false
 			s.pendingOrders = append(s.pendingOrders, Order{To: e.target(), Pace: &PaceOrder{id, t.Run, target, s.token(e)}})
 			s.report(Event{Kind: "paced", Task: id, Run: t.Run, Executor: e.Executor})
 		}
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -470,7 +470,7 @@
 	t.Run++
 	t.Executor, t.Incarnation = e.Executor, e.Incarnation
 	t.confirmedAt, t.progress, t.firstProgressAt, t.lastActionAt = 0, 0, 0, now
-	t.startUncertain, t.inFlight, t.recovered, t.orderedPace, t.targetPace = false, false, false, fullPace, fullPace
+	t.startUncertain, t.inFlight, t.recovered, t.paceUncertain, t.orderedPace, t.targetPace = false, false, false, false, fullPace, fullPace
 	e.addRun(assignment{id, t.Run, j, st, t})
 	s.pendingStarts = append(s.pendingStarts, id)
 	s.markDirty(id.Job, j)
--- a/schedule/dispatch/task.go
+++ b/schedule/dispatch/task.go
@@ -98,6 +98,7 @@
 	runningSince      clock.Millis        // when the run was first known to run
 	orderedPace       unit.Percent        // pace last ordered
 	targetPace        unit.Percent        // pace that the run should have
+	paceUncertain     bool                // the last order of a pace had no answer
 	avoidedExecutor   unit.Executor       // executor of the last run that failed or was moved
 	moves             int                 // runs that this owner stopped to start the task elsewhere, except from executors that drain
 	times             taskTimes
