Let connections wait for a place, and displace overdue clients under a shortage

Callers saw: with clients that send a little and connect again whenever they are refused, ordinary callers got no answer within 60 s (EOF: accepted, then closed).

Cause: places were kept first come. A connection that had sent a byte within the last second was never displaced, and each newcomer was closed at once, so that a place that became free went to whoever tried most often. The same for the bytes of requests, and for clients that do not read their responses.

Change: while places are short, a client has 400 ms to send its request or to read a response, and a second for each 256 KiB; those that are overdue are closed for newcomers, first those between two requests. If the process itself is behind (bytes are unread), the wait begins again, four times at most. Newcomers wait in the order of their arrival instead of being closed, for up to 1 s in which no place becomes free. Nothing changes while there is room.

Why it works: an ordinary request needs its place for milliseconds. Each client of a crowd loses its place after 400 ms and waits its turn, so that a place becomes free for each client that waits within a time that the size of the crowd bounds.

--- a/schedule/intake/limits.go
+++ b/schedule/intake/limits.go
@@ -6,7 +6,7 @@
 )
 
 // Limits bound what the clients of a listener use. MaxPause and Grace of 0 turn
-// their checks off.
+// their checks off. The last three apply while connections or bytes are short.
 type Limits struct {
 	Connections int        // open connections
 	Bytes       unit.Bytes // of all requests that are not answered
@@ -16,7 +16,10 @@
 	Grace    clock.Span // time from the start of a header or body from which MinRate applies
 	MinRate  unit.Bytes // average bytes per second of a header or body
 	MaxPause clock.Span // longest time without progress
-	MinPause clock.Span // time without progress from which others may take the place
+
+	ShortGrace clock.Span // time to send a request, to read a response or to begin the next request
+	ShortRate  unit.Bytes // bytes per second that a client has besides ShortGrace; 0 gives no time for bytes
+	MaxWait    clock.Span // longest time in which no place becomes free for a new connection; 0 refuses it at once
 }
 
 // Defaults of the limits of progress. A caller waits for a response for at most
@@ -26,8 +29,14 @@
 	DefaultGrace    = 5 * clock.Second
 	DefaultMinRate  = 4 << 10 // bytes per second
 	DefaultMaxPause = 10 * clock.Second
-	// DefaultMinPause exceeds the retransmission timeout of a lost packet.
-	DefaultMinPause = clock.Second
+	// DefaultShortGrace is a round trip between continents and the retransmission of a
+	// lost packet.
+	DefaultShortGrace = 400 * clock.Millisecond
+	// DefaultShortRate gives the largest body, of 256 KiB, a second.
+	DefaultShortRate = 256 << 10 // bytes per second
+	// DefaultMaxWait is below the timeouts of callers, which are 2 s and more, so that
+	// they can retry elsewhere.
+	DefaultMaxWait = clock.Second
 )
 
 // Defaults of a host whose settings have no limits.
@@ -50,6 +59,9 @@
 	smallShare      = 4        // of the bytes that only small requests may use
 	small           = 16 << 10 // size up to which a request is small; the payload of a job has at most 4,000 bytes
 	minConnections  = 8
+
+	peerGrace     = clock.Second            // exceeds the interval between messages of a process that is in use
+	operatorGrace = 100 * clock.Millisecond // a round trip within a region
 )
 
 // Host has the limits of the host of a process.
@@ -67,12 +79,21 @@
 	return l
 }
 
-// Peers returns the limits of the listener for other processes of the system.
-func (h Host) Peers() Limits { return h.limits(peerSockets) }
+// Peers returns the limits of the listener for other processes of the system. Their
+// connections have no requests of their own, and each may be idle for a while.
+func (h Host) Peers() Limits {
+	l := h.limits(peerSockets)
+	l.ShortGrace, l.MaxWait = peerGrace, 0
+	return l
+}
 
 // Operators returns the limits of a listener for operators or for checks of the
-// platform. Their requests have no bodies.
-func (h Host) Operators() Limits { return h.limits(operatorSockets) }
+// platform. Their requests have no bodies, and they are close by.
+func (h Host) Operators() Limits {
+	l := h.limits(operatorSockets)
+	l.ShortGrace = operatorGrace
+	return l
+}
 
 func (h Host) bytes() unit.Bytes {
 	m := h.Memory
@@ -92,6 +113,7 @@
 	n := max(minConnections, (d-fileDescriptors)/share)
 	return Limits{
 		Connections: n, Bytes: unit.Bytes(n) * small, Small: small,
-		Grace: DefaultGrace, MinRate: DefaultMinRate, MaxPause: DefaultMaxPause, MinPause: DefaultMinPause,
+		Grace: DefaultGrace, MinRate: DefaultMinRate, MaxPause: DefaultMaxPause,
+		ShortGrace: DefaultShortGrace, ShortRate: DefaultShortRate, MaxWait: DefaultMaxWait,
 	}
 }
--- a/schedule/intake/phase.go
+++ b/schedule/intake/phase.go
@@ -11,6 +11,7 @@
 	PhaseHeader               // header
 	PhaseBody                 // body
 	PhaseServing              // serving
+	PhaseClosing              // closing
 )
 
 // receiving reports whether the client has to send.
--- a/schedule/intake/phase_string.go
+++ b/schedule/intake/phase_string.go
@@ -12,11 +12,12 @@
 	_ = x[PhaseHeader-1]
 	_ = x[PhaseBody-2]
 	_ = x[PhaseServing-3]
+	_ = x[PhaseClosing-4]
 }
 
-const _Phase_name = "idleheaderbodyserving"
+const _Phase_name = "idleheaderbodyservingclosing"
 
-var _Phase_index = [...]uint8{0, 4, 10, 14, 21}
+var _Phase_index = [...]uint8{0, 4, 10, 14, 21, 28}
 
 func (i Phase) String() string {
 	idx := int(i) - 0
--- a/schedule/intake/table.go
+++ b/schedule/intake/table.go
@@ -17,16 +17,40 @@
 	received   unit.Bytes   // in the phase
 	held       unit.Bytes   // reserved for the request
 	evicted    bool         // the table has told to close it or to refuse its request
+
+	awaitedSince clock.Millis // start of the wait for the client; see [Table.overdue]
+	credit       unit.Bytes   // bytes for which the client may take time at ShortRate
+	isWriting    bool         // the process waits for the client to read
+	hasAnswer    bool         // a request was answered, and the next one has not begun
+	extensions   int          // waits that began again since the process was behind
 }
 
 func (c *connection) enter(p Phase, now clock.Millis) {
 	c.phase, c.startedAt, c.progressAt, c.received = p, now, now, 0
 }
 
+// await starts the wait for a client that may take time for a number of bytes.
+func (c *connection) await(now clock.Millis, credit unit.Bytes) {
+	c.awaitedSince, c.credit = now, credit
+}
+
+// isAwaited reports whether the process waits for the client. A request that is to
+// be refused waits for its handler.
+func (c *connection) isAwaited() bool {
+	return c.isWriting || !c.phase.receiving() && c.phase != PhaseServing || c.phase.receiving() && !c.evicted
+}
+
+// isBetweenRequests reports whether the last request was answered and no other one
+// has begun.
+func (c *connection) isBetweenRequests() bool {
+	return c.phase == PhaseClosing || c.phase == PhaseIdle && c.hasAnswer
+}
+
 // Stats are the state and the counters of a table.
 type Stats struct {
 	Connections     int        `json:"connections"`     // open
 	Bytes           unit.Bytes `json:"bytes"`           // reserved
+	Waited          int64      `json:"waited"`          // connections that waited for a place
 	Refused         int64      `json:"refused"`         // connections refused because of their number
 	Displaced       int64      `json:"displaced"`       // connections closed for others
 	RefusedRequests int64      `json:"refusedRequests"` // requests refused because of their bytes
@@ -34,7 +58,7 @@
 	Slow            int64      `json:"slow"`            // requests refused because the client sent too slowly
 }
 
-// Refusals returns the sum of the counters.
+// Refusals returns the sum of the counters of refused requests and connections.
 func (s Stats) Refusals() int64 {
 	return s.Refused + s.Displaced + s.RefusedRequests + s.Stalled + s.Slow
 }
@@ -43,11 +67,16 @@
 // for concurrent use.
 type Table struct {
 	Limits Limits
+	// HasUnread reports whether bytes of a client have arrived that the process has
+	// not read, so that the process is behind and not the client; may be nil.
+	HasUnread func(ID) bool
 
 	connections table.Table[ID, connection]
 	lastID      ID
 	held        unit.Bytes
-	refusedAt   clock.Millis // when a connection was last refused, 0 if never
+	blockedAt   clock.Millis // since when there is no place for a connection, 0 if there was one
+	fullAt      clock.Millis // when there was last no place for a connection, 0 if never
+	candidates  candidates
 	tickedAt    clock.Millis // last tick, or start of the first body after it; 0 if no client has to send
 	stats       Stats
 }
@@ -60,32 +89,50 @@
 }
 
 // Open adds a connection. If there are too many, displaced is the one to close for
-// it, or 0. If none can be closed, ok is false.
+// it, or 0. If none can be closed, ok is false; see [Table.RetryIn].
 func (t *Table) Open(now clock.Millis) (id, displaced ID, ok bool) {
 	if t.connections.Len() >= t.Limits.Connections {
-		displaced = t.longestPause(now)
+		displaced = t.displace(now)
 		if displaced == 0 {
-			t.stats.Refused++
-			t.refusedAt = max(1, now)
+			t.fullAt = max(1, now)
+			if t.blockedAt == 0 {
+				t.blockedAt = t.fullAt
+				t.stats.Waited++
+			}
 			return 0, 0, false
 		}
 		t.stats.Displaced++
 		t.Close(displaced)
 	}
+	t.blockedAt = 0
 	t.lastID++
-	t.connections.Ensure(t.lastID).enter(PhaseIdle, now)
+	c := t.connections.Ensure(t.lastID)
+	c.enter(PhaseIdle, now)
+	c.await(now, 0)
 	return t.lastID, displaced, true
 }
 
-// crowdedPeriod is how long after a refused connection others are closed with their
-// next response. A refused caller retries within it.
+// RetryIn returns the time after which a connection for which there was no place
+// should be opened again. It is 0 if the connection is refused, because no place
+// has become free for MaxWait.
+func (t *Table) RetryIn(now clock.Millis) clock.Span {
+	left := t.Limits.MaxWait - now.Sub(t.blockedAt)
+	if left <= 0 {
+		t.stats.Refused++
+		return 0
+	}
+	return min(left, max(minRetry, t.candidates.nextAt.Sub(now)))
+}
+
+// crowdedPeriod is how long after a connection found no place others are closed with
+// their next response. A refused caller retries within it.
 const crowdedPeriod = 2 * clock.Second
 
-// IsCrowded reports whether a connection was refused lately, so that one whose request
-// is answered now should be closed after the response. A client whose requests follow
-// one another without a pause would otherwise keep its place for good.
+// IsCrowded reports whether a connection found no place lately, so that one whose
+// request is answered now should be closed after the response. A client whose requests
+// follow one another without a pause would otherwise keep its place for good.
 func (t *Table) IsCrowded(now clock.Millis) bool {
-	return t.refusedAt > 0 && now.Sub(t.refusedAt) < crowdedPeriod
+	return t.fullAt > 0 && now.Sub(t.fullAt) < crowdedPeriod
 }
 
 // Close removes a connection and frees what it has reserved.
@@ -109,20 +156,50 @@
 		return nil, false
 	}
 	if c.phase == PhaseIdle {
+		if c.hasAnswer {
+			c.await(now, 0)
+		}
 		c.enter(PhaseHeader, now)
+		c.hasAnswer, c.extensions = false, 0
 	}
 	c.progressAt = now
 	c.received += n
 	if c.phase != PhaseHeader {
 		return nil, true
 	}
+	c.credit += n
 	return t.Reserve(id, n+unit.Bytes(lines)*fieldBytes, now)
 }
 
+// ReceiveBody notes bytes of a body without its encoding.
+func (t *Table) ReceiveBody(id ID, n unit.Bytes) {
+	if c := t.connections.Get(id); c != nil {
+		c.credit += n
+	}
+}
+
+// BeginWrite notes the start of a write of n bytes to the client.
+func (t *Table) BeginWrite(id ID, n unit.Bytes, now clock.Millis) {
+	if c := t.connections.Get(id); c != nil {
+		c.isWriting = true
+		c.await(now, n)
+	}
+}
+
+// EndWrite notes the end of a write. A client that still has to send has its time
+// from then on.
+func (t *Table) EndWrite(id ID, now clock.Millis) {
+	if c := t.connections.Get(id); c != nil {
+		c.isWriting = false
+		c.await(now, 0)
+	}
+}
+
 // Touch notes progress on a connection without requests, which stays idle.
 func (t *Table) Touch(id ID, now clock.Millis) {
 	if c := t.connections.Get(id); c != nil {
 		c.progressAt = now
+		c.await(now, 0)
 	}
 }
 
@@ -166,8 +243,10 @@
 		return
 	}
 	c.enter(p, now)
-	if p == PhaseIdle {
+	if p == PhaseIdle || p == PhaseClosing {
 		t.release(c)
+		c.hasAnswer = true
+		c.await(now, 0)
 	}
 	if p == PhaseBody && t.tickedAt == 0 {
 		t.tickedAt = now
@@ -227,38 +306,22 @@
 }
 
 // mostStalled returns the connection whose request has held the most bytes for the
-// longest time without progress, or nil if none has paused for long enough.
+// longest time beyond what a shortage allows, or nil if there is none.
 func (t *Table) mostStalled(except *connection, now clock.Millis) (victim *connection, id ID) {
 	most := int64(0)
 	for k, c := range t.connections.All() {
-		pause := now.Sub(c.progressAt)
-		if c == except || c.evicted || !c.phase.receiving() || pause < t.Limits.MinPause {
+		if c == except || c.evicted || !c.phase.receiving() {
 			continue
 		}
-		if idle := int64(pause) * int64(c.held); idle > most {
-			most, victim, id = idle, c, k
-		}
-	}
-	return victim, id
-}
-
-// longestPause returns the connection to close for a new one: the one that has
-// been idle for longest, or without one the one whose client has paused for
-// longest. It returns 0 if none has paused for long enough.
-func (t *Table) longestPause(now clock.Millis) ID {
-	var victim ID
-	isIdle, longest := false, t.Limits.MinPause-1
-	for id, c := range t.connections.All() {
-		idle := c.phase == PhaseIdle
-		pause := now.Sub(c.progressAt)
-		if c.phase == PhaseServing || isIdle && !idle || pause < t.Limits.MinPause {
+		late := t.overdue(c, now)
+		if late <= 0 || t.extend(k, c, now) {
 			continue
 		}
-		if idle != isIdle || pause > longest {
-			victim, isIdle, longest = id, idle, pause
+		if stalled := int64(late) * int64(c.held); stalled > most {
+			most, victim, id = stalled, c, k
 		}
 	}
-	return victim
+	return victim, id
 }
 
 // evict frees what a connection has reserved before it is closed.
--- a/schedule/intake/table_test.go
+++ b/schedule/intake/table_test.go
@@ -12,14 +12,17 @@
 // testLimits has room for four buffers of 4 KiB, one of them for small requests.
 var testLimits = Limits{
 	Connections: 3, Bytes: 16 << 10, SmallBytes: 4 << 10, Small: 4 << 10,
-	Grace: 5000, MinRate: 1000, MaxPause: 10_000, MinPause: 1000,
+	Grace: 5000, MinRate: 1000, MaxPause: 10_000, ShortGrace: 1000,
 }
 
-// open adds a connection that is in a phase since now.
+// open adds a connection that is in a phase since now. An idle one has been answered.
 func open(is *is.I, t *Table, p Phase, now clock.Millis) ID {
 	is.Helper()
 	id, _, ok := t.Open(now)
 	is.True(ok)
+	if p == PhaseIdle {
+		t.Enter(id, PhaseServing, now)
+	}
 	t.Enter(id, p, now)
 	return id
 }
--- a/schedule/listener/body.go
+++ b/schedule/listener/body.go
@@ -20,6 +20,7 @@
 // Read reads from the body.
 func (b *trackedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.conn.guard.receiveBody(b.conn, n)
 	if err == io.EOF {
 		b.conn.guard.enter(b.conn, intake.PhaseServing)
 	}
--- a/schedule/listener/conn.go
+++ b/schedule/listener/conn.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"mimosadock/schedule/intake"
 )
 
@@ -40,6 +43,7 @@
 	guard       *Guard
 	id          intake.ID
 	hasRequests bool
+	isWriting   atomic.Bool
 	closed      sync.Once
 	refused     atomic.Pointer[error]
 }
@@ -59,7 +63,15 @@
 	if t := c.guard.WriteTimeout; t > 0 {
 		_ = c.SetWriteDeadline(time.Now().Add(t)) // a closed connection fails at the write
 	}
-	return c.Conn.Write(b)
+	if !c.hasRequests {
+		return c.Conn.Write(b)
+	}
+	c.isWriting.Store(true)
+	c.guard.beginWrite(c, len(b))
+	n, err := c.Conn.Write(b)
+	c.isWriting.Store(false)
+	c.guard.endWrite(c)
+	return n, err
 }
 
 // SetReadDeadline sets the deadline of reads, unless the guard has refused the
@@ -88,9 +100,37 @@
 	return err
 }
 
+// abort closes the connection. A response that is being written ends with a reset, so
+// that it can't be taken for a whole one. Its server closes the connection again.
+func (c *conn) abort() {
+	if c.isWriting.Load() {
+		_ = c.SetLinger(0) // fails only if the connection is closed
+	}
+	_ = c.Conn.Close()
+}
+
+// unreadBytes returns the number of bytes that have arrived on a connection and were
+// not read, or 0 if it is not known.
+func unreadBytes(c net.Conn) (n int) {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	_ = raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // CloseWrite closes the sending side. Servers use it to end a connection without a
-// reset.
+// reset, and wait before they close it.
 func (c *conn) CloseWrite() error {
+	c.guard.enter(c, intake.PhaseClosing)
 	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return tcp.CloseWrite()
 	}
--- a/schedule/listener/guard.go
+++ b/schedule/listener/guard.go
@@ -32,8 +32,9 @@
 	conns      map[intake.ID]*conn
 	isTicking  bool
 	reportedAt clock.Millis
-	reported   int64     // refusals
-	buffers    sync.Pool // of *[bufferSize]byte
+	reported   int64         // refusals
+	freed      chan struct{} // has an element if a place has become free since Accept last looked; nil before the first listener
+	buffers    sync.Pool     // of *[bufferSize]byte
 
 	decoding sync.Mutex
 	scratch  []byte // body that is decoded
@@ -48,57 +49,52 @@
 
 // Listen wraps a listener whose connections are passed to a server that has been
 // configured with [Guard.Configure].
-func (g *Guard) Listen(l net.Listener) net.Listener { return &guardedListener{l, g, true} }
+func (g *Guard) Listen(l net.Listener) net.Listener { return g.wrap(l, true) }
 
 // ListenRaw wraps a listener for another protocol than HTTP. Only the number of the
 // connections is limited.
-func (g *Guard) ListenRaw(l net.Listener) net.Listener { return &guardedListener{l, g, false} }
+func (g *Guard) ListenRaw(l net.Listener) net.Listener { return g.wrap(l, false) }
 
-// guardedListener accepts connections as conn.
-type guardedListener struct {
-	net.Listener
-	guard       *Guard
-	hasRequests bool
-}
-
-// Accept returns the next connection that the limits allow and closes others.
-func (l *guardedListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if admitted := l.guard.admit(c, l.hasRequests); admitted != nil {
-			return admitted, nil
-		}
-		_ = c.Close() // the client sees that it is refused
+func (g *Guard) wrap(l net.Listener, hasRequests bool) net.Listener {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.freed == nil {
+		g.freed = make(chan struct{}, 1)
 	}
+	return &guardedListener{Listener: l, guard: g, hasRequests: hasRequests, freed: g.freed, closed: make(chan struct{})}
 }
 
-// admit adds a connection, or returns nil if there is no place for it.
-func (g *Guard) admit(c net.Conn, hasRequests bool) net.Conn {
+// admit adds a connection. If there is no place for it, admit returns nil and the
+// time after which to try again, 0 if the connection is refused.
+func (g *Guard) admit(c net.Conn, hasRequests bool) (admitted *conn, retryIn clock.Span) {
 	g.mu.Lock()
-	g.table.Limits = g.Limits
-	id, displaced, ok := g.table.Open(g.Clock.Now())
+	g.table.Limits, g.table.HasUnread = g.Limits, g.hasUnread
+	now := g.Clock.Now()
+	id, displaced, ok := g.table.Open(now)
 	other := g.conns[displaced]
 	delete(g.conns, displaced)
-	var admitted *conn
 	if ok {
 		if g.conns == nil {
 			g.conns = make(map[intake.ID]*conn)
 		}
 		admitted = &conn{Conn: c, guard: g, id: id, hasRequests: hasRequests}
 		g.conns[id] = admitted
+	} else {
+		retryIn = g.table.RetryIn(now)
 	}
 	g.mu.Unlock()
 	if other != nil {
-		_ = other.Conn.Close() // its server closes it again
+		other.abort()
 	}
 	g.report()
-	if admitted == nil {
-		return nil
-	}
-	return admitted
+	return admitted, retryIn
+}
+
+// hasUnread reports whether bytes of a client wait in the kernel. It is called with
+// mu locked.
+func (g *Guard) hasUnread(id intake.ID) bool {
+	c := g.conns[id]
+	return c != nil && unreadBytes(c.Conn) > 0
 }
 
 // Configure makes the guard follow the requests of a server. The handler and the
@@ -223,6 +219,32 @@
 	g.mu.Lock()
 	g.table.Close(c.id)
 	delete(g.conns, c.id)
+	if g.freed != nil {
+		select {
+		case g.freed <- struct{}{}:
+		default: // it has an element
+		}
+	}
+	g.mu.Unlock()
+}
+
+// beginWrite notes that a connection waits for its client to read.
+func (g *Guard) beginWrite(c *conn, n int) {
+	g.mu.Lock()
+	g.table.BeginWrite(c.id, unit.Bytes(n), g.Clock.Now())
+	g.mu.Unlock()
+}
+
+func (g *Guard) endWrite(c *conn) {
+	g.mu.Lock()
+	g.table.EndWrite(c.id, g.Clock.Now())
+	g.mu.Unlock()
+}
+
+// receiveBody notes bytes of a body without its encoding.
+func (g *Guard) receiveBody(c *conn, n int) {
+	g.mu.Lock()
+	g.table.ReceiveBody(c.id, unit.Bytes(n))
 	g.mu.Unlock()
 }
 
--- a/schedule/listener/guard_test.go
+++ b/schedule/listener/guard_test.go
@@ -100,8 +100,8 @@
 // connections of a listener from others.
 func TestStalledClientsGiveWay(t *testing.T) {
 	for name, limits := range map[string]intake.Limits{
-		"bytes":       {Connections: 100, Bytes: 4 * bufferSize, Small: bodyLimit, MinPause: 50},
-		"connections": {Connections: 4, Bytes: 1 << 20, Small: bodyLimit, MinPause: 50},
+		"bytes":       {Connections: 100, Bytes: 4 * bufferSize, Small: bodyLimit, ShortGrace: 50},
+		"connections": {Connections: 4, Bytes: 1 << 20, Small: bodyLimit, ShortGrace: 50},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -132,7 +132,7 @@
 // one request after the other.
 func TestBusyClientsTakeTurns(t *testing.T) {
 	is := is.New(t)
-	g := &Guard{Limits: intake.Limits{Connections: 4, Bytes: 1 << 20, Small: bodyLimit, MinPause: clock.Minute}, Clock: clock.System{}}
+	g := &Guard{Limits: intake.Limits{Connections: 4, Bytes: 1 << 20, Small: bodyLimit, ShortGrace: clock.Minute}, Clock: clock.System{}}
 	address := serve(t, g)
 	busy := group.New(context.Background())
 	for range 4 {
