--- a/entry/process/intake.go
+++ b/entry/process/intake.go
@@ -28,7 +28,7 @@
 		g := &listener.Guard{Limits: l, Clock: clock.System{}, WriteTimeout: writeTimeout}
 		g.Report = func(s intake.Stats) {
 			p.log.Warn("clients refused", "listener", name, "connections", s.Connections, "bytes", int64(s.Bytes),
-				"refused", s.Refused, "displaced", s.Displaced, "refusedRequests", s.RefusedRequests, "stalled", s.Stalled, "slow", s.Slow)
+				"waited", s.Waited, "refused", s.Refused, "displaced", s.Displaced, "refusedRequests", s.RefusedRequests, "stalled", s.Stalled, "slow", s.Slow)
 		}
 		clients.Set(name, expvar.Func(func() any { return g.Stats() }))
 		return g
--- a/schedule/intake/table.go
+++ b/schedule/intake/table.go
@@ -37,7 +37,8 @@
 // isAwaited reports whether the process waits for the client. A request that is to
 // be refused waits for its handler.
 func (c *connection) isAwaited() bool {
-	return c.isWriting || !c.phase.receiving() && c.phase != PhaseServing || c.phase.receiving() && !c.evicted
+	isRefused := c.evicted && c.phase.receiving()
+	return c.isWriting || c.phase != PhaseServing && !isRefused
 }
 
 // isBetweenRequests reports whether the last request was answered and no other one
@@ -308,20 +309,21 @@
 // mostStalled returns the connection whose request has held the most bytes for the
 // longest time beyond what a shortage allows, or nil if there is none.
 func (t *Table) mostStalled(except *connection, now clock.Millis) (victim *connection, id ID) {
-	most := int64(0)
-	for k, c := range t.connections.All() {
-		if c == except || c.evicted || !c.phase.receiving() {
-			continue
-		}
-		late := t.overdue(c, now)
-		if late <= 0 || t.extend(k, c, now) {
-			continue
+	for {
+		most := int64(0)
+		victim = nil
+		for k, c := range t.connections.All() {
+			if c == except || c.evicted || !c.phase.receiving() {
+				continue
+			}
+			if stalled := int64(t.overdue(c, now)) * int64(c.held); stalled > most {
+				most, victim, id = stalled, c, k
+			}
 		}
-		if stalled := int64(late) * int64(c.held); stalled > most {
-			most, victim, id = stalled, c, k
+		if victim == nil || !t.extend(id, victim, now) {
+			return victim, id
 		}
 	}
-	return victim, id
 }
 
 // evict frees what a connection has reserved before it is closed.
