soak: faults beside clients that send a little and return whenever refused

Guards against lost, repeated or continued runs while 600 clients keep the places of four processes short: they use their connections until the process refuses them or is gone, and connect again, beside kills, SIGTERM, pauses and faults of store and executors in overlapping series. The processes of all scenarios have the limits of a small host now (64 MiB, 600 descriptors), so that 150 clients a process are more than its places.

soak/crowd also sends a large body slowly after a crowd has left.

--- a/soak/cancels_test.go
+++ b/soak/cancels_test.go
@@ -36,9 +36,10 @@
 		"shards reassigned without the knowledge of the owner": {(*scenario).reassignShardsOfCutOffOwner, seeds{
 			"former owner answered that an accepted job is unknown": {1, 2, 3, 4, 5, 6},
 		}},
-		"crowds of clients":            {inject: (*scenario).openCrowds},
-		"owner cut off from executors": {inject: (*scenario).cutOffOwner},
-		"owner removed for good":       {inject: (*scenario).removeOwners},
+		"crowds of clients":               {inject: (*scenario).openCrowds},
+		"faults beside returning clients": {inject: (*scenario).injectFaultsBesideReturningClients},
+		"owner cut off from executors":    {inject: (*scenario).cutOffOwner},
+		"owner removed for good":          {inject: (*scenario).removeOwners},
 		"late orders reach restarted executors": {(*scenario).restartBesideLateOrders, seeds{
 			"late start that nobody had fenced, which is not delivered any more": {1, 2},
 		}},
--- a/soak/crowd/returning_test.go
+++ b/soak/crowd/returning_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -126,7 +128,7 @@
 		size     int
 		visit    visit
 	}{
-		"chunks of 1 kB":               {callers, 300, sendAll(func(n int) [][]byte { return append([][]byte{}, drip(chunked(n, padded, dripSize, 0))...) }, dripInterval)},
+		"chunks of 1 kB":               {callers, 300, sendAll(func(n int) [][]byte { return drip(chunked(n, padded, dripSize, 0)) }, dripInterval)},
 		"bodies of 1 kB at a time":     {callers, 300, sendAll(func(n int) [][]byte { return drip(whole(n, padded, 0)) }, dripInterval)},
 		"bodies a byte at a time":      {callers, 900, sendAll(func(n int) [][]byte { return bytewise(whole(n, padded, 0)) }, dripInterval)},
 		"bodies in pieces":             {callers, 300, sendAll(func(n int) [][]byte { return inPieces(whole(n, padded, 0)) }, dripInterval)},
@@ -156,6 +158,33 @@
 	}
 }
 
+// TestLargeSlowBodyIsServed guards against limits for crowds that a single client inside
+// the limits of the protocol meets, once a crowd has left.
+func TestLargeSlowBodyIsServed(t *testing.T) {
+	padded := jobOf(`{"spec":"x",`)
+	p, host := openScheduler(t)
+	c := openReturningCrowd(host.Address(callers), 300, sendAll(func(n int) [][]byte { return whole(n, padded, missing) }, 0))
+	p.settle()
+	c.close()
+	conn, err := net.Dial("tcp4", host.Address(callers))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // the program may have closed it
+	for piece := range slices.Chunk(whole(0xaa00, padded, 0)[0], 32<<10) {
+		time.Sleep(time.Second)
+		if _, err := conn.Write(piece); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(hangTimeout))
+	answer := make([]byte, len("HTTP/1.1 200"))
+	if _, err := io.ReadFull(conn, answer); err != nil || string(answer) != "HTTP/1.1 200" {
+		t.Errorf("answer is %q, must have status 200, error: %v", answer, err)
+	}
+	p.check()
+}
+
 // bytewise returns the pieces of a request whose first line and Host arrive whole and
 // all else a byte at a time.
 func bytewise(request [][]byte) [][]byte {
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -1,19 +1,28 @@
 package soak
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"math/rand"
 	"net"
+	"os"
 	"strings"
 	"time"
+
+	"mimosadock/schedule/group"
 )
 
-// Sizes of a crowd. Its bodies exceed the budget of a process without limits in its
-// settings, which is 23 MiB.
+// Sizes of a crowd. Its bodies exceed the budget of a process, which is 8 MiB, and the
+// returning clients its 100 places for connections.
 const (
-	crowdClients   = 150
-	crowdBodySize  = 250_000 // bytes; the last ones are never sent
-	crowdSendLimit = 2 * time.Second
+	returningClients = 600 // for all processes
+	returnInterval   = 5 * time.Millisecond
+	dripSize         = 1000 // bytes
+	dripInterval     = 100 * time.Millisecond
+	crowdClients     = 150
+	crowdBodySize    = 250_000 // bytes; the last ones are never sent
+	crowdSendLimit   = 2 * time.Second
 )
 
 // openCrowds makes crowds of clients submit large jobs at one process after the
@@ -40,12 +49,72 @@
 // openSubmission sends a submission that lacks its last bytes. It returns nil if the
 // process accepts no connection.
 func openSubmission(address string, n int) net.Conn {
+	c := openConnection(address)
+	if c != nil {
+		_, _ = c.Write(submission(n)) // a refusal ends the write
+	}
+	return c
+}
+
+// openConnection connects to a process. It returns nil if the process accepts no
+// connection.
+func openConnection(address string) net.Conn {
 	c, err := net.DialTimeout("tcp4", address, crowdSendLimit)
 	if err != nil {
 		return nil
 	}
 	_ = c.SetWriteDeadline(time.Now().Add(crowdSendLimit)) // a closed connection fails at the write
-	_, _ = fmt.Fprintf(c, "POST /q/%016x HTTP/1.1\r\nHost: q.example\r\nContent-Length: %d\r\n\r\n%s",
-		1<<60+n, crowdBodySize, `{"spec":"x",`+strings.Repeat(" ", crowdBodySize-100)) // a refusal ends the write
 	return c
 }
+
+// submission returns a submission that lacks its last bytes.
+func submission(n int) []byte {
+	return fmt.Appendf(nil, "POST /q/%016x HTTP/1.1\r\nHost: q.example\r\nContent-Length: %d\r\n\r\n%s",
+		1<<60+n, crowdBodySize, `{"spec":"x",`+strings.Repeat(" ", crowdBodySize-100))
+}
+
+// injectFaultsBesideReturningClients starts faults that overlap, while clients send
+// submissions a little at a time. Each uses its connection until the process refuses it
+// or is gone, and connects again to any process.
+func (s *scenario) injectFaultsBesideReturningClients(r *rand.Rand, end time.Time) {
+	crowd := group.New(context.Background())
+	for n := range returningClients {
+		rng := rand.New(rand.NewSource(r.Int63()))
+		crowd.Go("client", func(ctx context.Context) error {
+			for ctx.Err() == nil {
+				dripSubmission(ctx, s.randomProcess(rng).callerAddress, n)
+				time.Sleep(returnInterval)
+			}
+			return nil
+		})
+	}
+	for time.Now().Before(end) {
+		name, duration, endFault := s.injectFault(r)
+		s.faultGroup.Go("fault", func(context.Context) error {
+			s.runFault(name, duration, endFault)
+			return nil
+		})
+		time.Sleep(time.Duration(100+r.Intn(700)) * time.Millisecond)
+	}
+	crowd.Stop()
+	_ = crowd.Wait() // a client returns no error
+}
+
+// dripSubmission sends a submission that lacks its last bytes, a little at a time.
+func dripSubmission(ctx context.Context, address string, n int) {
+	c := openConnection(address)
+	if c == nil {
+		return
+	}
+	defer c.Close() //nolint:errcheck // the process may have closed it
+	defer context.AfterFunc(ctx, func() { _ = c.Close() })()
+	for b := submission(n); len(b) > 0; b = b[min(dripSize, len(b)):] {
+		if _, err := c.Write(b[:min(dripSize, len(b))]); err != nil {
+			return
+		}
+		_ = c.SetDeadline(time.Now().Add(dripInterval))
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return // an answer, or the end of the connection
+		}
+	}
+}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -72,7 +72,7 @@
 		t: t, name: "p" + strconv.Itoa(n), host: host, callerAddress: host.Address(0), storeProxy: proxy, settings: filepath.Join(t.TempDir(), "node.yaml"),
 		client: &http.Client{Timeout: 4 * time.Second},
 	}
-	text := fmt.Sprintf("node_name: %q\nip: %s\nbind_addresses: {frontend: %q, ready: %q}\nport_range: [%d, %d]\nbounds: {max_hold_ms: 6000, grace_s: 2}\nplatform: {address: %q, min_ttl_ms: 1000}\n",
+	text := fmt.Sprintf("node_name: %q\nip: %s\nbind_addresses: {frontend: %q, ready: %q}\nport_range: [%d, %d]\nlimits: {memory_mb: 64, max_fds: 600}\nbounds: {max_hold_ms: 6000, grace_s: 2}\nplatform: {address: %q, min_ttl_ms: 1000}\n",
 		p.name, host.IP(), host.Address(0), host.Address(1), host.Port(2), host.Port(3), proxy.Address())
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, err
