entry: keep the decision to close a connection after its response

Cause: while connections are short, the guard of the listener sets the header Connection of each response to close.

Change: these headers are removed from those of the upstream only.

--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -118,6 +118,24 @@
 	return func(r *http.Request) { r.Header.Add(name, value) }
 }
 
+// Guards against connections that stay open although the server has decided to close
+// them after the response.
+func TestConnectionIsClosedAfterResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		fx := newFixture(1, func(context.Context, int, pool.Call) (*http.Response, error) {
+			a := newResponse(200, "ok")
+			a.Header = http.Header{"Connection": {"keep-alive"}}
+			return a, nil
+		})
+		w := httptest.NewRecorder()
+		w.Header().Set("Connection", "close")
+		fx.Handler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/s/lookup/", nil))
+		is.Equal(w.Code, 200)
+		is.Equal(w.Header()["Connection"], []string{"close"})
+	})
+}
+
 // Guards against a refusal without a verdict, or with a verdict other than
 // didNotRun, which would prevent the caller from retrying.
 func TestRefusals(t *testing.T) {
--- a/entry/front/stream.go
+++ b/entry/front/stream.go
@@ -19,11 +19,11 @@
 func (f *Front) streamResponse(w http.ResponseWriter, rc *http.ResponseController, cr *callerRequest, res *attemptResult) error {
 	defer res.resp.Body.Close()
 	defer rc.SetWriteDeadline(time.Time{})
-	h := w.Header()
+	removeHopHeaders(res.resp.Header)
+	h := w.Header() // may say that the connection is to be closed
 	for k, v := range res.resp.Header {
 		h[k] = v
 	}
-	removeHopHeaders(h)
 	// Only the system itself may set these headers, not an upstream.
 	h.Del(LoadHeader)
 	h.Del(VerdictHeader)
