dispatch: keep models in use, and go on without one for further images

Cause: trainModels looked up the model of each image of a run list without a check, after addModel had deleted models of the same list to stay within maxModels. Every new owner read the same list and ended as well.

Change: a model is replaced only after modelRetention without a sample. An image without a model is left out of the training and judged by its last measurement and the prior weight.

--- a/schedule/dispatch/pace.go
+++ b/schedule/dispatch/pace.go
@@ -57,6 +57,10 @@
 	overTarget, recovered := false, true
 	for _, tail := range sample.tailLatencies {
 		model := s.interferenceModels[tail.image]
+		if model == nil {
+			// All models are in use. Without samples, all images have the prior weight.
+			model = &InterferenceModel{Least: tail.latency}
+		}
 		ownLoad := model.loadAt(tail.latency)
 		for image, usage := range sample.usage {
 			ownLoad -= model.weight(image) * usage
@@ -77,14 +81,17 @@
 
 // trainModels trains the models of the serving images with the changes since
 // the last sample. Samples that are too close are skipped; those too far apart
-// only replace the last one.
+// only replace the last one. Images without a model, see [Shard.addModel], are left
+// out.
 func (s *Shard) trainModels(now clock.Millis, e *Executor, sample *interferenceSample) {
 	for _, tail := range sample.tailLatencies {
 		model := s.interferenceModels[tail.image]
 		if model == nil {
-			model = s.addModel(tail.image, tail.latency)
+			model = s.addModel(now, tail.image, tail.latency)
+		}
+		if model != nil {
+			model.Least, model.sampledAt = min(model.Least, tail.latency), now
 		}
-		model.Least, model.sampledAt = min(model.Least, tail.latency), now
 	}
 	gap := now.Sub(e.lastSample.at)
 	if gap < minSampleGap {
@@ -95,6 +102,9 @@
 		for id, tail := range sample.tailLatencies {
 			if before, ok := e.lastSample.tailLatencies[id]; ok {
 				model := s.interferenceModels[tail.image]
+				if model == nil {
+					continue
+				}
 				model.addSample(usageChange, model.loadAt(tail.latency)-model.loadAt(before.latency))
 				if model.fit(now) {
 					s.markBeside(tail.image)
@@ -106,8 +116,11 @@
 }
 
 // addModel adds the model of a serving image with its first measured tail latency.
-// If there are maxModels, it replaces the one without a sample for the longest time.
-func (s *Shard) addModel(image unit.Image, latency float64) *InterferenceModel {
+// If there are maxModels, it replaces the one without a sample for the longest time,
+// provided that it has had none for modelRetention. It returns nil if all models are
+// in use: images that take turns would otherwise lose what was learned with each
+// sample, and the sample of one executor can have more images than there are models.
+func (s *Shard) addModel(now clock.Millis, image unit.Image, latency float64) *InterferenceModel {
 	if s.interferenceModels == nil {
 		s.interferenceModels = make(map[unit.Image]*InterferenceModel)
 	}
@@ -118,6 +131,9 @@
 				oldest = i
 			}
 		}
+		if now < s.interferenceModels[oldest].sampledAt.Add(modelRetention) {
+			return nil
+		}
 		delete(s.interferenceModels, oldest)
 	}
 	model := &InterferenceModel{Least: latency}
--- a/schedule/dispatch/pressure.go
+++ b/schedule/dispatch/pressure.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
+
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
 )
@@ -39,6 +42,10 @@
 	// images, and a model takes space and time for each pair of them.
 	maxModels      = 16
 	maxModelImages = 48
+	// modelRetention is how long a model is kept after its last sample while another
+	// image needs one. An image that serves is sampled with each run list of its
+	// executors.
+	modelRetention = 10 * clock.Second
 )
 
 // InterferenceModel models the load that best-effort images add to the serving
@@ -87,13 +94,16 @@
 func (s *Shard) InterferenceModels() map[unit.Image]*InterferenceModel { return s.interferenceModels }
 
 // RestoreInterferenceModels sets the interference models that a former owner
-// stored. It ignores invalid ones.
+// stored. It ignores invalid ones, and those above maxModels. A model counts as sampled
+// now, since the run lists of its image are still to come.
 func (s *Shard) RestoreInterferenceModels(now clock.Millis, stored map[unit.Image]*InterferenceModel) {
 	s.interferenceModels = make(map[unit.Image]*InterferenceModel, len(stored))
-	for i, m := range stored {
+	for _, i := range slices.Sorted(maps.Keys(stored)) {
+		m := stored[i]
 		if m == nil || !m.valid() || len(s.interferenceModels) == maxModels {
 			continue
 		}
+		m.sampledAt = now
 		m.index = make(map[unit.Image]int, len(m.Images))
 		for n, f := range m.Images {
 			m.index[f] = n
