dispatch: bound the rows of a job by what it can use at a time

Cause: all due occurrences of a job became rows and ready steps at once, and systems went through all tasks of a job, all executors or both for each ready step in each tick.

Change: occurrences start as far as steps can be placed, further steps wait in a backlog, done occurrences have no rows and one byte in the record. Starved jobs follow from a count of assignments. Placement, calls to the advisor, wants for loans and reports of waiting steps have bounds for each tick. Gangs are placed only if there may be room, and each of their starts no longer goes through all members.

--- a/schedule/dispatch/accept.go
+++ b/schedule/dispatch/accept.go
@@ -39,6 +39,14 @@
 	return spec.Queue.TargetLatency + clock.Span(spec.Queue.SlackFactor*float64(spec.criticalPath()))
 }
 
+// latencyObjective returns the time in which the job should complete.
+func (j *Job) latencyObjective() clock.Span {
+	if !j.objectiveKnown {
+		j.objective, j.objectiveKnown = latencyObjective(j.Spec), true
+	}
+	return j.objective
+}
+
 // Cancel cancels a job and returns false if there is no such job. A job that
 // has ended keeps its state. The cancellation may be confirmed to the caller
 // once the changes of the next tick are stored.
@@ -57,36 +65,34 @@
 // HasJob reports whether the shard has a job, stored or not.
 func (s *Shard) HasJob(id unit.Job) bool { return s.jobs.Get(id) != nil }
 
-// startDueOccurrences starts the occurrences of a job whose start time has come:
-// it creates their tasks and makes the steps without predecessors ready. If
-// later occurrences are left, the job stays in the list of scheduled jobs.
+// startDueOccurrences starts the occurrences of a job whose start time has come, as
+// far as [Job.mayStartOccurrence] allows: it creates their tasks and makes the steps
+// without predecessors ready. If later occurrences are left, the job stays in the list
+// of scheduled jobs.
 func (s *Shard) startDueOccurrences(now clock.Millis, wall unit.UnixMillis, id unit.Job, j *Job) {
 	for len(j.Occurrences) < j.Spec.occurrenceCount() {
 		k := len(j.Occurrences)
-		if at := j.Spec.occurrenceStart(k); at > wall {
-			if k == 0 || len(s.scheduledJobs) == 0 || s.scheduledJobs[len(s.scheduledJobs)-1] != id {
-				s.addScheduled(id)
-			}
+		if j.Spec.occurrenceStart(k) > wall || !j.mayStartOccurrence() {
+			s.addScheduled(id, j)
 			return
 		}
 		j.Occurrences = append(j.Occurrences, newOccurrence(j.Spec))
+		s.openOccurrence(j)
 		s.offerOccurrence(j)
 		s.markDirty(id, j)
 		s.unblockSteps(now, id, j, k)
 		if k > 0 {
-			j.dueAt = now.Add(latencyObjective(j.Spec))
+			j.dueAt = now.Add(j.latencyObjective())
 		}
 	}
 }
 
 // addScheduled adds a job to the list of scheduled jobs unless it is there.
-func (s *Shard) addScheduled(id unit.Job) {
-	for _, scheduled := range s.scheduledJobs {
-		if scheduled == id {
-			return
-		}
+func (s *Shard) addScheduled(id unit.Job, j *Job) {
+	if !j.scheduled {
+		j.scheduled = true
+		s.scheduledJobs = append(s.scheduledJobs, id)
 	}
-	s.scheduledJobs = append(s.scheduledJobs, id)
 }
 
 // startScheduledOccurrences starts the occurrences of all scheduled jobs whose
@@ -95,7 +101,16 @@
 	scheduled := s.scheduledJobs
 	s.scheduledJobs = nil
 	for _, id := range scheduled {
-		if j := s.jobs.Get(id); j != nil && !j.State.Ended() {
+		if j := s.jobs.Get(id); j != nil {
+			j.scheduled = false
+			if j.idlePlacements++; j.assignedRuns > 0 {
+				j.idlePlacements = 0
+			}
+		}
+	}
+	for _, id := range scheduled {
+		// A job that was dropped and submitted again can be in the list twice.
+		if j := s.jobs.Get(id); j != nil && !j.scheduled && !j.State.Ended() {
 			s.startDueOccurrences(now, wall, id, j)
 		}
 	}
@@ -123,18 +138,11 @@
 				state.Tasks[t].State, state.Tasks[t].times.readyAt = TaskReady, now
 			}
 		}
-		s.markReady(now, id, k, i)
-	}
-}
-
-// markReady adds a step to the ready steps. A step that is there keeps its
-// time.
-func (s *Shard) markReady(now clock.Millis, id unit.Job, k, step int) {
-	if s.readySteps == nil {
-		s.readySteps = make(map[stepKey]*readyStep)
-	}
-	if _, ok := s.readySteps[stepKey{id, k, step}]; !ok {
-		s.readySteps[stepKey{id, k, step}] = &readyStep{since: now}
+		if key := (stepKey{id, k, i}); j.Spec.Steps[i].Perpetual && state.ranBefore() {
+			s.markReady(now, key, j) // is not to wait behind first runs
+		} else {
+			s.enqueueStep(now, key, j)
+		}
 	}
 }
 
--- a/schedule/dispatch/advice.go
+++ b/schedule/dispatch/advice.go
@@ -30,6 +30,9 @@
 	ticketMargin = 400 * clock.Millisecond
 	// adviceRetryDelay is the delay after a call without a response.
 	adviceRetryDelay = 300 * clock.Millisecond
+	// maxAdviceChecks bounds the steps for which a tick looks for executors to ask
+	// about. Each goes through all executors.
+	maxAdviceChecks = 200
 )
 
 // CallTime returns the duration of the largest call that the scheduler makes.
@@ -93,6 +96,7 @@
 	inFlight bool                              // a call has no response yet
 	retryAt  clock.Millis                      // earliest time of the next call
 	asked    map[unit.Executor]unit.UnixMillis // incarnations that the call in flight is about
+	rotation rotation                          // of the steps to ask about
 }
 
 // requestAdvice sends a request to the advisor for the most urgent step that has
@@ -102,7 +106,8 @@
 		return
 	}
 	var pools map[unit.Service]*executorPool
-	for _, k := range s.sortedReady(now) {
+	checks := 0
+	for _, k := range s.advice.rotation.order(s.sortedReady(now)) {
 		j := s.jobs.Get(k.job)
 		if j == nil || j.Spec == nil || j.State.Ended() || s.queue(j).Advice == nil {
 			continue
@@ -110,6 +115,11 @@
 		if pools == nil {
 			pools = s.pools(now)
 		}
+		if checks == maxAdviceChecks {
+			s.advice.rotation.next = k
+			return
+		}
+		checks++
 		if names := s.adviceCandidates(now, k, j, pools[s.queue(j).Service]); len(names) > 0 {
 			s.advice.inFlight = true
 			s.advice.asked = s.incarnationsOf(names)
@@ -141,7 +151,7 @@
 		return nil
 	}
 	request := s.newPlacementRequest(now, k, j, pool)
-	tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+	tasks := j.tasks(k)
 	for _, ranBefore := range []bool{true, false} {
 		var first *Task
 		waiting := 0
--- a/schedule/dispatch/breakdown.go
+++ b/schedule/dispatch/breakdown.go
@@ -122,7 +122,7 @@
 func (s *Shard) finishStep(now clock.Millis, j *Job, id TaskID, t *Task) {
 	o, st := &j.Occurrences[id.Occurrence], &j.Spec.Steps[id.Step]
 	step := &o.Steps[id.Step].times
-	b, waitPart := &Breakdown{Queue: j.Queue, Objective: latencyObjective(j.Spec)}, PartFirst
+	b, waitPart := &Breakdown{Queue: j.Queue, Objective: j.latencyObjective()}, PartFirst
 	var last clock.Millis
 	for _, predecessor := range st.After {
 		if p := &o.Steps[predecessor].times; p.chain != nil && p.doneAt >= last {
--- a/schedule/dispatch/datacentre.go
+++ b/schedule/dispatch/datacentre.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
@@ -74,23 +75,36 @@
 	return executors, runs
 }
 
+// gangRun is a run of a gang.
+type gangRun struct {
+	step stepKey
+	run  unit.Run
+}
+
 // gangTakesStarts reports whether all members of the run of a gang that a task is part
 // of may be started where they are assigned. The others would wait in vain for one
-// that is not started. It returns true for a task that is not in a gang.
+// that is not started. It returns true for a task that is not in a gang. Which
+// executors take starts doesn't change while the starts of an append are ordered, so
+// that the result for a member is that for all others.
 func (s *Shard) gangTakesStarts(id TaskID, j *Job, st *Step) bool {
 	if !st.Gang {
 		return true
 	}
-	members := j.Occurrences[id.Occurrence].Steps[id.Step].Tasks
-	for i := range members {
-		if members[i].Run != members[id.Index].Run {
-			continue
-		}
-		if e := s.executors.Get(members[i].Executor); e != nil && !e.takesStarts() {
-			return false
-		}
+	k := stepKey{id.Job, id.Occurrence, id.Step}
+	members := j.tasks(k)
+	run := gangRun{k, members[id.Index].Run}
+	if takes, ok := s.gangStarts[run]; ok {
+		return takes
+	}
+	takes := !slices.ContainsFunc(members, func(t Task) bool {
+		e := s.executors.Get(t.Executor)
+		return t.Run == run.run && e != nil && !e.takesStarts()
+	})
+	if s.gangStarts == nil {
+		s.gangStarts = make(map[gangRun]bool)
 	}
-	return true
+	s.gangStarts[run] = takes
+	return takes
 }
 
 // withdrawStart stops a run whose start had no answer and must not be repeated. It
@@ -115,8 +129,11 @@
 	members := j.Occurrences[id.Occurrence].Steps[id.Step].Tasks
 	for i := range members {
 		t := &members[i]
+		if i == id.Index || t.Run != run || t.State != TaskStarting && t.State != TaskRunning {
+			continue
+		}
 		e := s.executors.Get(t.Executor)
-		if i == id.Index || t.Run != run || e == nil || t.State != TaskStarting && t.State != TaskRunning {
+		if e == nil {
 			continue
 		}
 		other := id
--- a/schedule/dispatch/executor.go
+++ b/schedule/dispatch/executor.go
@@ -23,6 +23,8 @@
 	reconciledBefore      bool                // it was reconciled under this owner, so that leaseExpiresBy includes the leases of earlier ones
 	restarts              unit.Token          // restarts under this id since the start of the ownership; part of the fencing token
 	runs                  []assignment        // one for each task assigned to it
+	runIndex              map[TaskID]int      // index in runs
+	stepRuns              map[stepKey]int     // number of runs of each step with a MaxPerExecutor
 	allocated             unit.Resources      // to assigned tasks; best-effort tasks are allocated no processor time
 	bestEffortCPU         unit.MilliCPU       // requested by best-effort tasks
 	servingCount          int                 // assigned serving tasks
@@ -150,30 +152,32 @@
 	return e.unrequestedCPU() + unit.MilliCPU((1-servingUtilization)*float64(e.servingCPU))
 }
 
-// countRuns returns the number of runs of a step that are assigned to e.
-func (e *Executor) countRuns(k stepKey) int {
-	n := 0
-	for i := range e.runs {
-		if id := &e.runs[i].id; id.Job == k.job && id.Occurrence == k.occurrence && id.Step == k.step {
-			n++
-		}
-	}
-	return n
-}
+// countRuns returns the number of runs of a step with a MaxPerExecutor that are
+// assigned to e.
+func (e *Executor) countRuns(k stepKey) int { return e.stepRuns[k] }
 
 // indexOf returns the index of the assignment of a task in the runs of e, or -1.
 func (e *Executor) indexOf(id TaskID) int {
-	return slices.IndexFunc(e.runs, func(a assignment) bool { return a.id == id })
+	if i, ok := e.runIndex[id]; ok {
+		return i
+	}
+	return -1
 }
 
 // addRun assigns a run of a task to e and counts the task if it is new there.
 func (e *Executor) addRun(a assignment) {
+	a.job.assignedRuns++
 	if i := e.indexOf(a.id); i >= 0 {
+		e.runs[i].job.assignedRuns--
 		e.runs[i] = a
 		return
 	}
+	if e.runIndex == nil {
+		e.runIndex = make(map[TaskID]int)
+	}
+	e.runIndex[a.id] = len(e.runs)
 	e.runs = append(e.runs, a)
-	e.updateTotals(a.step, 1)
+	e.updateTotals(a.id, a.step, 1)
 }
 
 // removeRun removes a task from e, if it is there. The last assignment takes its
@@ -184,15 +188,27 @@
 		return
 	}
 	step, last := e.runs[i].step, len(e.runs)-1
+	e.runs[i].job.assignedRuns--
 	e.runs[i] = e.runs[last]
+	e.runIndex[e.runs[i].id] = i
+	delete(e.runIndex, id)
 	e.runs[last] = assignment{}
 	e.runs = e.runs[:last]
-	e.updateTotals(step, -1)
+	e.updateTotals(id, step, -1)
 }
 
-// updateTotals adds n tasks of a step to the totals of e. n is 1 or -1.
-func (e *Executor) updateTotals(step *Step, n int) {
+// updateTotals adds n to the totals of e for a task of a step. n is 1 or -1.
+func (e *Executor) updateTotals(id TaskID, step *Step, n int) {
 	e.bestEffortLoadsKnown = false
+	if step.MaxPerExecutor > 0 {
+		if e.stepRuns == nil {
+			e.stepRuns = make(map[stepKey]int)
+		}
+		k := stepKey{id.Job, id.Occurrence, id.Step}
+		if e.stepRuns[k] += n; e.stepRuns[k] == 0 {
+			delete(e.stepRuns, k)
+		}
+	}
 	demand := step.demand()
 	add := unit.Resources.Add
 	if n < 0 {
--- a/schedule/dispatch/job.go
+++ b/schedule/dispatch/job.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
 )
@@ -33,11 +35,19 @@
 	Occurrences []Occurrence
 
 	chains         []clock.Span // see Job.chainFrom; nil until it is needed
+	objective      clock.Span   // see Job.latencyObjective
+	objectiveKnown bool
 	restoredAfter  clock.Span   // from its acceptance until this owner restored it, 0 if this owner accepted it
 	dueAt          clock.Millis // when the current occurrence should be completed; orders the ready steps
 	stored         bool         // the store has a record of the job
 	appendingState JobState     // state in the append in flight
 	storedState    JobState     // state in the store, reported to callers
+	stepQueues     []stepQueue  // by step; nil until one is used
+	openTasks      int          // tasks of the occurrences that have started and are not done
+	assignedRuns   int          // assignments of its tasks on all executors
+	scheduled      bool         // in Shard.scheduledJobs
+	idlePlacements int          // times in a row that startScheduledOccurrences found no task of it assigned
+	stopsCheckedAt clock.Millis // last time that stopEndedJobs went through the tasks
 	dirty          bool         // differs from the store
 	hasRunsToStop  bool         // the job has ended and its tasks are still to be stopped
 	bytes          unit.Bytes   // counted in the shard's JobBytes
@@ -47,7 +57,7 @@
 // Occurrence is one execution of all steps of a job. A repeated job has
 // several.
 type Occurrence struct {
-	Steps []StepState
+	Steps []StepState // nil once all are done, if the job is repeated
 }
 
 // StepState holds the tasks of a step.
@@ -90,6 +100,11 @@
 	}
 }
 
+// ranBefore reports whether a task of the step was assigned before.
+func (s *StepState) ranBefore() bool {
+	return slices.ContainsFunc(s.Tasks, func(t Task) bool { return t.Run > 0 })
+}
+
 // done reports whether all tasks of o are done.
 func (o *Occurrence) done() bool {
 	for i := range o.Steps {
@@ -126,12 +141,15 @@
 func (s *Spec) occurrenceCount() int { return max(s.Repeat, 1) }
 
 // TotalTasks returns the number of tasks in all occurrences.
-func (s *Spec) TotalTasks() int {
+func (s *Spec) TotalTasks() int { return s.tasksPerOccurrence() * s.occurrenceCount() }
+
+// tasksPerOccurrence returns the number of tasks in one occurrence.
+func (s *Spec) tasksPerOccurrence() int {
 	total := 0
 	for i := range s.Steps {
 		total += s.Steps[i].Count
 	}
-	return total * s.occurrenceCount()
+	return total
 }
 
 // occurrenceStart returns the earliest start of occurrence k, or 0 if it may
--- a/schedule/dispatch/load.go
+++ b/schedule/dispatch/load.go
@@ -16,6 +16,9 @@
 	starvingTimeout = 5 * clock.Second
 	// maxWants bounds the wants in a request.
 	maxWants = 8
+	// maxWantChecks bounds the waiting steps for which all executors are checked. The
+	// next computation checks others, as it goes through the steps in another order.
+	maxWantChecks = 200
 	// loadAge is the age up to which computed loads are used again.
 	loadAge = 100 * clock.Millisecond
 	// minImbalance is the difference between the loads of two shards from which
@@ -86,13 +89,14 @@
 			l.Demand += e.perpetual.CPU
 		}
 	}
+	checks := 0
 	for k, state := range s.readySteps {
 		j := s.jobs.Get(k.job)
 		if j == nil || j.Spec == nil || j.State.Ended() {
 			continue
 		}
 		step := &j.Spec.Steps[k.step]
-		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+		tasks := j.tasks(k)
 		ready := 0
 		for i := range tasks {
 			if tasks[i].State == TaskReady {
@@ -107,9 +111,10 @@
 			l.Demand += unit.MilliCPU(ready) * step.Size.CPU
 		}
 		age := now.Sub(state.since)
-		if age < loanWaitTimeout {
+		if age < loanWaitTimeout || len(wants) == maxWants || checks == maxWantChecks {
 			continue
 		}
+		checks++
 		canHold := s.canHold(now, k, l.Service, step)
 		if canHold && !s.isStarved(now, state, j) && !(step.Perpetual && age >= starvationTimeout) {
 			continue // batch tasks end, but a perpetual one may wait for the reserve for batch tasks forever
@@ -119,7 +124,7 @@
 			want.Count = step.Count
 		}
 		want.Starving = age >= starvingTimeout && !canHold
-		if len(wants) < maxWants && !slices.Contains(wants, want) {
+		if !slices.Contains(wants, want) {
 			wants = append(wants, want)
 		}
 	}
--- a/schedule/dispatch/locality_wait.go
+++ b/schedule/dispatch/locality_wait.go
@@ -84,22 +84,6 @@
 	}
 }
 
-// hasRunningTask reports whether a run of the job is known to run on an executor that
-// answers.
-func (s *Shard) hasRunningTask(j *Job) bool {
-	for o := range j.Occurrences {
-		for i := range j.Occurrences[o].Steps {
-			for n := range j.Occurrences[o].Steps[i].Tasks {
-				t := &j.Occurrences[o].Steps[i].Tasks[n]
-				if e := s.executors.Get(t.Executor); t.State == TaskRunning && e != nil && !e.unresponsive {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
 // choosePlace returns the best executor for a task, or nil. waits means that the task
 // is better kept until there is room on its rack. Only executors that became
 // available after from are rated off the rack; while the step waits, none are.
@@ -206,7 +190,7 @@
 func (s *Shard) placeChoice(request *placementRequest, j *Job, tasks []Task, w *rackWait) placeChoice {
 	st := request.step
 	c := placeChoice{
-		factor: s.Limits.RemoteFactor, slowed: 1, hitRate: s.rackHits.rate(request.now), objective: latencyObjective(j.Spec), shortage: request.pool.shortage(),
+		factor: s.Limits.RemoteFactor, slowed: 1, hitRate: s.rackHits.rate(request.now), objective: j.latencyObjective(), shortage: request.pool.shortage(),
 		slack: j.dueAt.Sub(request.now) - j.Spec.pathAfter(request.key.step), maxWait: maxSpan,
 	}
 	c.runTime, c.variation = s.expectedRunTime(j, st)
@@ -352,7 +336,7 @@
 	if j == nil || j.Spec == nil {
 		return 0, 0
 	}
-	tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+	tasks := j.tasks(k)
 	for i := range tasks {
 		t := &tasks[i]
 		e := s.executors.Get(t.Executor)
--- a/schedule/dispatch/memory.go
+++ b/schedule/dispatch/memory.go
@@ -17,9 +17,12 @@
 }
 
 // JobBytes returns the memory of an open job in the tables of a shard: that of the
-// spec and the tasks of all occurrences.
-func (s *Spec) JobBytes() unit.Bytes {
-	return s.Bytes() + unit.Bytes(s.TotalTasks())*unit.Bytes(unsafe.Sizeof(Task{}))
+// spec, of the list of occurrences, and of the tasks of those that are open at a time.
+func (s *Spec) JobBytes() unit.Bytes { return s.jobBytes(min(s.TotalTasks(), maxOpenTasks)) }
+
+// jobBytes returns the memory of a job with a number of tasks in its open occurrences.
+func (s *Spec) jobBytes(openTasks int) unit.Bytes {
+	return s.Bytes() + unit.Bytes(openTasks)*unit.Bytes(unsafe.Sizeof(Task{})) + unit.Bytes(s.occurrenceCount())*unit.Bytes(unsafe.Sizeof(Occurrence{}))
 }
 
 // JobBytes returns the memory of the jobs in the tables of the shard that are open
--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -185,6 +185,7 @@
 // that ran before come ahead of all others.
 func (s *Shard) place(now clock.Millis) {
 	s.placements++
+	s.ratingsAtPlacement = s.ratings
 	defer s.reviewRackWaits(now)
 	if len(s.readySteps) == 0 || s.AwaitsOperator {
 		return
@@ -194,20 +195,25 @@
 	keys := s.sortedReady(now)
 	s.placeRestarts(now, keys, pools)
 	s.reserveForRestarts(now, keys, pools)
+	s.ratingsAtPlacement = s.ratings // restarts leave the others as many ratings as they may use themselves
 	for _, pool := range pools {
 		pool.updateRecent()
 	}
-	for _, k := range keys {
+	for _, k := range s.placeRotation.order(keys) {
+		if s.ratingsSpent() {
+			s.placeRotation.next = k
+			break
+		}
 		j := s.jobs.Get(k.job)
 		if j == nil || j.Spec == nil || j.State.Ended() {
-			delete(s.readySteps, k)
+			s.dropReady(now, k)
 			continue
 		}
 		pool := pools[s.queue(j).Service]
 		if pool == nil {
 			continue
 		}
-		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+		tasks := j.tasks(k)
 		request := s.newPlacementRequest(now, k, j, pool)
 		placedAll := true
 		if request.step.Gang {
@@ -216,13 +222,21 @@
 			placedAll = s.placeEach(request, j, tasks)
 		}
 		if placedAll {
-			delete(s.readySteps, k)
+			s.dropReady(now, k)
 		}
 	}
 	s.reportWaits(now, pools)
 	s.reportCapacity(now, pools)
 }
 
+// maxRatings is the number of ratings of executors in a placement after which it
+// leaves the remaining steps to the next one. The control goroutine has to handle
+// messages in between, such as the renewal of the membership.
+const maxRatings = 300_000
+
+// ratingsSpent reports whether the placement has rated as many executors as it may.
+func (s *Shard) ratingsSpent() bool { return s.ratings-s.ratingsAtPlacement >= maxRatings }
+
 // choose returns the best executor for a request.
 func (s *Shard) choose(candidates []*Executor, request *placementRequest) (*Executor, bool) {
 	s.ratings += int64(len(candidates))
@@ -238,19 +252,7 @@
 // while no task of the job is assigned. A step that is not ready is nil and not
 // starved.
 func (s *Shard) isStarved(now clock.Millis, ready *readyStep, j *Job) bool {
-	if ready == nil || now.Sub(ready.since) < starvationTimeout {
-		return false
-	}
-	for o := range j.Occurrences {
-		for i := range j.Occurrences[o].Steps {
-			for n := range j.Occurrences[o].Steps[i].Tasks {
-				if j.Occurrences[o].Steps[i].Tasks[n].State.assigned() {
-					return false
-				}
-			}
-		}
-	}
-	return true
+	return ready != nil && now.Sub(ready.since) >= starvationTimeout && j.assignedRuns == 0
 }
 
 // placeRestarts places perpetual tasks that ran before ahead of those that
@@ -265,12 +267,15 @@
 		if pool == nil {
 			continue
 		}
-		tasks, ready := j.Occurrences[k.occurrence].Steps[k.step].Tasks, s.readySteps[k]
+		tasks, ready := j.tasks(k), s.readySteps[k]
 		request := s.newPlacementRequest(now, k, j, pool)
 		for i := range tasks {
 			if tasks[i].State != TaskReady || tasks[i].Run == 0 {
 				continue
 			}
+			if s.ratingsSpent() {
+				return
+			}
 			e, ok := s.choose(pool.since(s.retryFrom(request, ready.restartFailedAt)), request.forTask(&tasks[i]))
 			if !ok {
 				ready.restartFailedAt = s.availability
@@ -329,15 +334,19 @@
 		}
 		service := s.queue(j).Service
 		pool := pools[service]
-		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+		tasks := j.tasks(k)
 		for i := range tasks {
 			if tasks[i].State != TaskReady || tasks[i].Run == 0 {
 				continue
 			}
+			if s.ratingsSpent() {
+				return
+			}
 			s.stopVacating(service)
 			if pool == nil {
 				break
 			}
+			s.ratings += int64(len(pool.executors))
 			e := pool.reservable(s.newPlacementRequest(now, k, j, pool).forTask(&tasks[i]))
 			if e == nil {
 				break
@@ -359,7 +368,7 @@
 		if j == nil || j.Spec == nil || j.State.Ended() || !j.Spec.Steps[k.step].Perpetual {
 			continue
 		}
-		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+		tasks := j.tasks(k)
 		for i := range tasks {
 			if tasks[i].State == TaskReady && tasks[i].Run > 0 {
 				n++
@@ -386,17 +395,21 @@
 	if request.starved && !ready.starved {
 		ready.failedAt = 0 // executors may take a task now although they have not changed
 	}
-	placedAll := true
+	placedAll, groupPlaced := true, false
 	for i := range tasks {
 		t := &tasks[i]
 		if t.State != TaskReady {
 			continue
 		}
-		if request.step.SameRack {
+		if s.ratingsSpent() {
+			return false
+		}
+		if request.step.SameRack && !groupPlaced {
 			var waits bool
 			if request.rack, waits = s.groupRack(request, j, tasks); waits {
 				return false
 			}
+			groupPlaced = request.rack != "" && s.rackOf(tasks) == request.rack
 		}
 		e, waits := s.choosePlace(request.forTask(t), j, tasks, s.retryFrom(request, ready.failedAt))
 		if waits {
@@ -423,7 +436,10 @@
 // them. All members continue from the highest run number and from the greatest
 // checkpoint, in string order, among them.
 func (s *Shard) placeGang(request *placementRequest, j *Job, tasks []Task) bool {
-	k, st, pool := request.key, request.step, request.pool
+	k, st, pool, ready := request.key, request.step, request.pool, s.readySteps[request.key]
+	if request.now < ready.gangRetryAt {
+		return false
+	}
 	lastRun := unit.Run(0)
 	var checkpoint unit.Checkpoint
 	for i := range tasks {
@@ -433,17 +449,22 @@
 		lastRun = max(lastRun, tasks[i].Run)
 		checkpoint = max(checkpoint, tasks[i].Checkpoint)
 	}
+	if !request.mayHoldGang(tasks) {
+		return false
+	}
 	var waits bool
 	if request.rack, waits = s.groupRack(request, j, tasks); waits {
 		return false
 	}
+	ratings := s.ratings
 	chosen := make([]*Executor, 0, len(tasks))
 	for i := range tasks {
 		if len(chosen) > 0 && st.SameRack {
 			request.rack = rackLabel(chosen[0])
 		}
-		e, ok := s.choose(pool.executors, request.forTask(&tasks[i]))
+		e, ok := s.chooseForMember(request.forTask(&tasks[i]), chosen, len(tasks))
 		if !ok {
+			ready.gangRetryAt = request.now.Add(clock.Span((s.ratings - ratings) / ratingsPerMilli))
 			break
 		}
 		e.addRun(assignment{TaskID{k.job, k.occurrence, k.step, i}, lastRun + 1, j, st, &tasks[i]})
@@ -462,6 +483,45 @@
 	return len(chosen) == len(tasks)
 }
 
+const (
+	// maxSpreadRatings is the number of ratings up to which each member of a gang is
+	// placed on the best executor.
+	maxSpreadRatings = 100_000
+	// ratingsPerMilli is the number of ratings of an attempt to place a gang for which
+	// the next attempt waits a millisecond.
+	ratingsPerMilli = 1000
+)
+
+// mayHoldGang reports whether the executors have the capacity for all members of a
+// gang. It doesn't consider what else keeps a member from an executor.
+func (request *placementRequest) mayHoldGang(tasks []Task) bool {
+	missing := len(tasks)
+	for i := range tasks {
+		request.ranBefore = request.ranBefore || tasks[i].Run > 0 // may use more than other tasks
+	}
+	for _, e := range request.pool.executors {
+		if request.spreadExclusion(e) != NotExcluded {
+			continue
+		}
+		if missing -= request.countFitting(e); missing <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseForMember returns the best executor for the next member of a gang of the given
+// size. A gang for which that takes too many ratings fills the executors one by one.
+func (s *Shard) chooseForMember(request *placementRequest, chosen []*Executor, size int) (*Executor, bool) {
+	if len(chosen) > 0 && size*len(request.pool.executors) > maxSpreadRatings {
+		s.ratings++
+		if last := chosen[len(chosen)-1]; request.exclusion(last) == NotExcluded {
+			return last, true
+		}
+	}
+	return s.choose(request.pool.executors, request)
+}
+
 // assign assigns the next run of a task to e. The start is ordered once the
 // assignment is stored.
 func (s *Shard) assign(now clock.Millis, id TaskID, j *Job, st *Step, t *Task, e *Executor) {
--- a/schedule/dispatch/reserve.go
+++ b/schedule/dispatch/reserve.go
@@ -131,6 +131,7 @@
 	if !request.step.Perpetual || request.ranBefore || pool.reserveCPU == 0 {
 		return nil, false
 	}
+	s.ratings += int64(len(pool.executors))
 	var needed *Executor
 	for _, e := range pool.executors {
 		if e.reservedForBatch && request.takesIfOpen(e) && (!request.advised || request.hasTicket(e)) && (needed == nil || e.batchRoom() < needed.batchRoom()) {
--- a/schedule/dispatch/restore.go
+++ b/schedule/dispatch/restore.go
@@ -17,6 +17,11 @@
 	s.addBytes(row)
 	if row.State.Ended() {
 		s.endedJobs = append(s.endedJobs, id)
+		for k := range row.Occurrences {
+			if row.Spec != nil && len(row.Occurrences[k].Steps) > 0 {
+				s.openOccurrence(row)
+			}
+		}
 		if row.Spec != nil && len(row.Occurrences) > 0 {
 			row.hasRunsToStop = true
 			s.stoppingJobs = append(s.stoppingJobs, id)
@@ -30,6 +35,7 @@
 	s.enableAdvice(&spec.Queue)
 	for k := range row.Occurrences {
 		o := &row.Occurrences[k]
+		s.openOccurrence(row)
 		for i := range o.Steps {
 			for n := range o.Steps[i].Tasks {
 				if o.Steps[i].Tasks[n].State != TaskDone {
@@ -41,6 +47,10 @@
 				o.Steps[i].restoreGang()
 			}
 		}
+		if o.done() {
+			row.closeOccurrence(k)
+			continue
+		}
 		s.unblockSteps(now, id, row, k)
 	}
 	row.spendRackWaits()
--- a/schedule/dispatch/settle.go
+++ b/schedule/dispatch/settle.go
@@ -163,7 +163,7 @@
 	}
 	t.State = TaskReady
 	t.times.requeue(now)
-	s.markReady(now, id.Job, id.Occurrence, id.Step)
+	s.markReady(now, stepKey{id.Job, id.Occurrence, id.Step}, j)
 }
 
 // handleRunEnd applies the end of a run. It ignores ends of runs other than
@@ -220,18 +220,14 @@
 	if o.Steps[id.Step].remaining == 0 {
 		s.unblockSteps(now, id.Job, j, id.Occurrence)
 	}
-	if o.done() {
-		s.finishOccurrence(now, j, id)
-	}
-	if len(j.Occurrences) < j.Spec.occurrenceCount() {
+	if !o.done() {
 		return
 	}
-	for k := range j.Occurrences {
-		if !j.Occurrences[k].done() {
-			return
-		}
+	s.finishOccurrence(now, j, id)
+	j.closeOccurrence(id.Occurrence)
+	if j.openTasks == 0 && len(j.Occurrences) == j.Spec.occurrenceCount() {
+		s.endJob(wall, id.Job, j, JobCompleted)
 	}
-	s.endJob(wall, id.Job, j, JobCompleted)
 }
 
 // completeGang marks all tasks of a gang done. They end together, so one end
--- a/schedule/dispatch/shard.go
+++ b/schedule/dispatch/shard.go
@@ -99,6 +99,10 @@
 	fixedBatchShare    float64      // share of the processors kept for batch tasks instead of their forecast demand; only for tests, as above
 	relocatedAt        clock.Millis // last search for runs to relocate
 	runTimes           runTimeTable
+	running            runningJobs
+	placeRotation      rotation
+	ratingsAtPlacement int64            // ratings at the start of the last placement
+	gangStarts         map[gangRun]bool // result of gangTakesStarts, while starts are ordered
 	rackHits           hitCount
 	waitErrors         waitError
 	placements         int64                             // so far
@@ -122,6 +126,7 @@
 	failedAt availability // up to which no executor can take a task of the step, 0 if they have to be rated again
 
 	restartFailedAt availability // failedAt of the tasks of a perpetual step that ran before
+	gangRetryAt     clock.Millis // earliest time to place the gang again
 	starved         bool         // at failedAt
 }
 
@@ -372,6 +377,7 @@
 	for _, e := range s.executors.All() {
 		e.storedEndNumber = e.storingEndNumber
 	}
+	clear(s.gangStarts)
 	for _, id := range s.storingStarts {
 		s.startRun(now, id)
 	}
--- a/schedule/dispatch/simulation_test.go
+++ b/schedule/dispatch/simulation_test.go
@@ -109,6 +109,10 @@
 	// for a time after a takeover.
 	undecodable float64
 
+	// schedules is the probability that a batch job has up to 100 occurrences that are
+	// due at once.
+	schedules float64
+
 	// evacuate is the probability that the evacuation of a data centre begins or ends.
 	evacuate float64
 }
@@ -389,6 +393,13 @@
 	}
 	sim.store[c.ID] = row
 	for k := range row.job.Occurrences {
+		if row.spec != nil && len(row.job.Occurrences[k].Steps) == 0 { // done, without rows
+			for i, st := range row.spec.Steps {
+				for n := range st.Count {
+					sim.storedEnds[TaskID{c.ID, k, i, n}] = true
+				}
+			}
+		}
 		for i, st := range row.job.Occurrences[k].Steps {
 			for n, t := range st.Tasks {
 				if t.State == TaskDone {
@@ -456,6 +467,9 @@
 	if sim.faults.racks {
 		s.Steps[0].Near, s.Steps[1].SameRack = "r0", true
 	}
+	if sim.rarely(sim.faults.schedules) {
+		s.Repeat = 1 + sim.random.Intn(100)
+	}
 	return s
 }
 
--- a/schedule/dispatch/stop.go
+++ b/schedule/dispatch/stop.go
@@ -9,6 +9,9 @@
 	delayedStopAge = 1500 * clock.Millisecond
 	// stopReportInterval is the interval between two reports of the same run.
 	stopReportInterval = clock.Second
+	// maxStopChecksPerMilli is the number of tasks of an ended job for which the
+	// interval between two checks is a millisecond.
+	maxStopChecksPerMilli = 500
 	// maxAnomalies is the number of anomalies in a stopReportInterval. Further ones
 	// are reported as ordinary events.
 	maxAnomalies = 50
@@ -23,10 +26,11 @@
 		if j == nil || !j.hasRunsToStop {
 			continue
 		}
-		if j.storedState != j.State {
+		if j.storedState != j.State || now < j.stopsCheckedAt.Add(stopCheckInterval(j)) {
 			remaining = append(remaining, id)
 			continue
 		}
+		j.stopsCheckedAt = now
 		hasRuns := false
 		s.forEachTask(id, j, func(tid TaskID, _ *Step, t *Task) {
 			switch {
@@ -62,6 +66,10 @@
 	s.stoppingJobs = remaining
 }
 
+// stopCheckInterval returns the interval at which the tasks of an ended job are
+// checked: 0 for most jobs, and longer for those with thousands of rows.
+func stopCheckInterval(j *Job) clock.Span { return clock.Span(j.openTasks / maxStopChecksPerMilli) }
+
 // reportDelayedStops reports the runs of ended jobs that are left too long after
 // the end was stored, with what their stop waits for.
 func (s *Shard) reportDelayedStops(now clock.Millis) {
--- a/schedule/dispatch/unstored.go
+++ b/schedule/dispatch/unstored.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 
 	"mimosadock/schedule/unit"
@@ -64,7 +63,11 @@
 	})
 	// The same id may be submitted again.
 	s.endedJobs = slices.DeleteFunc(s.endedJobs, func(ended unit.Job) bool { return ended == id })
-	maps.DeleteFunc(s.readySteps, func(k stepKey, _ *readyStep) bool { return k.job == id })
+	for k := range j.Occurrences {
+		for i := range j.Occurrences[k].Steps {
+			delete(s.readySteps, stepKey{id, k, i})
+		}
+	}
 	s.removeBytes(j)
 	s.jobs.Delete(id)
 }
--- a/schedule/dispatch/urgency.go
+++ b/schedule/dispatch/urgency.go
@@ -36,10 +36,12 @@
 	priority int
 	urgency  urgency
 	dueAt    clock.Millis
+	key      stepKey
 }
 
 func compareRanks(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.dueAt, b.dueAt))
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.urgency, b.urgency), cmp.Compare(a.dueAt, b.dueAt),
+		cmp.Compare(a.key.job, b.key.job), cmp.Compare(a.key.occurrence, b.key.occurrence), cmp.Compare(a.key.step, b.key.step))
 }
 
 // sortedReady returns the ready steps, most urgent first: by priority of the queue,
@@ -50,24 +52,26 @@
 // wait until it is just late. Urgent jobs then go ahead of perpetual tasks that start
 // for the first time, which would keep the room beyond the crest of the load.
 func (s *Shard) sortedReady(now clock.Millis) []stepKey {
-	keys := make([]stepKey, 0, len(s.readySteps))
-	ranks := make(map[stepKey]rank, len(s.readySteps))
+	ranks := make([]rank, 0, len(s.readySteps))
 	for k, ready := range s.readySteps {
-		keys = append(keys, k)
+		r := rank{key: k}
 		if j := s.jobs.Get(k.job); j != nil && j.Spec != nil {
-			ranks[k] = rank{s.queue(j).Priority, s.urgencyOf(now, k, j, ready), j.dueAt}
+			r.priority, r.urgency, r.dueAt = s.queue(j).Priority, s.urgencyOf(now, k, j, ready), j.dueAt
 		}
+		ranks = append(ranks, r)
+	}
+	slices.SortFunc(ranks, compareRanks)
+	keys := make([]stepKey, len(ranks))
+	for i := range ranks {
+		keys[i] = ranks[i].key
 	}
-	slices.SortFunc(keys, func(a, b stepKey) int {
-		return cmp.Or(compareRanks(ranks[a], ranks[b]), cmp.Compare(a.job, b.job), cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step))
-	})
 	return keys
 }
 
 // urgencyOf returns the class of a ready step. Steps of queues without an objective
 // have no class of their own.
 func (s *Shard) urgencyOf(now clock.Millis, k stepKey, j *Job, ready *readyStep) urgency {
-	objective := latencyObjective(j.Spec)
+	objective := j.latencyObjective()
 	if objective == 0 || s.plainOrder || now.Sub(ready.since) >= maxYield {
 		return urgencyInTime
 	}
--- a/schedule/dispatch/wait.go
+++ b/schedule/dispatch/wait.go
@@ -15,6 +15,9 @@
 	// capacityReportInterval is the interval between two reports of the capacity
 	// of a shard.
 	capacityReportInterval = 3 * clock.Second
+	// maxWaitReports bounds the reports of waiting steps in one placement. Each goes
+	// through all executors.
+	maxWaitReports = 16
 )
 
 // Exclusion is the reason why a task can't be placed on an executor.
@@ -118,9 +121,14 @@
 
 // reportWaits reports, for each step that has waited for starvationTimeout, how
 // many executors of its service are excluded for each reason, and on how many of
-// the usable ones the processors without batch tasks would suffice.
+// the usable ones the processors without batch tasks would suffice. Steps above
+// maxWaitReports are reported later.
 func (s *Shard) reportWaits(now clock.Millis, pools map[unit.Service]*executorPool) {
+	reports := 0
 	for k, ready := range s.readySteps {
+		if reports == maxWaitReports {
+			break
+		}
 		since := ready.since
 		j := s.jobs.Get(k.job)
 		if j == nil || j.Spec == nil || j.State.Ended() || now.Sub(since) < starvationTimeout || now < s.waitReportedAt[k].Add(waitReportInterval) {
@@ -130,7 +138,8 @@
 			s.waitReportedAt = make(map[stepKey]clock.Millis)
 		}
 		s.waitReportedAt[k] = now
-		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+		reports++
+		tasks := j.tasks(k)
 		for i := range tasks {
 			if tasks[i].State == TaskReady {
 				s.report(Event{
@@ -192,7 +201,7 @@
 	waiting := 0
 	for k := range s.readySteps {
 		if j := s.jobs.Get(k.job); j != nil && j.Spec != nil && j.Spec.Steps[k.step].Perpetual {
-			tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+			tasks := j.tasks(k)
 			for i := range tasks {
 				if tasks[i].State == TaskReady {
 					waiting++
--- a/schedule/dispatch/waiting_test.go
+++ b/schedule/dispatch/waiting_test.go
@@ -128,7 +128,7 @@
 	for k := range s.readySteps {
 		j := s.jobs.Get(k.job)
 		request := s.newPlacementRequest(f.now, k, j, pools["s"])
-		tasks := j.Occurrences[k.occurrence].Steps[k.step].Tasks
+		tasks := j.tasks(k)
 		for i := range tasks {
 			if tasks[i].State != TaskReady {
 				continue
--- a/scheduler/record/record_test.go
+++ b/scheduler/record/record_test.go
@@ -130,3 +130,22 @@
 		s.Jobs()
 	})
 }
+
+// Guards against a schedule that starts its done occurrences again after a takeover,
+// and against records that grow with the tasks in them.
+func TestDoneOccurrences(t *testing.T) {
+	is := is.New(t)
+	const done = 10_000
+	j := jobOf(dispatch.JobRunning)
+	j.Occurrences = append(make([]dispatch.Occurrence, done), j.Occurrences...)
+	set := storeAndLoad(is, Limits{}, []dispatch.Change{{ID: "j", Job: j}})
+	loaded := set.Jobs()[0].Job
+	is.Equal(len(loaded.Occurrences), done+1)
+	for k := range done {
+		is.Equal(len(loaded.Occurrences[k].Steps), 0)
+	}
+	is.Equal(loaded.Occurrences[done].Steps[0].Tasks, j.Occurrences[done].Steps[0].Tasks)
+	g, err := NewWriter(Limits{}, new(Set)).Encode(&dispatch.Change{ID: "j", Job: j})
+	is.NoErr(err)
+	is.True(g.size() < done+200)
+}
