dispatch: weigh the serving tasks of an image together

An owner takes 1.1 s and 196 MiB for each run list of an executor with 5,000 small serving tasks beside 5,000 best-effort ones, and such a list comes every 0.4 s.

Cause: each serving task was trained and weighed by itself, with each best-effort task beside it and each pair of their images.

Change: the tasks of an image on an executor share one state with the least headroom, images without a model share one, and their samples are added once with their number. Headroom, paces and samples are the same as before.

--- a/schedule/dispatch/pace.go
+++ b/schedule/dispatch/pace.go
@@ -38,14 +38,15 @@
 	defaultHeadroomShare = 0.5
 )
 
-// servingTask is the state of a serving task on an executor, from the last run
-// list.
+// servingTask is the state of the serving tasks of one image on an executor, from the
+// last run list: that of the one with the least headroom. The images without a model
+// share one, as best-effort tasks are taken to add the same load to all of them.
 type servingTask struct {
-	image      unit.Image
-	model      *InterferenceModel // of image
+	model      *InterferenceModel // nil for the images without one
+	usage      float64            // load that the best-effort tasks add by the last run list
 	headroom   float64            // load that best-effort tasks beside it may add
 	pending    float64            // load that best-effort tasks there will add, see Executor.updatePending
-	overTarget bool               // its tail latency exceeds the target
+	overTarget bool               // a tail latency exceeds its target
 }
 
 // updateInterference trains the models with the measurements of a run list,
@@ -57,18 +58,15 @@
 	overTarget, recovered := false, true
 	for _, tail := range sample.tailLatencies {
 		model := s.interferenceModels[tail.image]
+		serving := e.servingTaskOf(model, sample)
 		if model == nil {
-			// All models are in use. Without samples, all images have the prior weight.
 			model = &InterferenceModel{Least: tail.latency}
 		}
-		ownLoad := model.loadAt(tail.latency)
-		for image, usage := range sample.usage {
-			ownLoad -= model.weight(image) * usage
-		}
-		serving := servingTask{image: tail.image, model: model, headroom: max(0, model.loadAt(targetTailRatio*tail.target)-max(0, ownLoad)), overTarget: tail.latency > tail.target}
+		ownLoad := model.loadAt(tail.latency) - serving.usage
+		serving.headroom = min(serving.headroom, max(0, model.loadAt(targetTailRatio*tail.target)-max(0, ownLoad)))
+		serving.overTarget = serving.overTarget || tail.latency > tail.target
 		overTarget = overTarget || serving.overTarget
 		recovered = recovered && tail.latency <= recoveredTailRatio*tail.target
-		e.servingTasks = append(e.servingTasks, serving)
 	}
 	switch {
 	case recovered:
@@ -79,6 +77,22 @@
 	s.allocatePaces(now, e)
 }
 
+// servingTaskOf returns the state of the serving tasks on e with a model. It adds it
+// with all of the load as headroom if there is none.
+func (e *Executor) servingTaskOf(model *InterferenceModel, sample *interferenceSample) *servingTask {
+	for i := range e.servingTasks {
+		if e.servingTasks[i].model == model {
+			return &e.servingTasks[i]
+		}
+	}
+	serving := servingTask{model: model, headroom: 1}
+	for image, usage := range sample.usage {
+		serving.usage += model.weight(image) * usage
+	}
+	e.servingTasks = append(e.servingTasks, serving)
+	return &e.servingTasks[len(e.servingTasks)-1]
+}
+
 // trainModels trains the models of the serving images with the changes since
 // the last sample. Samples that are too close are skipped; those too far apart
 // only replace the last one. Images without a model, see [Shard.addModel], are left
@@ -99,22 +113,42 @@
 	}
 	if gap <= maxSampleGap {
 		usageChange := sample.usageSince(&e.lastSample)
-		for id, tail := range sample.tailLatencies {
-			if before, ok := e.lastSample.tailLatencies[id]; ok {
-				model := s.interferenceModels[tail.image]
-				if model == nil {
-					continue
-				}
-				model.addSample(usageChange, model.loadAt(tail.latency)-model.loadAt(before.latency))
-				if model.fit(now) {
-					s.markBeside(tail.image)
-				}
+		for image, change := range s.loadChanges(&e.lastSample, sample) {
+			model := s.interferenceModels[image]
+			model.addSample(usageChange, change.load, change.tasks)
+			if model.fit(now) {
+				s.markBeside(image)
 			}
 		}
 	}
 	e.lastSample = *sample
 }
 
+// loadChange is the change of the load of serving tasks of one image between two
+// samples.
+type loadChange struct {
+	load  float64 // sum of the changes
+	tasks int     // that are in both samples
+}
+
+// loadChanges returns the changes from before to sample by image, without the images
+// that have no model.
+func (s *Shard) loadChanges(before, sample *interferenceSample) map[unit.Image]loadChange {
+	changes := make(map[unit.Image]loadChange)
+	for id, tail := range sample.tailLatencies {
+		model := s.interferenceModels[tail.image]
+		last, ok := before.tailLatencies[id]
+		if model == nil || !ok {
+			continue
+		}
+		change := changes[tail.image]
+		change.load += model.loadAt(tail.latency) - model.loadAt(last.latency)
+		change.tasks++
+		changes[tail.image] = change
+	}
+	return changes
+}
+
 // addModel adds the model of a serving image with its first measured tail latency.
 // If there are maxModels, it replaces the one without a sample for the longest time,
 // provided that it has had none for modelRetention. It returns nil if all models are
--- a/schedule/dispatch/pressure.go
+++ b/schedule/dispatch/pressure.go
@@ -146,14 +146,13 @@
 }
 
 // addImage adds an image to the rows. In a full model it replaces the image with the
-// least information that is not in use, unless all are.
-func (m *InterferenceModel) addImage(image unit.Image, inUse map[unit.Image]float64) {
+// least information that is not in use. It returns false if all are.
+func (m *InterferenceModel) addImage(image unit.Image, inUse map[unit.Image]float64) bool {
 	if m.index == nil {
 		m.index = make(map[unit.Image]int)
 	}
 	if len(m.Images) == maxModelImages {
-		m.replaceImage(image, inUse)
-		return
+		return m.replaceImage(image, inUse)
 	}
 	n := len(m.Images)
 	m.index[image] = n
@@ -163,12 +162,13 @@
 	}
 	m.Sums = append(m.Sums, make([]float64, n+1))
 	m.Moments = append(m.Moments, 0)
+	return true
 }
 
 // replaceImage gives the row of the image with the smallest sum of squares, of those
 // not in use, to another image. Sums decay, so that this is one that has not run for
-// long or hardly changed its usage.
-func (m *InterferenceModel) replaceImage(image unit.Image, inUse map[unit.Image]float64) {
+// long or hardly changed its usage. It returns false if all are in use.
+func (m *InterferenceModel) replaceImage(image unit.Image, inUse map[unit.Image]float64) bool {
 	n := -1
 	for i, old := range m.Images {
 		if _, ok := inUse[old]; !ok && (n < 0 || m.Sums[i][i] < m.Sums[n][n]) {
@@ -176,7 +176,7 @@
 		}
 	}
 	if n < 0 {
-		return
+		return false
 	}
 	delete(m.index, m.Images[n])
 	m.index[image], m.Images[n], m.Moments[n] = n, image, 0
@@ -187,26 +187,32 @@
 	if n < len(m.weights) {
 		m.weights[n] = priorWeight
 	}
+	return true
 }
 
-// addSample adds a change of usage by image, in executors, and the change of
-// load at the same time. Images for which the model has no row are left out.
-func (m *InterferenceModel) addSample(usageChange map[unit.Image]float64, loadChange float64) {
+// addSample adds a change of usage by image, in executors, and the sum of the changes
+// of load of a number of tasks at the same time. Images for which the model has no row
+// are left out.
+func (m *InterferenceModel) addSample(usageChange map[unit.Image]float64, loadChange float64, tasks int) {
 	for i := range usageChange {
-		if _, ok := m.index[i]; !ok {
-			m.addImage(i, usageChange)
+		if _, ok := m.index[i]; !ok && !m.addImage(i, usageChange) {
+			break
 		}
 	}
+	type row struct {
+		n      int
+		change float64
+	}
+	rows := make([]row, 0, min(len(usageChange), maxModelImages))
 	for i, u := range usageChange {
-		n, ok := m.index[i]
-		if !ok {
-			continue
+		if n, ok := m.index[i]; ok {
+			rows = append(rows, row{n, u})
 		}
-		m.Moments[n] += u * loadChange
-		for k, v := range usageChange {
-			if other, ok := m.index[k]; ok {
-				m.Sums[n][other] += u * v
-			}
+	}
+	for _, r := range rows {
+		m.Moments[r.n] += r.change * loadChange
+		for _, other := range rows {
+			m.Sums[r.n][other.n] += float64(tasks) * r.change * other.change
 		}
 	}
 }
