platform: replace long names of images by their digests

An owner keeps the names of up to 1,000 kinds of runs, and of the images of 16 interference models, after their jobs have ended. A name may be as long as a submission, 256 KiB by default, so that accepted submissions can take more memory than a host of 184 MB has, outside the bound on the memory of open jobs.

Cause: the number of kinds was bounded, but not the length of their names.

Evidence: found by reading.

--- a/schedule/dispatch/spec.go
+++ b/schedule/dispatch/spec.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"slices"
@@ -101,6 +102,18 @@
 	return slices.ContainsFunc(c.Queues, func(q Queue) bool { return q.Service == service })
 }
 
+// maxImageName is the length up to which an image keeps its name. The tables keep the
+// images of a thousand kinds of runs and more after their jobs have ended.
+const maxImageName = 128
+
+// ImageNamed returns the image with a name. A long name is replaced by its digest.
+func ImageNamed(name unit.Image) unit.Image {
+	if len(name) <= maxImageName {
+		return name
+	}
+	return unit.Image(fmt.Sprintf("sha256:%x", sha256.Sum256([]byte(name))))
+}
+
 // Check returns an error that says which bound s exceeds and what is allowed,
 // or nil if s is valid.
 func (s *Spec) Check() error {
