control: store large jobs less often

An owner encodes the record of a job with 10,000 tasks in 2.2 ms (70 KB), up to 50 times a second. Several such jobs, which the bound on memory allows, take all processor time of a small host, and megabytes a second to the store.

Cause: the record of a job has all tasks of its open occurrences and is written with each change; the interval between appends was fixed.

Change: the next append waits a millisecond for each 200 tasks in the last one, at least 20 ms as before.

Evidence: TestAppendsOfLargeJobs; the second append began after 20 ms before.

--- a/schedule/dispatch/ready.go
+++ b/schedule/dispatch/ready.go
@@ -113,6 +113,10 @@
 	}
 }
 
+// OpenTasks returns the number of tasks of the occurrences that have started and are
+// not done.
+func (j *Job) OpenTasks() int { return j.openTasks }
+
 // tasks returns the tasks of a step, or nil if its occurrence is done.
 func (j *Job) tasks(k stepKey) []Task {
 	if o := &j.Occurrences[k.occurrence]; k.step < len(o.Steps) {
--- a/schedule/dispatch/stop.go
+++ b/schedule/dispatch/stop.go
@@ -56,7 +56,7 @@
 			if j.stopsSince > 0 {
 				s.report(Event{Kind: "runsStopped", Task: TaskID{Job: id}, Reason: j.State.String(), Age: now.Sub(j.stopsSince)})
 			}
-			j.hasRunsToStop, j.Spec, j.Occurrences = false, nil, nil
+			j.hasRunsToStop, j.Spec, j.Occurrences, j.openTasks = false, nil, nil, 0
 			s.removeBytes(j)
 			s.markDirty(id, j)
 			continue
--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -160,6 +160,7 @@
 	unprovenAt      clock.Millis // when it is unproven again, 0 if it is not; see [Control.handleJoined]
 	gainedAt        clock.Millis // when the store had assigned the shard
 	lastAppendAt    clock.Millis // start of the last append, or gainedAt before the first append
+	nextAppendAt    clock.Millis // earliest start of the next append
 	modelsStoredAt  clock.Millis // when the interference models were last stored
 	queuedWaiters   []waiter     // replied to after the next append
 	inFlightWaiters []waiter     // replied to after the append in flight
@@ -379,7 +380,7 @@
 	if owned.unprovenAt > 0 && now >= owned.unprovenAt {
 		owned.unproven, owned.unprovenAt = true, 0
 	}
-	canStore := !owned.appending && now >= owned.lastAppendAt.Add(minAppendInterval)
+	canStore := !owned.appending && now >= owned.nextAppendAt
 	changes, orders := owned.shard.Tick(now, wallNow(), canStore)
 	owned.refuseExpired(now)
 	switch {
--- a/scheduler/control/membership.go
+++ b/scheduler/control/membership.go
@@ -208,7 +208,7 @@
 	now := c.Clock.Now()
 	owned := &ownedShard{
 		shard: &dispatch.Shard{ID: id, Epoch: epoch, Member: c.Settings.Member, Shards: c.Layout().Shards, Limits: c.Settings.Limits}, epoch: epoch,
-		ctx: ctx, cancel: cancel, gainedAt: now, lastAppendAt: now,
+		ctx: ctx, cancel: cancel, gainedAt: now, lastAppendAt: now, nextAppendAt: now.Add(minAppendInterval),
 	}
 	owned.shard.Report, owned.shard.AwaitsOperator = c.logEvent, true
 	c.owned[id], c.epochs[id] = owned, epoch
--- a/scheduler/control/storing.go
+++ b/scheduler/control/storing.go
@@ -47,6 +47,7 @@
 		}
 	}
 	owned.appending, owned.proving, owned.unproven, owned.lastAppendAt = true, owned.unproven, false, now
+	owned.nextAppendAt = now.Add(appendInterval(changes))
 	// The changes that later waiters depend on are left for another append.
 	n, _ := slices.BinarySearchFunc(owned.queuedWaiters, owned.shard.CollectedChanges()+1, func(w waiter, changes int64) int {
 		return cmp.Compare(w.changes, changes)
@@ -60,6 +61,23 @@
 	})
 }
 
+// tasksPerAppendMilli is the number of tasks in the records of an append for which the
+// next append waits a millisecond.
+const tasksPerAppendMilli = 200
+
+// appendInterval returns the time from the start of an append with changes to that of
+// the next one. The record of a job has all tasks of its open occurrences, so that few
+// large jobs could otherwise use all processor time of a small host for their records.
+func appendInterval(changes []dispatch.Change) clock.Span {
+	tasks := 0
+	for i := range changes {
+		if j := changes[i].Job; j != nil {
+			tasks += j.OpenTasks()
+		}
+	}
+	return max(minAppendInterval, clock.Span(tasks/tasksPerAppendMilli))
+}
+
 // appender appends groups of records to the store.
 type appender struct {
 	control  *Control
--- a/scheduler/control/storing_test.go
+++ b/scheduler/control/storing_test.go
@@ -309,3 +309,36 @@
 	f.group.Stop()
 	is.NoErr(f.group.Wait())
 }
+
+// Guards against jobs with thousands of tasks whose records are stored 50 times a
+// second, and against appends of ordinary jobs that wait for longer.
+func TestAppendsOfLargeJobs(t *testing.T) {
+	for name, c := range map[string]struct {
+		jobs, tasks int
+		interval    clock.Span
+	}{
+		"ordinary jobs":   {jobs: 200, tasks: 20, interval: minAppendInterval},
+		"one large job":   {jobs: 1, tasks: 10_000, interval: 50},
+		"many large jobs": {jobs: 15, tasks: 10_000, interval: 750},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newStoringFixture()
+			for n := range c.jobs {
+				id := submittedJob(n)
+				spec := &dispatch.Spec{ID: id, Steps: []dispatch.Step{{Count: c.tasks}}}
+				f.control.handleRequest(requestMessage{request: &Request{Kind: KindSubmit, Job: id, Spec: spec}, replyTo: make(chan Reply, 1)})
+			}
+			is.True(f.tick()) // stores the jobs
+			first := f.owned.lastAppendAt
+			f.control.handleRequest(requestMessage{request: &Request{Kind: KindCancel, Job: submittedJob(0)}, replyTo: make(chan Reply, 1)})
+			f.now.Advance(first.Add(c.interval).Sub(f.now.Now()) - 1)
+			f.control.tickShard(f.owned)
+			is.True(!f.owned.appending)
+			f.now.Advance(1)
+			f.control.tickShard(f.owned)
+			is.True(f.owned.appending)
+			f.control.handleMessage(<-f.control.messages)
+		})
+	}
+}
