control: bound the orders to an executor that are in flight

Hosts have 184 MB and more, and a process above its limit is ended.

Cause: each order had a goroutine of its own at once, while an owner has at most eight connections to an executor.

Change: at most eight orders to an executor, apart from holds, are in flight. Others wait in a queue.

--- a/scheduler/control/control.go
+++ b/scheduler/control/control.go
@@ -164,6 +164,7 @@
 	modelsStoredAt  clock.Millis // when the interference models were last stored
 	queuedWaiters   []waiter     // replied to after the next append
 	inFlightWaiters []waiter     // replied to after the append in flight
+	orders          map[unit.Executor]*orderQueue
 	cancel          context.CancelFunc
 	ctx             context.Context // ends with the ownership
 }
@@ -250,7 +251,7 @@
 		}
 	case orderResultMessage:
 		if owned := c.findOwned(m.shard, m.epoch); owned != nil {
-			owned.shard.HandleAnswer(c.Clock.Now(), wallNow(), &m.order, &m.answer, m.err)
+			c.handleOrderResult(owned, &m)
 		}
 	case adviceResultMessage:
 		if owned := c.findOwned(m.shard, m.epoch); owned != nil {
--- a/scheduler/control/orders.go
+++ b/scheduler/control/orders.go
@@ -8,7 +8,8 @@
 	"mimosadock/schedule/verdict"
 )
 
-// sendOrder sends an order in its own goroutine and posts the result.
+// sendOrder sends an order in its own goroutine, which posts the result. An order to
+// an executor with maxOrdersInFlight others waits for one of them.
 func (c *Control) sendOrder(owned *ownedShard, o dispatch.Order) {
 	id, epoch, ctx := owned.shard.ID, owned.epoch, owned.ctx
 	if o.Advise != nil {
@@ -37,6 +38,14 @@
 		})
 		return
 	}
+	if o.Hold != nil || owned.queueFor(o.To.Executor).add(o) {
+		c.startOrder(owned, o)
+	}
+}
+
+// startOrder sends an order to its executor.
+func (c *Control) startOrder(owned *ownedShard, o dispatch.Order) {
+	id, epoch, ctx := owned.shard.ID, owned.epoch, owned.ctx
 	c.group.Go("order", func(context.Context) error {
 		a, err := c.deliverOrder(ctx, o)
 		if ctx.Err() == nil {
