--- a/scheduler/control/orderqueue.go
+++ b/scheduler/control/orderqueue.go
@@ -14,10 +14,13 @@
 const maxOrdersInFlight = 8
 
 // orderQueue has the orders to one executor, apart from holds, which have a connection
-// of their own. The zero value is empty.
+// of their own. Stops go first: runs of a cancelled job have to end in a few seconds,
+// and a stop also keeps a run from starting whose start still waits. The zero value is
+// empty.
 type orderQueue struct {
 	inFlight int
-	waiting  []dispatch.Order
+	stops    []dispatch.Order
+	waiting  []dispatch.Order        // starts and paces
 	taken    int                     // orders that have left waiting
 	paces    map[dispatch.TaskID]int // number of the waiting pace of each task, counted from the first order that waited
 }
@@ -25,10 +28,14 @@
 // add adds an order and reports whether it may be sent at once. A pace replaces one
 // of the same task that waits.
 func (q *orderQueue) add(o dispatch.Order) bool {
-	if q.inFlight < maxOrdersInFlight && len(q.waiting) == 0 {
+	if q.inFlight < maxOrdersInFlight && len(q.stops)+len(q.waiting) == 0 {
 		q.inFlight++
 		return true
 	}
+	if o.Stop != nil {
+		q.stops = append(q.stops, o)
+		return false
+	}
 	if o.Pace != nil {
 		if n, ok := q.paces[o.Pace.Task]; ok && n >= q.taken {
 			q.waiting[n-q.taken] = o
@@ -45,25 +52,34 @@
 
 // next takes the next order that may be sent.
 func (q *orderQueue) next() (dispatch.Order, bool) {
-	if q.inFlight >= maxOrdersInFlight || len(q.waiting) == 0 {
+	if q.inFlight >= maxOrdersInFlight || len(q.stops)+len(q.waiting) == 0 {
 		return dispatch.Order{}, false
 	}
-	o := q.waiting[0]
-	q.waiting[0] = dispatch.Order{}
-	q.waiting = q.waiting[1:]
-	q.taken++
 	q.inFlight++
+	if len(q.stops) > 0 {
+		return takeFirst(&q.stops), true
+	}
+	o := takeFirst(&q.waiting)
+	q.taken++
 	if o.Pace != nil {
 		delete(q.paces, o.Pace.Task)
 	}
 	return o, true
 }
 
+// takeFirst removes and returns the first order of a list that is not empty.
+func takeFirst(orders *[]dispatch.Order) dispatch.Order {
+	o := (*orders)[0]
+	(*orders)[0] = dispatch.Order{}
+	*orders = (*orders)[1:]
+	return o
+}
+
 // drop takes all orders that wait.
 func (q *orderQueue) drop() []dispatch.Order {
-	dropped := q.waiting
-	q.taken += len(dropped)
-	q.waiting, q.paces = nil, nil
+	dropped := append(q.stops, q.waiting...)
+	q.taken += len(q.waiting)
+	q.stops, q.waiting, q.paces = nil, nil, nil
 	return dropped
 }
 
--- a/scheduler/control/orderqueue_test.go
+++ b/scheduler/control/orderqueue_test.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// Guards against an order of the queue that is overtaken, and against paces that pile
-// up while an executor is slow.
+// Guards against the stop of a cancelled run behind thousands of starts, an order of
+// the queue that is lost, and paces that pile up while an executor is slow.
 func TestOrderQueue(t *testing.T) {
 	is := is.New(t)
 	var q orderQueue
@@ -118,14 +118,15 @@
 		o, ok := q.next()
 		is.True(ok)
 		order = append(order, o)
-		if len(order) == 1 {
+		if len(order) == 2 {
 			is.True(!q.add(pace(1, 40))) // the earlier one was sent
 		}
 	}
-	is.Equal(order[0].Pace.Percent, unit.Percent(30)) // the latest, in its place
-	is.True(order[1].Stop != nil)
+	is.True(order[0].Stop != nil)
+	is.Equal(order[1].Pace.Percent, unit.Percent(30)) // the latest, in its place
 	is.Equal(order[2].Pace.Percent, unit.Percent(20))
-	is.Equal(len(q.drop()), 1)
+	is.True(!q.add(stop))
+	is.Equal(len(q.drop()), 2)
 	is.True(!q.add(pace(1, 50)))
 	q.inFlight--
 	o, ok := q.next()
