soak: faults that overlap beside large jobs

Four jobs at the bounds of a submission, whose tasks fit on no executor, are accepted before the faults of TestCancels begin, so that each new owner restores them.

--- a/soak/cancels_test.go
+++ b/soak/cancels_test.go
@@ -38,6 +38,7 @@
 		}},
 		"crowds of clients":               {inject: (*scenario).openCrowds},
 		"faults beside returning clients": {inject: (*scenario).injectFaultsBesideReturningClients},
+		"faults beside large jobs":        {inject: (*scenario).injectFaultsBesideLargeJobs},
 		"owner cut off from executors":    {inject: (*scenario).cutOffOwner},
 		"owner removed for good":          {inject: (*scenario).removeOwners},
 		"late orders reach restarted executors": {(*scenario).restartBesideLateOrders, seeds{
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -88,14 +88,7 @@
 			return nil
 		})
 	}
-	for time.Now().Before(end) {
-		name, duration, endFault := s.injectFault(r)
-		s.faultGroup.Go("fault", func(context.Context) error {
-			s.runFault(name, duration, endFault)
-			return nil
-		})
-		time.Sleep(time.Duration(100+r.Intn(700)) * time.Millisecond)
-	}
+	s.injectFaults(r, end)
 	crowd.Stop()
 	_ = crowd.Wait() // a client returns no error
 }
--- a/soak/scenario_test.go
+++ b/soak/scenario_test.go
@@ -402,17 +402,21 @@
 		s.restartExecutors(rand.New(rand.NewSource(seed+4)), end)
 		return nil
 	})
-	faultRNG := rand.New(rand.NewSource(seed + 2))
+	s.injectFaults(rand.New(rand.NewSource(seed+2)), end)
+	s.endFaults()
+	s.waitForCompletion(calmSpan)
+}
+
+// injectFaults starts faults that overlap, until the end.
+func (s *scenario) injectFaults(r *rand.Rand, end time.Time) {
 	for time.Now().Before(end) {
-		name, duration, endFault := s.injectFault(faultRNG)
+		name, duration, endFault := s.injectFault(r)
 		s.faultGroup.Go("fault", func(context.Context) error {
 			s.runFault(name, duration, endFault)
 			return nil
 		})
-		time.Sleep(time.Duration(100+faultRNG.Intn(700)) * time.Millisecond)
+		time.Sleep(time.Duration(100+r.Intn(700)) * time.Millisecond)
 	}
-	s.endFaults()
-	s.waitForCompletion(calmSpan)
 }
 
 // startChecks calls check at regular intervals and queries the states of random
