dispatch: try a step of a job once in a placement

A schedule that fits nowhere costs each placement an attempt for each of its up to 64 ready occurrences, and several such schedules take the processor of a small host.

Cause: each occurrence was tried although the tasks of its step need the same.

Change: once no executor takes a task of a step, a placement passes over its other occurrences, unless what keeps a task away can differ between them or the job is starved by now.

Evidence: TestFailedSteps: a placement of two steps in 32 occurrences each rates each of ten executors at most twice. The processor time of several schedules was not measured.

--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -199,6 +199,7 @@
 	for _, pool := range pools {
 		pool.updateRecent()
 	}
+	failed := make(failedSteps)
 	for _, k := range s.placeRotation.order(keys) {
 		if s.ratingsSpent() {
 			s.placeRotation.next = k
@@ -215,20 +216,52 @@
 		}
 		tasks := j.tasks(k)
 		request := s.newPlacementRequest(now, k, j, pool)
+		if failed.includes(request) {
+			continue
+		}
 		placedAll := true
 		if request.step.Gang {
 			placedAll = s.placeGang(request, j, tasks)
 		} else {
 			placedAll = s.placeEach(request, j, tasks)
 		}
-		if placedAll {
+		switch {
+		case placedAll:
 			s.dropReady(now, k)
+		case !s.ratingsSpent():
+			failed.add(request)
 		}
 	}
 	s.reportWaits(now, pools)
 	s.reportCapacity(now, pools)
 }
 
+// failedSteps has the steps of which a placement has found no executor for a task, in
+// any occurrence, with whether the job was starved. A job then costs a placement one
+// attempt for each of its steps, however many occurrences are ready.
+type failedSteps map[stepKey]bool
+
+// add records that no executor takes a task of a request.
+func (f failedSteps) add(request *placementRequest) {
+	if request.hasEqualOccurrences() {
+		f[stepKey{job: request.key.job, step: request.key.step}] = request.starved
+	}
+}
+
+// includes reports whether no executor takes a task of a request, as one of another
+// occurrence of its step was tried before. More executors take a task of a starved job.
+func (f failedSteps) includes(request *placementRequest) bool {
+	starved, ok := f[stepKey{job: request.key.job, step: request.key.step}]
+	return ok && (starved || !request.starved)
+}
+
+// hasEqualOccurrences reports whether the executors that take a task are the same in
+// all occurrences of the step.
+func (request *placementRequest) hasEqualOccurrences() bool {
+	st := request.step
+	return !request.advised && !st.Gang && !st.SameRack && st.Near == "" && st.MaxPerExecutor == 0 && !st.Perpetual
+}
+
 // maxRatings is the number of ratings of executors in a placement after which it
 // leaves the remaining steps to the next one. The control goroutine has to handle
 // messages in between, such as the renewal of the membership.
--- a/schedule/dispatch/ready_test.go
+++ b/schedule/dispatch/ready_test.go
@@ -221,6 +221,42 @@
 	is.Equal(len(starts), 3*repeat)
 }
 
+// Guards against a schedule that costs a placement an attempt for each of its
+// occurrences that are ready, and against a starved step that is taken for one that
+// was tried.
+func TestFailedSteps(t *testing.T) {
+	key := func(occurrence, step int) stepKey { return stepKey{"j", occurrence, step} }
+	for name, c := range map[string]struct {
+		failed, next placementRequest
+		includes     bool
+	}{
+		"another occurrence":    {placementRequest{key: key(0, 1)}, placementRequest{key: key(1, 1)}, true},
+		"another step":          {placementRequest{key: key(0, 1)}, placementRequest{key: key(0, 2)}, false},
+		"another job":           {placementRequest{key: key(0, 1)}, placementRequest{key: stepKey{"k", 0, 1}}, false},
+		"starved after another": {placementRequest{key: key(0, 1)}, placementRequest{key: key(1, 1), starved: true}, false},
+		"another after starved": {placementRequest{key: key(0, 1), starved: true}, placementRequest{key: key(1, 1)}, true},
+		"tickets":               {placementRequest{key: key(0, 1), advised: true}, placementRequest{key: key(1, 1), advised: true}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c.failed.step, c.next.step = new(Step), new(Step)
+			f := make(failedSteps)
+			f.add(&c.failed)
+			is.Equal(f.includes(&c.next), c.includes)
+		})
+	}
+	is := is.New(t)
+	f := newFixture(10)
+	_ = f.shard.Submit(f.now, unit.UnixMillis(f.now), &Spec{ID: "j", Queue: Queue{Service: "s"}, Repeat: maxOccurrences, Steps: repeatStep(2, Step{Count: 1, Size: resources(90_000)})})
+	f.runFor(100)
+	is.Equal(len(f.shard.readySteps), maxReadySteps)
+	for range 10 {
+		ratings := f.shard.ratings
+		f.shard.place(f.now)
+		is.True(f.shard.ratings-ratings <= 2*10) // each step on each executor
+	}
+}
+
 // Guards against steps that are left out of each placement, once those before them
 // take all ratings.
 func TestRotation(t *testing.T) {
