record: name the bound in the refusal of a job that can't be stored

The reason of a 413 said how many bytes the records of a job take, but not how many are allowed. It now has both, and the number of tasks that they follow from.

Evidence: the cases of CheckSize ask for the bound in the text; before, it had none. The text alone changes.

--- a/scheduler/record/writer.go
+++ b/scheduler/record/writer.go
@@ -53,8 +53,9 @@
 // append in some state of the job. body is the size of the submission, which bounds
 // that of the spec.
 func (l Limits) CheckSize(s *dispatch.Spec, body int) error {
-	if size := unit.Bytes(s.TotalTasks())*maxTaskBytes + unit.Bytes(body) + maxOtherBytes; size > l.WithDefaults().Request {
-		return fmt.Errorf("%w: it takes up to %d bytes", ErrTooLarge, size)
+	limit := l.WithDefaults().Request
+	if size := unit.Bytes(s.TotalTasks())*maxTaskBytes + unit.Bytes(body) + maxOtherBytes; size > limit {
+		return fmt.Errorf("%w: its %d tasks take up to %d bytes, at most %d are stored in one append", ErrTooLarge, s.TotalTasks(), size, limit)
 	}
 	return nil
 }
--- a/scheduler/record/writer_test.go
+++ b/scheduler/record/writer_test.go
@@ -89,6 +89,7 @@
 			err := Limits{}.CheckSize(spec, body)
 			is.Equal(err == nil, c.accepted)
 			if !c.accepted {
+				is.True(strings.Contains(err.Error(), fmt.Sprintf("at most %d", defaultRequestLimit))) // names the bound
 				return
 			}
 			w := NewWriter(Limits{}, new(Set))
