dispatch: try first runs of perpetual tasks once in a placement, too

Cause: a perpetual task that ran before may use more room than others.

Change: only steps with such a task are tried beside another occurrence.

Evidence: TestFailedSteps has both cases.

--- a/schedule/dispatch/place.go
+++ b/schedule/dispatch/place.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"mimosadock/schedule/clock"
 	"mimosadock/schedule/unit"
 )
@@ -216,7 +218,7 @@
 		}
 		tasks := j.tasks(k)
 		request := s.newPlacementRequest(now, k, j, pool)
-		if failed.includes(request) {
+		if failed.includes(request, tasks) {
 			continue
 		}
 		placedAll := true
@@ -248,18 +250,22 @@
 	}
 }
 
-// includes reports whether no executor takes a task of a request, as one of another
-// occurrence of its step was tried before. More executors take a task of a starved job.
-func (f failedSteps) includes(request *placementRequest) bool {
+// includes reports whether no executor takes one of the tasks of a request, as one of
+// another occurrence of its step was tried before. More executors take a task of a
+// starved job, and a perpetual task that ran before.
+func (f failedSteps) includes(request *placementRequest, tasks []Task) bool {
 	starved, ok := f[stepKey{job: request.key.job, step: request.key.step}]
-	return ok && (starved || !request.starved)
+	if !ok || request.starved && !starved {
+		return false
+	}
+	return !request.step.Perpetual || !slices.ContainsFunc(tasks, func(t Task) bool { return t.Run > 0 })
 }
 
 // hasEqualOccurrences reports whether the executors that take a task are the same in
 // all occurrences of the step.
 func (request *placementRequest) hasEqualOccurrences() bool {
 	st := request.step
-	return !request.advised && !st.Gang && !st.SameRack && st.Near == "" && st.MaxPerExecutor == 0 && !st.Perpetual
+	return !request.advised && !st.Gang && !st.SameRack && st.Near == "" && st.MaxPerExecutor == 0
 }
 
 // maxRatings is the number of ratings of executors in a placement after which it
--- a/schedule/dispatch/ready_test.go
+++ b/schedule/dispatch/ready_test.go
@@ -229,20 +229,26 @@
 	for name, c := range map[string]struct {
 		failed, next placementRequest
 		includes     bool
+		restarts     bool // the next step is perpetual and has a task that ran before
 	}{
-		"another occurrence":    {placementRequest{key: key(0, 1)}, placementRequest{key: key(1, 1)}, true},
-		"another step":          {placementRequest{key: key(0, 1)}, placementRequest{key: key(0, 2)}, false},
-		"another job":           {placementRequest{key: key(0, 1)}, placementRequest{key: stepKey{"k", 0, 1}}, false},
-		"starved after another": {placementRequest{key: key(0, 1)}, placementRequest{key: key(1, 1), starved: true}, false},
-		"another after starved": {placementRequest{key: key(0, 1), starved: true}, placementRequest{key: key(1, 1)}, true},
-		"tickets":               {placementRequest{key: key(0, 1), advised: true}, placementRequest{key: key(1, 1), advised: true}, false},
+		"another occurrence":    {failed: placementRequest{key: key(0, 1)}, next: placementRequest{key: key(1, 1)}, includes: true},
+		"another step":          {failed: placementRequest{key: key(0, 1)}, next: placementRequest{key: key(0, 2)}},
+		"another job":           {failed: placementRequest{key: key(0, 1)}, next: placementRequest{key: stepKey{"k", 0, 1}}},
+		"starved after another": {failed: placementRequest{key: key(0, 1)}, next: placementRequest{key: key(1, 1), starved: true}},
+		"another after starved": {failed: placementRequest{key: key(0, 1), starved: true}, next: placementRequest{key: key(1, 1)}, includes: true},
+		"tickets":               {failed: placementRequest{key: key(0, 1), advised: true}, next: placementRequest{key: key(1, 1), advised: true}},
+		"restart after another": {failed: placementRequest{key: key(0, 1)}, next: placementRequest{key: key(1, 1)}, restarts: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			c.failed.step, c.next.step = new(Step), new(Step)
+			tasks := []Task{{State: TaskReady}, {State: TaskReady}}
+			if c.restarts {
+				tasks[1].Run = 1
+			}
+			c.failed.step, c.next.step = &Step{Perpetual: c.restarts}, &Step{Perpetual: c.restarts}
 			f := make(failedSteps)
 			f.add(&c.failed)
-			is.Equal(f.includes(&c.next), c.includes)
+			is.Equal(f.includes(&c.next, tasks), c.includes)
 		})
 	}
 	is := is.New(t)
