dispatch: let TestFailedSteps fail without the change that it guards

Its placements rated no executors, since none had become available since the first one, so that it passed with every occurrence tried. All executors are now marked as available before each placement: without the change the test fails.

--- a/schedule/dispatch/ready_test.go
+++ b/schedule/dispatch/ready_test.go
@@ -257,6 +257,9 @@
 	f.runFor(100)
 	is.Equal(len(f.shard.readySteps), maxReadySteps)
 	for range 10 {
+		for _, e := range f.shard.executors.All() {
+			f.shard.markAvailable(e)
+		}
 		ratings := f.shard.ratings
 		f.shard.place(f.now)
 		is.True(f.shard.ratings-ratings <= 2*10) // each step on each executor
